--- /dev/null
+++ b/src/callers/index.ts
@@ -0,0 +1,1 @@
+export * from './start-caller-server.ts';
--- /dev/null
+++ b/src/command-line/drain-command.ts
@@ -0,0 +1,45 @@
+import {Command} from 'clipanion';
+import {callAdministration} from './administration-call.ts';
+import {AdministrationCommand} from './administration-command.ts';
+import {exitCodes} from './exit-codes.ts';
+
+/**
+`quillford drain`: begins a planned stop of one node.
+*/
+export class DrainCommand extends AdministrationCommand {
+	static override paths = [['drain']];
+
+	static override usage = Command.Usage({
+		description: 'Begin a planned stop of a node',
+		details:
+			'The node refuses new requests, naming other entry VMs, finishes those in flight, and exits.',
+		examples: [
+			[
+				'Stop a node',
+				'quillford drain --administration-address 10.0.0.1:8002 --administration-key KEY',
+			],
+		],
+	});
+
+	async execute(): Promise<number> {
+		const target = this.target();
+		if (!target) {
+			return exitCodes.usage;
+		}
+
+		const answer = await callAdministration<{readonly inFlight: number}>(
+			target,
+			'/drain',
+			'POST',
+		);
+		if (answer.isErr) {
+			this.fail(answer.error);
+			return exitCodes.failure;
+		}
+
+		this.print(
+			`The node is leaving; ${answer.value.inFlight} requests are in flight`,
+		);
+		return exitCodes.ok;
+	}
+}
--- /dev/null
+++ b/src/command-line/index.ts
@@ -0,0 +1,2 @@
+export * from './exit-codes.ts';
+export * from './run.ts';
--- /dev/null
+++ b/src/command-line/report-command.ts
@@ -0,0 +1,118 @@
+import {Command, Option} from 'clipanion';
+import type {GatheredReports} from '../administration/index.ts';
+import type {BurnReport, ReportRow} from '../reporting/index.ts';
+import {callAdministration} from './administration-call.ts';
+import {AdministrationCommand} from './administration-command.ts';
+import {exitCodes} from './exit-codes.ts';
+
+/**
+`quillford report`: prints service-level burn, cost, latency and away share.
+*/
+export class ReportCommand extends AdministrationCommand {
+	static override paths = [['report']];
+
+	static override usage = Command.Usage({
+		description: 'Report burn, cost, tail latency and away share',
+		details:
+			'Each node reports what it answered; with --all the named node asks all others, and those that do not answer are named.',
+		examples: [
+			[
+				'From one node',
+				'quillford report --administration-address 10.0.0.1:8002 --administration-key KEY',
+			],
+			[
+				'From all nodes, as JSON',
+				'quillford report --all --json --administration-address 10.0.0.1:8002 --administration-key KEY',
+			],
+		],
+	});
+
+	all = Option.Boolean('--all', false, {description: 'Ask all nodes'});
+
+	async execute(): Promise<number> {
+		const target = this.target();
+		if (!target) {
+			return exitCodes.usage;
+		}
+
+		const answer = await callAdministration<GatheredReports>(
+			target,
+			`/report?scope=${this.all ? 'all' : 'node'}`,
+		);
+		if (answer.isErr) {
+			this.fail(answer.error);
+			return exitCodes.failure;
+		}
+
+		this.print(
+			this.json
+				? JSON.stringify(answer.value, undefined, 2)
+				: format(answer.value),
+		);
+		return exitCodes.ok;
+	}
+}
+
+const format = ({reports, unanswered}: GatheredReports): string =>
+	[
+		...reports.flatMap(({node, rows, burn}) => [
+			`node ${node}`,
+			formatColumns([rowTitles, ...rows.map((row) => formatRow(row))]),
+			...burn.map((entry) => formatBurn(entry)),
+			'',
+		]),
+		unanswered.length > 0
+			? `did not answer: ${unanswered.join(', ')}`
+			: 'all nodes asked have answered',
+	].join('\n');
+
+const rowTitles = [
+	'by',
+	'name',
+	'requests',
+	'answered',
+	'away',
+	'tokens',
+	'cost',
+	'first p50',
+	'p95',
+	'p99',
+	'token p95',
+];
+
+const formatRow = (row: ReportRow): readonly string[] => [
+	row.dimension,
+	row.name,
+	String(row.requests),
+	String(row.answered),
+	`${row.requests === 0 ? 0 : ((100 * row.away) / row.requests).toFixed(1)} %`,
+	String(row.tokens),
+	row.cost.toFixed(3),
+	...[
+		row.firstToken.p50,
+		row.firstToken.p95,
+		row.firstToken.p99,
+		row.interToken.p95,
+	].map((value) => value.toFixed(1)),
+];
+
+const formatBurn = ({objective, windows, verdict}: BurnReport): string => {
+	const parts = windows.map(
+		({minutes, burn}) => `${minutes} min: ${burn.toFixed(2)}`,
+	);
+	return `burn of ${objective}: ${parts.join(', ')} (${verdict})`;
+};
+
+const formatColumns = (lines: ReadonlyArray<readonly string[]>): string => {
+	const widths = lines[0]!.map((_, column) =>
+		Math.max(...lines.map((line) => line[column]!.length)),
+	);
+	return lines
+		.map((line) =>
+			line
+				.map((cell, column) => cell.padEnd(widths[column]!))
+				.join('  ')
+				.trimEnd(),
+		)
+		.join('\n');
+};
--- /dev/null
+++ b/src/command-line/serve-command.ts
@@ -0,0 +1,120 @@
+import process from 'node:process';
+import {Command, Option} from 'clipanion';
+import {startAdministrationServer} from '../administration/index.ts';
+import {startCallerServer} from '../callers/index.ts';
+import {createLogger, startLogging, type Logger} from '../logging/index.ts';
+import {createNode, type GatewayNode} from '../node/index.ts';
+import {
+	formatSettingFault,
+	readSettings,
+	serveSettings,
+} from '../settings/index.ts';
+import {exitCodes} from './exit-codes.ts';
+
+type Closable = {close(): Promise<void>};
+
+// How long listeners stay open after the last request, for callers whose next request is
+// already under way: they are refused with a clear word in place of a broken connection.
+const lingerMs = 500;
+
+/**
+`quillford serve`: runs an entry node until it is told to stop.
+*/
+export class ServeCommand extends Command {
+	static override paths = [['serve']];
+
+	static override usage = Command.Usage({
+		description: 'Run an entry node',
+		details: `Every setting is a flag and an environment variable; the flag goes first.\n\n${describeSettings()}`,
+		examples: [
+			[
+				'Run a node of zone abj-wuse',
+				'quillford serve --node-id abj-1 --availability-zone abj-wuse --caller-address 10.0.0.1:8000 --peer-address 10.0.0.1:8001 --administration-address 10.0.0.1:8002 --platform-address 10.0.0.100:80',
+			],
+		],
+	});
+
+	constructor() {
+		super();
+		for (const [name, setting] of Object.entries(serveSettings)) {
+			Object.assign(this, {
+				[name]: Option.String(setting.flag, {description: setting.description}),
+			});
+		}
+	}
+
+	async execute(): Promise<number> {
+		const flags = this as unknown as Readonly<
+			Record<string, string | undefined>
+		>;
+		const settings = readSettings(serveSettings, flags, process.env);
+		if (settings.isErr) {
+			const lines = settings.error.map(
+				(fault) => `  ${formatSettingFault(fault)}`,
+			);
+			this.context.stderr.write(
+				`Some settings are not valid:\n${lines.join('\n')}\n`,
+			);
+			return exitCodes.usage;
+		}
+
+		startLogging(settings.value.logLevel);
+		const logger = createLogger('node', {node: settings.value.nodeId});
+		const node = createNode(settings.value, logger);
+		return runUntilStopped(node, logger);
+	}
+}
+
+const runUntilStopped = async (
+	node: GatewayNode,
+	logger: Logger,
+): Promise<number> => {
+	const {promise, resolve} = Promise.withResolvers<string>();
+	process.on('SIGTERM', () => {
+		resolve('SIGTERM');
+	});
+	process.on('SIGINT', () => {
+		resolve('SIGINT');
+	});
+	const servers: Closable[] = [];
+	try {
+		await node.start();
+		servers.push(
+			await startAdministrationServer(node, () => {
+				resolve('drain');
+			}),
+			await startCallerServer(node),
+		);
+	} catch (error) {
+		logger.error({fault: (error as Error).message}, 'the node could not start');
+		await closeAll(servers);
+		await node.stop();
+		return exitCodes.failure;
+	}
+
+	logger.info({callerAddress: node.settings.callerAddress}, 'serving');
+	const reason = await promise;
+	logger.info({reason}, 'planned stop');
+	const isIdle = await node.drain();
+	await new Promise((done) => {
+		setTimeout(done, lingerMs);
+	});
+	await closeAll(servers);
+	await node.stop();
+	logger.info({isIdle}, 'stopped');
+	return isIdle ? exitCodes.ok : exitCodes.failure;
+};
+
+const closeAll = async (servers: readonly Closable[]): Promise<void> => {
+	await Promise.all(servers.map(async (server) => server.close()));
+};
+
+function describeSettings(): string {
+	return Object.values(serveSettings)
+		.map(({flag, variable, description, allowed, fallback}) => {
+			const preset =
+				fallback === undefined ? 'required' : `default "${fallback}"`;
+			return `- \`${flag}\`, \`${variable}\`: ${description} (${allowed}; ${preset})`;
+		})
+		.join('\n\n');
+}
--- /dev/null
+++ b/src/configuration/parse-configuration.ts
@@ -0,0 +1,114 @@
+import {Result} from 'true-myth';
+import {parse as parseYaml} from 'yaml';
+import {sha256} from '../shared/index.ts';
+import {
+	configurationSchema,
+	maximumDocumentBytes,
+} from './configuration-schema.ts';
+import {crossCheck} from './cross-check.ts';
+import type {Configuration} from './configuration.ts';
+
+/**
+One fault of a document: where, what is wrong, and how to mend it.
+*/
+export type ConfigurationFault = {
+	/**
+	Path into the document, such as `policies.0.strategy`.
+	*/
+	readonly path: string;
+	readonly fault: string;
+	readonly remedy: string;
+};
+
+/**
+A document that passed every check.
+*/
+export type ParsedConfiguration = {
+	readonly configuration: Configuration;
+	/**
+	The text as published; peers pass it on unchanged.
+	*/
+	readonly text: string;
+	/**
+	SHA-256 of the text; settles which of two documents with one version is in force.
+	*/
+	readonly digest: string;
+};
+
+/**
+Reads and checks a whole document; all faults are reported together.
+*/
+export const parseConfiguration = (
+	text: string,
+): Result<ParsedConfiguration, readonly ConfigurationFault[]> => {
+	const bytes = Buffer.byteLength(text);
+	if (bytes > maximumDocumentBytes) {
+		return Result.err([tooLarge(bytes)]);
+	}
+
+	const document = readDocument(text);
+	if (document.isErr) {
+		return Result.err([document.error]);
+	}
+
+	const checked = configurationSchema.safeParse(document.value);
+	if (!checked.success) {
+		return Result.err(checked.error.issues.map((issue) => schemaFault(issue)));
+	}
+
+	const faults = crossCheck(checked.data);
+	return faults.length > 0
+		? Result.err(faults)
+		: Result.ok({configuration: checked.data, text, digest: sha256(text)});
+};
+
+const tooLarge = (bytes: number): ConfigurationFault => ({
+	path: '(document)',
+	fault: `is ${bytes} bytes long`,
+	remedy: `shorten it to at most ${maximumDocumentBytes} bytes`,
+});
+
+const readDocument = (text: string): Result<unknown, ConfigurationFault> => {
+	try {
+		// JSON is read by its own parser, which is far faster on large documents; YAML covers the rest.
+		return Result.ok(
+			text.trimStart().startsWith('{') ? JSON.parse(text) : parseYaml(text),
+		);
+	} catch (error) {
+		return Result.err({
+			path: '(document)',
+			fault: `cannot be read: ${(error as Error).message}`,
+			remedy: 'write valid YAML or JSON',
+		});
+	}
+};
+
+const schemaFault = (issue: {
+	readonly path: readonly PropertyKey[];
+	readonly message: string;
+	readonly code?: string;
+}): ConfigurationFault => ({
+	path: issue.path.map(String).join('.') || '(document)',
+	fault: issue.message,
+	remedy: remedyFor(issue.code),
+});
+
+const remedyFor = (code: string | undefined): string => {
+	switch (code) {
+		case 'unrecognized_keys': {
+			return 'remove the key or correct its spelling';
+		}
+
+		case 'invalid_type': {
+			return 'give a value of the expected type; see docs/CONFIGURATION.md';
+		}
+
+		case 'invalid_union': {
+			return 'use one of the listed kinds; see docs/CONFIGURATION.md';
+		}
+
+		default: {
+			return 'give a value within the stated bounds; see docs/CONFIGURATION.md';
+		}
+	}
+};
--- /dev/null
+++ b/src/controllers/index.ts
@@ -0,0 +1,2 @@
+export type * from './controller.ts';
+export * from './controller-host.ts';
--- /dev/null
+++ b/src/digests/index.ts
@@ -0,0 +1,2 @@
+export * from './digest-entry.ts';
+export * from './digest-table.ts';
--- /dev/null
+++ b/src/engines/engine-client.ts
@@ -0,0 +1,233 @@
+import {Agent, request, type Dispatcher} from 'undici';
+import {Result} from 'true-myth';
+import {z} from 'zod';
+import {createGatewayError} from '../errors/index.ts';
+import type {LoadReport} from '../fleet/index.ts';
+import type {AttemptFailure} from '../retries/index.ts';
+import type {ClearedRegion} from '../routing/index.ts';
+import type {Address} from '../shared/index.ts';
+
+/**
+A request as it is sent to a backend server.
+*/
+export type BackendCall = {
+	readonly method: string;
+	/**
+	Path and query.
+	*/
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: Buffer;
+	/**
+	Names this attempt; the server repeats it in its answer.
+	*/
+	readonly attemptId: string;
+	readonly priority: number;
+	/**
+	Tokens that the caller has already; the server goes on after them.
+	*/
+	readonly resumeFrom: number;
+	readonly signal: AbortSignal;
+};
+
+/**
+The beginning of an answer; the body follows as it arrives.
+*/
+export type UpstreamAnswer = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly body: AsyncIterable<Buffer>;
+};
+
+/**
+What a load report says, with whether the server is leaving.
+*/
+export type EngineStatus = LoadReport & {
+	readonly isLeaving: boolean;
+	readonly ageMs: number;
+};
+
+/**
+Cache events of an engine from a sequence number on.
+*/
+export type CacheEvents = z.output<typeof cacheEventsBody>;
+
+/**
+ Talks to backend servers: model engines and plain services.
+ 
+ Every call asks for proof that residency was checked for the server's region.
+ */
+export type EngineClient = {
+	send(
+		address: Address,
+		call: BackendCall,
+		cleared: ClearedRegion,
+	): Promise<Result<UpstreamAnswer, AttemptFailure>>;
+	readStatus(address: Address): Promise<Result<EngineStatus, string>>;
+	readCacheEvents(
+		address: Address,
+		after: number,
+	): Promise<Result<CacheEvents, string>>;
+	close(): Promise<void>;
+};
+
+/**
+Header by which a backend server states that it did not begin a request.
+*/
+export const notRunHeader = 'x-not-run';
+
+/**
+Header that carries the attempt id to the server and back.
+*/
+export const attemptHeader = 'x-attempt-id';
+
+const statusBody = z.object({
+	running: z.number(),
+	queued: z.number(),
+	slots: z.number(),
+	incarnation: z.string(),
+	isLeaving: z.boolean().default(false),
+	ageMs: z.number().default(0),
+});
+
+const cacheEventsBody = z.object({
+	/**
+	Sequence number of the first event given.
+	*/
+	first: z.number(),
+	events: z.array(
+		z.object({kind: z.enum(['stored', 'evicted']), block: z.string()}),
+	),
+});
+
+const connectTimeoutMs = 1000;
+const statusTimeoutMs = 1000;
+
+/**
+Builds a client with its own pool of connections.
+*/
+export const createEngineClient = (
+	translate: (address: Address) => Address,
+): EngineClient => {
+	const dispatcher = new Agent({
+		connect: {timeout: connectTimeoutMs},
+		connections: 512,
+		// Time bounds belong to requests, whose deadlines abort them; a long stream is no fault.
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
+
+	const readJson = async <Body>(
+		address: Address,
+		path: string,
+		schema: z.ZodType<Body>,
+	) => {
+		try {
+			const answer = await request(`http://${translate(address)}${path}`, {
+				dispatcher,
+				signal: AbortSignal.timeout(statusTimeoutMs),
+			});
+			const parsed = schema.safeParse(await answer.body.json());
+			return parsed.success
+				? Result.ok<Body, string>(parsed.data)
+				: Result.err<Body, string>(
+						`the answer cannot be read: ${parsed.error.message}`,
+					);
+		} catch (error) {
+			return Result.err<Body, string>((error as Error).message);
+		}
+	};
+
+	return {
+		async send(address, call, _cleared) {
+			try {
+				const answer = await request(
+					`http://${translate(address)}${call.path}`,
+					{
+						dispatcher,
+						method: call.method,
+						headers: {
+							...call.headers,
+							[attemptHeader]: call.attemptId,
+							'x-priority': String(call.priority),
+							'x-resume-from': String(call.resumeFrom),
+						},
+						body: call.body.length > 0 ? call.body : undefined,
+						signal: call.signal,
+					},
+				);
+				return await judgeAnswer(answer, call.attemptId);
+			} catch (error) {
+				return Result.err(failureOf(error as Error));
+			}
+		},
+		readStatus: async (address) => readJson(address, '/load', statusBody),
+		readCacheEvents: async (address, after) =>
+			readJson(address, `/cache-events?after=${after}`, cacheEventsBody),
+		close: async () => dispatcher.destroy(),
+	};
+};
+
+/**
+ What an error of a connection proves.
+ 
+ Only errors that come before a byte was sent prove that nothing ran.
+ */
+export const failureOf = (error: Error): AttemptFailure => {
+	const code = (error as NodeJS.ErrnoException).code ?? '';
+	const isBeforeSend = beforeSendCodes.has(code);
+	return {
+		outcome: isBeforeSend ? 'not-run' : 'unknown',
+		error: createGatewayError(
+			'attempt-failed',
+			isBeforeSend
+				? 'The backend server could not be reached'
+				: `The connection failed (${code || error.name})`,
+			{outcome: isBeforeSend ? 'not-run' : 'unknown'},
+		),
+	};
+};
+
+const beforeSendCodes: ReadonlySet<string> = new Set([
+	'ECONNREFUSED',
+	'EHOSTUNREACH',
+	'ENETUNREACH',
+	'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const judgeAnswer = async (
+	answer: Dispatcher.ResponseData,
+	attemptId: string,
+): Promise<Result<UpstreamAnswer, AttemptFailure>> => {
+	if (answer.headers[notRunHeader] !== undefined) {
+		await answer.body.dump();
+		return Result.err(refusal(answer.statusCode));
+	}
+
+	if (answer.headers[attemptHeader] !== attemptId) {
+		answer.body.destroy();
+		return Result.err(foreignAnswer());
+	}
+
+	return Result.ok({
+		status: answer.statusCode,
+		headers: answer.headers,
+		body: answer.body,
+	});
+};
+
+const refusal = (status: number): AttemptFailure => ({
+	outcome: 'not-run',
+	error: createGatewayError(
+		'overloaded',
+		`The backend server refused the request (status ${status})`,
+	),
+});
+
+const foreignAnswer = (): AttemptFailure => ({
+	outcome: 'unknown',
+	error: createGatewayError(
+		'attempt-failed',
+		'The backend server answered for another attempt; the answer was dropped',
+	),
+});
--- /dev/null
+++ b/src/engines/index.ts
@@ -0,0 +1,1 @@
+export * from './engine-client.ts';
--- /dev/null
+++ b/src/fleet/fleet.ts
@@ -0,0 +1,509 @@
+import type {BackendServer} from '../configuration/index.ts';
+import {assertNever} from '../shared/index.ts';
+import type {BackendServerCandidate} from '../routing/index.ts';
+
+/**
+A load report of a backend server.
+*/
+export type LoadReport = {
+	readonly running: number;
+	readonly queued: number;
+	readonly slots: number;
+	/**
+	Names the engine process; a restart changes it.
+	*/
+	readonly incarnation: string;
+};
+
+/**
+How an attempt at a backend server ended.
+*/
+export type AttemptEnd =
+	'answered' | 'refused' | 'unreachable' | 'failed' | 'canceled';
+
+/**
+Something that changes what is known of the backend servers.
+*/
+export type FleetEvent =
+	| {
+			readonly kind: 'configured';
+			readonly backendServers: readonly BackendServer[];
+	  }
+	| {
+			readonly kind: 'load-reported';
+			readonly backendServer: string;
+			readonly report: LoadReport;
+			/**
+			When the report was true, by the clock of this node.
+			*/
+			readonly observedAt: number;
+	  }
+	| {
+			readonly kind: 'peer-in-flight';
+			readonly node: string;
+			readonly counts: Readonly<Record<string, number>>;
+	  }
+	| {readonly kind: 'peer-gone'; readonly node: string}
+	| {
+			readonly kind: 'leaving';
+			readonly backendServer: string;
+			readonly incarnation: string;
+	  }
+	| {readonly kind: 'attempt-started'; readonly backendServer: string}
+	| {
+			readonly kind: 'first-token';
+			readonly backendServer: string;
+			readonly elapsedMs: number;
+	  }
+	| {
+			readonly kind: 'attempt-ended';
+			readonly backendServer: string;
+			readonly end: AttemptEnd;
+	  }
+	| {readonly kind: 'woken'};
+
+/**
+What is known of one backend server, for operators.
+*/
+export type BackendServerState = {
+	readonly id: string;
+	readonly service: string;
+	readonly availabilityZone: string;
+	readonly address: string;
+	readonly isLeaving: boolean;
+	readonly isEjected: boolean;
+	readonly load: number;
+	readonly slots: number;
+	readonly inFlight: number;
+	readonly firstTokenMs: number;
+	readonly weight: number;
+	/**
+	Milliseconds since the latest load report; undefined before the first.
+	*/
+	readonly reportAgeMs: number | undefined;
+};
+
+/**
+Load and speed of several servers together.
+*/
+export type FleetCapacity = {
+	readonly load: number;
+	readonly slots: number;
+	readonly firstTokenMs: number;
+	readonly costPerThousandTokens: number;
+};
+
+/**
+Bounds of the fleet's estimates, in milliseconds unless said otherwise.
+*/
+export type FleetParameters = {
+	/**
+	After this long a load report counts for about a third.
+	*/
+	readonly reportDecay: number;
+	readonly failuresToEject: number;
+	readonly ejection: number;
+	readonly maximumEjection: number;
+	readonly slowStart: number;
+	readonly firstTokenPrior: number;
+	/**
+	Share of slots beyond which this node sends nothing more to a server.
+	*/
+	readonly queueAllowance: number;
+};
+
+/**
+Parameters in use unless a test states others.
+*/
+export const defaultFleetParameters: FleetParameters = {
+	reportDecay: 3000,
+	failuresToEject: 3,
+	ejection: 2000,
+	maximumEjection: 30_000,
+	slowStart: 10_000,
+	firstTokenPrior: 30,
+	queueAllowance: 0.5,
+};
+
+/**
+What this node knows of the backend servers of its own zone.
+*/
+export type Fleet = {
+	handle(event: FleetEvent, now: number): void;
+	/**
+	The servers among the given ones that may be given work now.
+	*/
+	candidates(
+		backendServers: readonly BackendServer[],
+		now: number,
+	): readonly BackendServerCandidate[];
+	/**
+	Load and speed of the given servers together; those leaving or ejected are left out.
+	*/
+	capacity(
+		backendServers: readonly BackendServer[],
+		now: number,
+	): FleetCapacity;
+	/**
+	Requests of this node in flight, by backend server; servers without any are left out.
+	*/
+	inFlight(): Readonly<Record<string, number>>;
+	states(now: number): readonly BackendServerState[];
+	/**
+	The engine process last heard of, if any.
+	*/
+	incarnationOf(backendServer: string): string | undefined;
+	isLeaving(backendServer: string): boolean;
+};
+
+type Row = {
+	readonly server: BackendServer;
+	report: LoadReport | undefined;
+	reportedAt: number;
+	/**
+	Own requests in flight when the report was true.
+	*/
+	inFlightAtReport: number;
+	inFlight: number;
+	readonly peers: Map<string, number>;
+	peerInFlight: number;
+	firstTokenMs: number;
+	failures: number;
+	ejections: number;
+	ejectedUntil: number;
+	availableSince: number;
+	incarnation: string | undefined;
+	readonly leavingIncarnations: Set<string>;
+};
+
+const smoothing = 0.2;
+const lowestWeight = 0.05;
+
+/**
+Leaving word about whichever process is meant, used by a source that names none.
+*/
+export const anyIncarnation = '*';
+
+/**
+Builds a fleet without servers; `configured` brings them.
+*/
+export const createFleet = (
+	parameters: FleetParameters = defaultFleetParameters,
+): Fleet => {
+	let rows = new Map<string, Row>();
+
+	const createRow = (server: BackendServer, availableSince: number): Row => ({
+		server,
+		report: undefined,
+		reportedAt: 0,
+		inFlightAtReport: 0,
+		inFlight: 0,
+		peers: new Map(),
+		peerInFlight: 0,
+		firstTokenMs: parameters.firstTokenPrior,
+		failures: 0,
+		ejections: 0,
+		ejectedUntil: 0,
+		availableSince,
+		incarnation: undefined,
+		leavingIncarnations: new Set(),
+	});
+
+	const configure = (servers: readonly BackendServer[], now: number) => {
+		const isFirst = rows.size === 0;
+		rows = new Map(
+			servers.map((server) => {
+				const known = rows.get(server.id);
+				const isSame = known?.server.address === server.address;
+				// Servers of a node's first configuration are taken as warm, later ones ramp up.
+				const since = isFirst ? now - parameters.slowStart : now;
+				return [
+					server.id,
+					isSame ? Object.assign(known, {server}) : createRow(server, since),
+				];
+			}),
+		);
+	};
+
+	const takeReport = (
+		row: Row,
+		report: LoadReport,
+		observedAt: number,
+		now: number,
+	) => {
+		if (observedAt < row.reportedAt) {
+			return;
+		}
+
+		if (
+			row.incarnation !== undefined &&
+			row.incarnation !== report.incarnation
+		) {
+			// A new process starts with cold caches.
+			row.availableSince = now;
+			row.failures = 0;
+		}
+
+		row.incarnation = report.incarnation;
+		row.report = report;
+		row.reportedAt = observedAt;
+		row.inFlightAtReport = row.inFlight;
+	};
+
+	const estimateLoad = (row: Row, now: number): number => {
+		const known = row.inFlight + row.peerInFlight;
+		if (!row.report) {
+			return known;
+		}
+
+		const trust = Math.exp(
+			-Math.max(0, now - row.reportedAt) / parameters.reportDecay,
+		);
+		const sinceReport = Math.max(0, row.inFlight - row.inFlightAtReport);
+		return Math.max(
+			known,
+			(row.report.running + row.report.queued) * trust + sinceReport,
+		);
+	};
+
+	const weightOf = (row: Row, now: number): number =>
+		Math.min(
+			1,
+			Math.max(lowestWeight, (now - row.availableSince) / parameters.slowStart),
+		);
+
+	const isLeavingRow = (row: Row): boolean =>
+		row.leavingIncarnations.has(anyIncarnation) ||
+		(row.incarnation !== undefined &&
+			row.leavingIncarnations.has(row.incarnation));
+
+	const markLeaving = (row: Row, incarnation: string) => {
+		row.leavingIncarnations.add(incarnation);
+		// A word that came before the first report of the process it names must hold as well.
+		row.incarnation ??=
+			incarnation === anyIncarnation ? undefined : incarnation;
+	};
+
+	const endAttempt = (row: Row, end: AttemptEnd, now: number) => {
+		row.inFlight = Math.max(0, row.inFlight - 1);
+		switch (end) {
+			case 'answered': {
+				if (row.ejections > 0) {
+					row.availableSince = now;
+				}
+
+				row.failures = 0;
+				row.ejections = 0;
+				return;
+			}
+
+			case 'unreachable':
+			case 'failed': {
+				countFailure(row, now);
+				return;
+			}
+
+			case 'refused':
+			case 'canceled': {
+				return;
+			}
+
+			default: {
+				assertNever(end);
+			}
+		}
+	};
+
+	const countFailure = (row: Row, now: number) => {
+		row.failures += 1;
+		if (row.failures >= parameters.failuresToEject) {
+			const duration = parameters.ejection * 2 ** row.ejections;
+			row.ejectedUntil = now + Math.min(duration, parameters.maximumEjection);
+			row.ejections += 1;
+			row.failures = parameters.failuresToEject - 1;
+		}
+	};
+
+	const takePeer = (node: string, counts: Readonly<Record<string, number>>) => {
+		for (const [id, row] of rows) {
+			const count = counts[id] ?? 0;
+			row.peerInFlight += count - (row.peers.get(node) ?? 0);
+			if (count === 0) {
+				row.peers.delete(node);
+			} else {
+				row.peers.set(node, count);
+			}
+		}
+	};
+
+	// After a pause everything known is old: only what is heard from now on counts.
+	const wake = () => {
+		for (const row of rows.values()) {
+			row.report = undefined;
+			row.peers.clear();
+			row.peerInFlight = 0;
+		}
+	};
+
+	const withRow = (id: string, act: (row: Row) => void) => {
+		const row = rows.get(id);
+		if (row) {
+			act(row);
+		}
+	};
+
+	const isUsable = (row: Row, now: number): boolean =>
+		!isLeavingRow(row) && row.ejectedUntil <= now;
+
+	const capacityOf = (
+		servers: readonly BackendServer[],
+		now: number,
+	): FleetCapacity => {
+		let load = 0;
+		let slots = 0;
+		let weightedFirstToken = 0;
+		let weightedCost = 0;
+		for (const {id} of servers) {
+			const row = rows.get(id);
+			if (!(row && isUsable(row, now))) {
+				continue;
+			}
+
+			load += estimateLoad(row, now);
+			slots += row.server.slots;
+			weightedFirstToken += row.firstTokenMs * row.server.slots;
+			weightedCost += row.server.costPerThousandTokens * row.server.slots;
+		}
+
+		return {
+			load,
+			slots,
+			firstTokenMs: slots === 0 ? 0 : weightedFirstToken / slots,
+			costPerThousandTokens: slots === 0 ? 0 : weightedCost / slots,
+		};
+	};
+
+	const toCandidate = (
+		row: Row,
+		now: number,
+	): BackendServerCandidate | undefined => {
+		if (!isUsable(row, now)) {
+			return undefined;
+		}
+
+		const load = estimateLoad(row, now);
+		const {slots} = row.server;
+		if (load >= slots * (1 + parameters.queueAllowance)) {
+			return undefined;
+		}
+
+		return {
+			id: row.server.id,
+			load,
+			slots,
+			expectedFirstTokenMs: row.firstTokenMs,
+			costPerThousandTokens: row.server.costPerThousandTokens,
+			weight: weightOf(row, now),
+		};
+	};
+
+	const handle = (event: FleetEvent, now: number): void => {
+		switch (event.kind) {
+			case 'configured': {
+				configure(event.backendServers, now);
+				return;
+			}
+
+			case 'load-reported': {
+				withRow(event.backendServer, (row) => {
+					takeReport(row, event.report, event.observedAt, now);
+				});
+				return;
+			}
+
+			case 'peer-in-flight': {
+				takePeer(event.node, event.counts);
+				return;
+			}
+
+			case 'peer-gone': {
+				takePeer(event.node, {});
+				return;
+			}
+
+			case 'leaving': {
+				withRow(event.backendServer, (row) => {
+					markLeaving(row, event.incarnation);
+				});
+				return;
+			}
+
+			case 'attempt-started': {
+				withRow(event.backendServer, (row) => {
+					row.inFlight += 1;
+				});
+				return;
+			}
+
+			case 'first-token': {
+				withRow(event.backendServer, (row) => {
+					row.firstTokenMs += smoothing * (event.elapsedMs - row.firstTokenMs);
+				});
+				return;
+			}
+
+			case 'attempt-ended': {
+				withRow(event.backendServer, (row) => {
+					endAttempt(row, event.end, now);
+				});
+				return;
+			}
+
+			case 'woken': {
+				wake();
+				return;
+			}
+
+			default: {
+				assertNever(event);
+			}
+		}
+	};
+
+	const stateOf = (row: Row, now: number): BackendServerState => ({
+		id: row.server.id,
+		service: row.server.service,
+		availabilityZone: row.server.availabilityZone,
+		address: row.server.address,
+		isLeaving: isLeavingRow(row),
+		isEjected: row.ejectedUntil > now,
+		load: estimateLoad(row, now),
+		slots: row.server.slots,
+		inFlight: row.inFlight,
+		firstTokenMs: row.firstTokenMs,
+		weight: weightOf(row, now),
+		reportAgeMs: row.report ? now - row.reportedAt : undefined,
+	});
+
+	return {
+		handle,
+		candidates: (servers, now) =>
+			servers.flatMap(({id}) => {
+				const row = rows.get(id);
+				return (row && toCandidate(row, now)) ?? [];
+			}),
+		capacity: capacityOf,
+		inFlight: () =>
+			Object.fromEntries(
+				[...rows]
+					.filter(([, row]) => row.inFlight > 0)
+					.map(([id, row]) => [id, row.inFlight]),
+			),
+		states: (now) => [...rows.values()].map((row) => stateOf(row, now)),
+		incarnationOf: (id) => rows.get(id)?.incarnation,
+		isLeaving(id) {
+			const row = rows.get(id);
+			return row !== undefined && isLeavingRow(row);
+		},
+	};
+};
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,1 @@
+export * from './fleet.ts';
--- /dev/null
+++ b/src/limits/index.ts
@@ -0,0 +1,2 @@
+export * from './client-limits.ts';
+export * from './waiting-line.ts';
--- /dev/null
+++ b/src/limits/waiting-line.ts
@@ -0,0 +1,103 @@
+/**
+A request that waits for a free slot.
+*/
+export type Waiter<Item> = {
+	readonly item: Item;
+	/**
+	From 0 to 9; higher goes first.
+	*/
+	readonly priority: number;
+	/**
+	By the clock of this node, in milliseconds.
+	*/
+	readonly deadline: number;
+	readonly clientName: string;
+};
+
+/**
+What happened to a request that asked to wait.
+*/
+export type JoinVerdict<Item> =
+	| {readonly kind: 'waiting'}
+	| {readonly kind: 'full'}
+	| {readonly kind: 'displaced'; readonly waiter: Waiter<Item>};
+
+/**
+A short line of waiting requests, ordered by priority and then by deadline.
+*/
+export type WaitingLine<Item> = {
+	join(waiter: Waiter<Item>): JoinVerdict<Item>;
+	/**
+	Removes and returns the first that passes the test.
+	*/
+	takeFirst(test: (item: Item) => boolean): Waiter<Item> | undefined;
+	/**
+	Removes and returns those whose deadline has passed.
+	*/
+	takeExpired(now: number): ReadonlyArray<Waiter<Item>>;
+	remove(item: Item): boolean;
+	length(): number;
+};
+
+/**
+ Builds an empty line.
+ 
+ One client may hold at most half of the places, so that a greedy client's requests
+ are answered `overloaded` before they crowd out the others.
+ */
+export const createWaitingLine = <Item>(
+	capacity: number,
+): WaitingLine<Item> => {
+	let waiters: ReadonlyArray<Waiter<Item>> = [];
+
+	const heldBy = (clientName: string) =>
+		waiters.filter((waiter) => waiter.clientName === clientName).length;
+
+	const insert = (waiter: Waiter<Item>) => {
+		waiters = [...waiters, waiter].toSorted(
+			(left, right) =>
+				right.priority - left.priority || left.deadline - right.deadline,
+		);
+	};
+
+	return {
+		join(waiter) {
+			if (heldBy(waiter.clientName) >= Math.max(1, capacity / 2)) {
+				return {kind: 'full'};
+			}
+
+			if (waiters.length < capacity) {
+				insert(waiter);
+				return {kind: 'waiting'};
+			}
+
+			const last = waiters.at(-1);
+			if (!last || last.priority >= waiter.priority) {
+				return {kind: 'full'};
+			}
+
+			waiters = waiters.slice(0, -1);
+			insert(waiter);
+			return {kind: 'displaced', waiter: last};
+		},
+		takeFirst(test) {
+			const found = waiters.find(({item}) => test(item));
+			if (found) {
+				waiters = waiters.filter((waiter) => waiter !== found);
+			}
+
+			return found;
+		},
+		takeExpired(now) {
+			const expired = waiters.filter(({deadline}) => deadline <= now);
+			waiters = waiters.filter(({deadline}) => deadline > now);
+			return expired;
+		},
+		remove(item) {
+			const before = waiters.length;
+			waiters = waiters.filter((waiter) => waiter.item !== item);
+			return waiters.length < before;
+		},
+		length: () => waiters.length,
+	};
+};
--- /dev/null
+++ b/src/logging/index.ts
@@ -0,0 +1,1 @@
+export * from './logger.ts';
--- /dev/null
+++ b/src/membership/duty.ts
@@ -0,0 +1,28 @@
+import {rendezvousOrder} from '../shared/index.ts';
+import type {Member} from './member.ts';
+
+/**
+How many nodes of a zone share each duty; a second one covers the loss of the first.
+*/
+export const nodesPerDuty = 2;
+
+/**
+ Whether this node holds a duty of its zone, such as watching one platform service.
+ 
+ Every node works it out from its own view. While views differ, more nodes than
+ intended may hold a duty, which costs calls but never correctness.
+ */
+export const holdsDuty = (
+	duty: string,
+	self: Member,
+	members: readonly Member[],
+): boolean => {
+	const inZone = members.filter(
+		({availabilityZone, status}) =>
+			availabilityZone === self.availabilityZone && status === 'alive',
+	);
+	const candidates = self.status === 'alive' ? [self, ...inZone] : inZone;
+	return rendezvousOrder(duty, candidates, ({id}) => id)
+		.slice(0, nodesPerDuty)
+		.some(({id}) => id === self.id);
+};
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,550 @@
+import {type Random, assertNever} from '../shared/index.ts';
+import {supersedes, type Member} from './member.ts';
+
+/**
+A heartbeat message between nodes, without its piggybacked state.
+*/
+export type MembershipMessage =
+	| {
+			readonly kind: 'ping';
+			readonly sequence: number;
+			readonly from: Member;
+			readonly updates: readonly Member[];
+	  }
+	| {
+			readonly kind: 'acknowledge';
+			readonly sequence: number;
+			readonly from: Member;
+			readonly updates: readonly Member[];
+	  }
+	| {
+			readonly kind: 'ping-request';
+			readonly sequence: number;
+			readonly from: Member;
+			readonly target: string;
+			readonly updates: readonly Member[];
+	  };
+
+/**
+Something that happened, as membership takes it in.
+*/
+export type MembershipEvent =
+	| {readonly kind: 'tick'}
+	| {readonly kind: 'message'; readonly message: MembershipMessage}
+	| {readonly kind: 'vm-list'; readonly entryVms: readonly Member[]}
+	/**
+	The whole view of another node, asked for after a start or a pause.
+	*/
+	| {readonly kind: 'state'; readonly members: readonly Member[]}
+	/**
+	Word to be spread at once, such as a new configuration.
+	*/
+	| {readonly kind: 'announce'}
+	| {readonly kind: 'leave'};
+
+/**
+Something that membership wants done.
+*/
+export type MembershipAction =
+	| {
+			readonly kind: 'send';
+			readonly to: Member;
+			readonly message: MembershipMessage;
+	  }
+	| {readonly kind: 'changed'; readonly member: Member};
+
+/**
+Periods and bounds of the failure detector, in milliseconds unless said otherwise.
+*/
+export type MembershipParameters = {
+	readonly probeInterval: number;
+	readonly acknowledgeTimeout: number;
+	readonly suspicionTimeout: number;
+	/**
+	Other members asked to probe on this node's behalf.
+	*/
+	readonly indirectProbes: number;
+	/**
+	One probe in this many goes to another zone; it also finds members that came back.
+	*/
+	readonly crossZoneEvery: number;
+	readonly forgetDeadAfter: number;
+	/**
+	Most member statements in one message.
+	*/
+	readonly maximumUpdates: number;
+};
+
+/**
+Parameters that suit fleets from a few to some hundreds of nodes.
+*/
+export const defaultMembershipParameters: MembershipParameters = {
+	probeInterval: 700,
+	acknowledgeTimeout: 300,
+	suspicionTimeout: 2500,
+	indirectProbes: 2,
+	crossZoneEvery: 3,
+	forgetDeadAfter: 7_200_000,
+	maximumUpdates: 6,
+};
+
+/**
+What membership is built from.
+*/
+export type MembershipOptions = {
+	readonly self: Member;
+	readonly random: Random;
+	readonly parameters?: MembershipParameters;
+};
+
+/**
+A node's view of the other nodes.
+*/
+export type Membership = {
+	handle(event: MembershipEvent, now: number): readonly MembershipAction[];
+	self(): Member;
+	/**
+	All known members but this node, dead ones included.
+	*/
+	members(): readonly Member[];
+	/**
+	Members that can be given work or asked for state: alive or suspect, neither leaving nor dead.
+	*/
+	usable(): readonly Member[];
+	find(id: string): Member | undefined;
+	/**
+	When anything was last heard from any other node.
+	*/
+	lastHeard(): number | undefined;
+};
+
+type Probe = {
+	readonly target: string;
+	readonly sequence: number;
+	readonly sentAt: number;
+	readonly isIndirect: boolean;
+};
+
+type Entry = {
+	readonly member: Member;
+	readonly changedAt: number;
+	/**
+	How often this statement was passed on.
+	*/
+	readonly transmissions: number;
+};
+
+type Relay = {
+	readonly requester: string;
+	readonly requesterSequence: number;
+	readonly expiresAt: number;
+};
+
+/**
+ Builds the failure detector: each interval one member is probed, directly and then by
+ way of others; silence makes it suspect, lasting silence dead, and its own word with a
+ higher revision clears it. Messages per node do not grow with the fleet.
+ */
+export const createMembership = (options: MembershipOptions): Membership => {
+	const parameters = options.parameters ?? defaultMembershipParameters;
+	const {random} = options;
+	const entries = new Map<string, Entry>();
+	const probes = new Map<string, Probe>();
+	const relays = new Map<number, Relay>();
+	let {self} = options;
+	let selfTransmissions = 0;
+	let sequence = 0;
+	let round = 0;
+	let nextProbeAt = 0;
+	let lastHeard: number | undefined;
+	let order: string[] = [];
+
+	const learn = (member: Member, now: number): readonly MembershipAction[] => {
+		if (member.id === self.id) {
+			return refute(member);
+		}
+
+		const known = entries.get(member.id)?.member;
+		if (known && !supersedes(member, known)) {
+			return [];
+		}
+
+		entries.set(member.id, {member, changedAt: now, transmissions: 0});
+		return [{kind: 'changed', member}];
+	};
+
+	// A word against this very process is answered with a higher revision; a word about an
+	// earlier process at this address needs no answer, for the incarnation already wins.
+	const refute = (member: Member): readonly MembershipAction[] => {
+		const isAgainst = member.status === 'suspect' || member.status === 'dead';
+		if (
+			member.incarnation === self.incarnation &&
+			isAgainst &&
+			member.revision >= self.revision
+		) {
+			self = {...self, revision: member.revision + 1};
+			selfTransmissions = 0;
+		}
+
+		return [];
+	};
+
+	const maximumTransmissions = () => 3 * Math.ceil(Math.log2(entries.size + 2));
+
+	const pickUpdates = (): readonly Member[] => {
+		const fresh = [...entries.values()]
+			.filter(({transmissions}) => transmissions < maximumTransmissions())
+			.toSorted((left, right) => left.transmissions - right.transmissions)
+			.slice(0, parameters.maximumUpdates);
+		for (const entry of fresh) {
+			entries.set(entry.member.id, {
+				...entry,
+				transmissions: entry.transmissions + 1,
+			});
+		}
+
+		return fresh.map(({member}) => member);
+	};
+
+	// What the sender believes of the receiver goes along, so that a wrongly suspected
+	// member hears of it at once and can refute it.
+	const updatesFor = (target: Member): readonly Member[] => {
+		const belief = entries.get(target.id)?.member;
+		const isDoubted =
+			belief && (belief.status === 'suspect' || belief.status === 'dead');
+		return isDoubted ? [belief, ...pickUpdates()] : pickUpdates();
+	};
+
+	const send = (
+		to: Member,
+		kind: 'ping' | 'acknowledge',
+		number: number,
+	): MembershipAction => {
+		selfTransmissions += 1;
+		return {
+			kind: 'send',
+			to,
+			message: {kind, sequence: number, from: self, updates: updatesFor(to)},
+		};
+	};
+
+	const isProbeable = ({status}: Member) => status !== 'dead';
+
+	const nextTarget = (): Member | undefined => {
+		round += 1;
+		if (round % parameters.crossZoneEvery === 0) {
+			const others = [...entries.values()]
+				.map(({member}) => member)
+				.filter(
+					({availabilityZone, status}) =>
+						availabilityZone !== self.availabilityZone || status === 'dead',
+				);
+			if (others.length > 0) {
+				return others[random.below(others.length)];
+			}
+		}
+
+		return nextInZone();
+	};
+
+	// A shuffled round through the zone bounds the time until each member is probed.
+	const nextInZone = (): Member | undefined => {
+		for (let attempt = 0; attempt < 2; attempt += 1) {
+			while (order.length > 0) {
+				const member = entries.get(order.pop()!)?.member;
+				if (member && isProbeable(member)) {
+					return member;
+				}
+			}
+
+			order = shuffledZone();
+		}
+
+		return undefined;
+	};
+
+	const shuffledZone = (): string[] => {
+		const inZone = [...entries.values()]
+			.map(({member}) => member)
+			.filter(
+				(member) =>
+					member.availabilityZone === self.availabilityZone &&
+					isProbeable(member),
+			);
+		const pool =
+			inZone.length > 0
+				? inZone
+				: [...entries.values()]
+						.map(({member}) => member)
+						.filter((member) => isProbeable(member));
+		const ids = pool.map(({id}) => id);
+		for (let index = ids.length - 1; index > 0; index -= 1) {
+			const other = random.below(index + 1);
+			[ids[index], ids[other]] = [ids[other]!, ids[index]!];
+		}
+
+		return ids;
+	};
+
+	const probe = (target: Member, now: number): MembershipAction => {
+		sequence += 1;
+		probes.set(target.id, {
+			target: target.id,
+			sequence,
+			sentAt: now,
+			isIndirect: false,
+		});
+		return send(target, 'ping', sequence);
+	};
+
+	const askOthers = (expired: Probe): readonly MembershipAction[] => {
+		const helpers = usable().filter(({id}) => id !== expired.target);
+		return drawSome(helpers, parameters.indirectProbes).map((helper) => ({
+			kind: 'send',
+			to: helper,
+			message: {
+				kind: 'ping-request',
+				sequence: expired.sequence,
+				from: self,
+				target: expired.target,
+				updates: [],
+			},
+		}));
+	};
+
+	const usable = (): Member[] =>
+		[...entries.values()]
+			.map(({member}) => member)
+			.filter(({status}) => status === 'alive' || status === 'suspect');
+
+	const checkProbe = (
+		pending: Probe,
+		now: number,
+	): readonly MembershipAction[] => {
+		const waited = now - pending.sentAt;
+		const member = entries.get(pending.target)?.member;
+		if (!member) {
+			probes.delete(pending.target);
+			return [];
+		}
+
+		if (!pending.isIndirect && waited >= parameters.acknowledgeTimeout) {
+			probes.set(pending.target, {...pending, isIndirect: true});
+			return askOthers(pending);
+		}
+
+		if (
+			waited <
+			2 * parameters.acknowledgeTimeout + parameters.acknowledgeTimeout / 2
+		) {
+			return [];
+		}
+
+		probes.delete(pending.target);
+		return member.status === 'alive'
+			? learn({...member, status: 'suspect'}, now)
+			: [];
+	};
+
+	const expireSuspicions = (now: number): readonly MembershipAction[] => {
+		const actions: MembershipAction[] = [];
+		for (const {member, changedAt} of entries.values()) {
+			const age = now - changedAt;
+			if (member.status === 'suspect' && age >= parameters.suspicionTimeout) {
+				actions.push(...learn({...member, status: 'dead'}, now));
+			}
+
+			if (member.status === 'dead' && age >= parameters.forgetDeadAfter) {
+				entries.delete(member.id);
+			}
+		}
+
+		return actions;
+	};
+
+	const tick = (now: number): readonly MembershipAction[] => {
+		const actions = [...probes.values()].flatMap((pending) =>
+			checkProbe(pending, now),
+		);
+		actions.push(...expireSuspicions(now));
+		for (const [key, {expiresAt}] of relays) {
+			if (expiresAt <= now) {
+				relays.delete(key);
+			}
+		}
+
+		if (now >= nextProbeAt) {
+			nextProbeAt = now + parameters.probeInterval;
+			const target = nextTarget();
+			if (target && !probes.has(target.id)) {
+				actions.push(probe(target, now));
+			}
+		}
+
+		return actions;
+	};
+
+	const receive = (
+		message: MembershipMessage,
+		now: number,
+	): readonly MembershipAction[] => {
+		lastHeard = now;
+		const actions = [message.from, ...message.updates].flatMap((member) =>
+			learn(member, now),
+		);
+		switch (message.kind) {
+			case 'ping': {
+				return [
+					...actions,
+					send(message.from, 'acknowledge', message.sequence),
+				];
+			}
+
+			case 'acknowledge': {
+				return [...actions, ...acknowledged(message.from, message.sequence)];
+			}
+
+			case 'ping-request': {
+				return [
+					...actions,
+					...relayProbe(message.from, message.sequence, message.target, now),
+				];
+			}
+
+			default: {
+				return assertNever(message);
+			}
+		}
+	};
+
+	const acknowledged = (
+		from: Member,
+		number: number,
+	): readonly MembershipAction[] => {
+		probes.delete(from.id);
+		const relay = relays.get(number);
+		const requester = relay && entries.get(relay.requester)?.member;
+		if (!relay || !requester) {
+			return [];
+		}
+
+		relays.delete(number);
+		// The requester learns from the target's own statement that it answers.
+		return [
+			{
+				kind: 'send',
+				to: requester,
+				message: {
+					kind: 'acknowledge',
+					sequence: relay.requesterSequence,
+					from,
+					updates: [],
+				},
+			},
+		];
+	};
+
+	const relayProbe = (
+		requester: Member,
+		requesterSequence: number,
+		targetId: string,
+		now: number,
+	): readonly MembershipAction[] => {
+		const target = entries.get(targetId)?.member;
+		if (!target) {
+			return [];
+		}
+
+		sequence += 1;
+		relays.set(sequence, {
+			requester: requester.id,
+			requesterSequence,
+			expiresAt: now + 4 * parameters.acknowledgeTimeout,
+		});
+		return [send(target, 'ping', sequence)];
+	};
+
+	const readVmList = (
+		listed: readonly Member[],
+		now: number,
+	): readonly MembershipAction[] =>
+		listed.flatMap((vm) => {
+			const known = entries.get(vm.id)?.member;
+			if (vm.id === self.id) {
+				return [];
+			}
+
+			if (!known) {
+				return learn(vm, now);
+			}
+
+			// The list lags: it can add a leaving word about the process it means, and never revive one.
+			return vm.status === 'leaving' &&
+				known.status === 'alive' &&
+				vm.incarnation >= known.incarnation
+				? learn({...known, status: 'leaving'}, now)
+				: [];
+		});
+
+	const drawSome = (members: Member[], count: number): readonly Member[] =>
+		Array.from({length: Math.min(count, members.length)}, () =>
+			members.splice(random.below(members.length), 1),
+		).flat();
+
+	const announce = (): readonly MembershipAction[] => {
+		const inZone = usable().filter(
+			({availabilityZone}) => availabilityZone === self.availabilityZone,
+		);
+		const outside = usable().filter(
+			({availabilityZone}) => availabilityZone !== self.availabilityZone,
+		);
+		return [...drawSome(inZone, 3), ...drawSome(outside, 1)].map((member) =>
+			send(member, 'ping', 0),
+		);
+	};
+
+	const leave = (): readonly MembershipAction[] => {
+		self = {...self, status: 'leaving', revision: self.revision + 1};
+		return usable().map((member) => send(member, 'ping', 0));
+	};
+
+	return {
+		handle(event, now) {
+			switch (event.kind) {
+				case 'tick': {
+					return tick(now);
+				}
+
+				case 'message': {
+					return receive(event.message, now);
+				}
+
+				case 'vm-list': {
+					return readVmList(event.entryVms, now);
+				}
+
+				case 'state': {
+					lastHeard = now;
+					return event.members.flatMap((member) => learn(member, now));
+				}
+
+				case 'announce': {
+					return announce();
+				}
+
+				case 'leave': {
+					return leave();
+				}
+
+				default: {
+					return assertNever(event);
+				}
+			}
+		},
+		self: () => self,
+		members: () => [...entries.values()].map(({member}) => member),
+		usable,
+		find: (id) => entries.get(id)?.member,
+		lastHeard: () => lastHeard,
+	};
+};
--- /dev/null
+++ b/src/node/configuration-controller.ts
@@ -0,0 +1,136 @@
+import type {
+	ConfigurationSource,
+	ConfigurationStamp,
+	ParsedConfiguration,
+} from '../configuration/index.ts';
+import type {Controller} from '../controllers/index.ts';
+import {holdsDuty} from '../membership/index.ts';
+import type {Address} from '../shared/index.ts';
+import type {NodeContext} from './node-context.ts';
+
+/**
+Keeps the configuration up to date from the platform and from peers.
+*/
+export type ConfigurationController = Controller & {
+	/**
+	Takes a document from any source; true if it came into force.
+	*/
+	offer(text: string, source: ConfigurationSource): boolean;
+	/**
+	Fetches from a peer whose stamp is ahead.
+	*/
+	heard(stamp: ConfigurationStamp, from: Address): void;
+	/**
+	Asks the platform once, whoever holds the duty.
+	*/
+	askPlatform(): Promise<boolean>;
+};
+
+/**
+What the controller tells others.
+*/
+export type ConfigurationListeners = {
+	readonly onAccepted: (parsed: ParsedConfiguration) => void;
+};
+
+const watchMs = 20_000;
+const retryMs = 1000;
+
+/**
+Builds the controller.
+*/
+export const createConfigurationController = (
+	context: NodeContext,
+	{onAccepted}: ConfigurationListeners,
+): ConfigurationController => {
+	const {configuration, logger, membership, platform, clock} = context;
+	const fetching = new Set<Address>();
+	let isStopped = false;
+	let isWatching = false;
+	let nextWatchAt = 0;
+
+	const offer = (text: string, source: ConfigurationSource): boolean => {
+		const outcome = configuration.offer(text, source, clock());
+		if (outcome.kind === 'accepted') {
+			const {version} = outcome.parsed.configuration;
+			logger.info({version, source}, 'configuration accepted');
+			onAccepted(outcome.parsed);
+			return true;
+		}
+
+		const {refusal} = outcome;
+		if (refusal.reason === 'invalid') {
+			const faults = refusal.faults
+				.map(({path, fault}) => `${path} ${fault}`)
+				.slice(0, 5);
+			logger.error(
+				{source, faults: faults.join('; ')},
+				'configuration refused; the one in force stays',
+			);
+		} else if (refusal.reason === 'older') {
+			logger.debug({source}, 'older configuration ignored');
+		}
+
+		return false;
+	};
+
+	const askPlatform = async (waitMs = 0): Promise<boolean> => {
+		const read = await platform.readConfiguration(
+			configuration.stamp().version,
+			waitMs,
+		);
+		if (read.isErr) {
+			logger.debug(
+				{fault: read.error.kind},
+				'the configuration service did not answer',
+			);
+			nextWatchAt = clock() + retryMs;
+			return false;
+		}
+
+		if (read.value.kind === 'document' && !offer(read.value.text, 'platform')) {
+			// A stale or invalid document would be handed out again at once.
+			nextWatchAt = clock() + retryMs;
+		}
+
+		return true;
+	};
+
+	const watch = async () => {
+		isWatching = true;
+		await askPlatform(watchMs);
+		isWatching = false;
+	};
+
+	const fetchFrom = async (peer: Address) => {
+		fetching.add(peer);
+		const read = await context.peers.readConfiguration(peer);
+		fetching.delete(peer);
+		if (read.isOk && read.value !== undefined) {
+			offer(read.value, 'peer');
+		}
+	};
+
+	return {
+		name: 'configuration',
+		offer,
+		askPlatform: async () => askPlatform(),
+		heard(stamp, from) {
+			if (configuration.isAhead(stamp) && !fetching.has(from) && !isStopped) {
+				void fetchFrom(from);
+			}
+		},
+		tick(now) {
+			const isDue = !isWatching && !isStopped && now >= nextWatchAt;
+			if (
+				isDue &&
+				holdsDuty('configuration', membership.self(), membership.members())
+			) {
+				void watch();
+			}
+		},
+		async stop() {
+			isStopped = true;
+		},
+	};
+};
--- /dev/null
+++ b/src/node/fleet-controller.ts
@@ -0,0 +1,323 @@
+import type {
+	BackendServer,
+	ParsedConfiguration,
+} from '../configuration/index.ts';
+import type {Controller} from '../controllers/index.ts';
+import type {DatedValue, ZoneServiceSummary} from '../digests/index.ts';
+import type {EngineClient} from '../engines/index.ts';
+import type {ClientLimits, PeerDemand} from '../limits/index.ts';
+import {holdsDuty, nodesPerDuty} from '../membership/index.ts';
+import {assertNever, rendezvousOrder} from '../shared/index.ts';
+import type {NodeContext} from './node-context.ts';
+
+/**
+Learns the load of backend servers and tells the other nodes.
+*/
+export type FleetController = Controller & {
+	configured(parsed: ParsedConfiguration): void;
+	/**
+	Takes in soft state that peers sent.
+	*/
+	heard(values: readonly DatedValue[]): void;
+	/**
+	Takes a leaving word from any source and passes it on.
+	*/
+	leaving(backendServer: string, incarnation: string): void;
+};
+
+/**
+What the controller is built from.
+*/
+export type FleetControllerOptions = {
+	readonly context: NodeContext;
+	readonly engines: EngineClient;
+	readonly limits: ClientLimits;
+	/**
+	Called when load may have fallen.
+	*/
+	readonly onCapacity: () => void;
+};
+
+/**
+Milliseconds between two reads of one server's load.
+*/
+export const loadInterval = 500;
+
+/**
+Milliseconds between two statements of own requests in flight and of demand.
+*/
+export const statementInterval = 500;
+
+/**
+Milliseconds between two summaries of a zone.
+*/
+export const summaryInterval = 1000;
+
+/**
+Name under which the demand of a whole zone is stated.
+*/
+export const zoneHolder = (availabilityZone: string): string =>
+	`zone:${availabilityZone}`;
+
+/**
+Builds the controller.
+*/
+export const createFleetController = (
+	options: FleetControllerOptions,
+): FleetController => {
+	const {context, engines, limits} = options;
+	const {fleet, membership, digests, clock, settings} = context;
+	let local: readonly BackendServer[] = [];
+	const polling = new Set<string>();
+	let nextLoadAt = 0;
+	let nextStatementAt = 0;
+	let nextSummaryAt = 0;
+	let stated = {inFlight: '', demand: ''};
+
+	const leaving = (backendServer: string, incarnation: string) => {
+		fleet.handle({kind: 'leaving', backendServer, incarnation}, clock());
+		if (local.some(({id}) => id === backendServer)) {
+			digests.put(
+				{kind: 'leaving', backendServer, incarnation},
+				'availability-zone',
+				clock(),
+			);
+		}
+	};
+
+	// Two nodes of the zone read each server; the others hear from them.
+	const isWatched = (server: BackendServer): boolean => {
+		const self = membership.self();
+		const zone = membership
+			.members()
+			.filter(
+				({availabilityZone, status}) =>
+					availabilityZone === self.availabilityZone && status === 'alive',
+			);
+		return rendezvousOrder(`load/${server.id}`, [self, ...zone], ({id}) => id)
+			.slice(0, nodesPerDuty)
+			.some(({id}) => id === self.id);
+	};
+
+	const readLoad = async (server: BackendServer) => {
+		polling.add(server.id);
+		const status = await engines.readStatus(server.address);
+		polling.delete(server.id);
+		if (status.isErr) {
+			return;
+		}
+
+		const {isLeaving, ageMs, ...report} = status.value;
+		const now = clock();
+		fleet.handle(
+			{
+				kind: 'load-reported',
+				backendServer: server.id,
+				report,
+				observedAt: now - ageMs,
+			},
+			now,
+		);
+		digests.put(
+			{kind: 'load', backendServer: server.id, ...report},
+			'availability-zone',
+			now - ageMs,
+		);
+		options.onCapacity();
+		if (isLeaving) {
+			leaving(server.id, report.incarnation);
+		}
+	};
+
+	const readLoads = () => {
+		for (const server of local) {
+			if (!polling.has(server.id) && isWatched(server)) {
+				void readLoad(server);
+			}
+		}
+	};
+
+	const state = (now: number) => {
+		const counts = fleet.inFlight();
+		const rates = limits.demand(now);
+		const next = {
+			inFlight: JSON.stringify(counts),
+			demand: JSON.stringify(rates),
+		};
+		const {id: node, availabilityZone} = membership.self();
+		if (next.inFlight !== stated.inFlight || next.inFlight !== '{}') {
+			digests.put({kind: 'in-flight', node, counts}, 'availability-zone', now);
+		}
+
+		if (next.demand !== stated.demand || next.demand !== '{}') {
+			digests.put(
+				{kind: 'demand', holder: node, availabilityZone, rates},
+				'availability-zone',
+				now,
+			);
+		}
+
+		stated = next;
+		limits.setPeerDemand(peerDemand(now));
+	};
+
+	const peerDemand = (now: number): readonly PeerDemand[] => {
+		const self = membership.self();
+		return digests
+			.values('demand', now)
+			.map(({value}) => value)
+			.filter(({holder, availabilityZone}) =>
+				availabilityZone === self.availabilityZone
+					? holder !== self.id && !holder.startsWith('zone:')
+					: holder.startsWith('zone:'),
+			);
+	};
+
+	const summarize = (now: number) => {
+		const {availabilityZone} = membership.self();
+		if (!holdsDuty('zone-summary', membership.self(), membership.members())) {
+			return;
+		}
+
+		const services: Record<string, ZoneServiceSummary> = {};
+		for (const service of new Set(local.map((server) => server.service))) {
+			const servers = local.filter((server) => server.service === service);
+			services[service] = rounded(fleet.capacity(servers, now));
+		}
+
+		digests.put(
+			{kind: 'zone-summary', availabilityZone, services},
+			'everywhere',
+			now,
+		);
+		const rates = zoneDemand(now);
+		digests.put(
+			{
+				kind: 'demand',
+				holder: zoneHolder(availabilityZone),
+				availabilityZone,
+				rates,
+			},
+			'everywhere',
+			now,
+		);
+	};
+
+	const zoneDemand = (now: number): Readonly<Record<string, number>> => {
+		const sums: Record<string, number> = {...limits.demand(now)};
+		for (const {holder, availabilityZone, rates} of peerDemand(now)) {
+			if (
+				availabilityZone === settings.availabilityZone &&
+				!holder.startsWith('zone:')
+			) {
+				for (const [client, rate] of Object.entries(rates)) {
+					sums[client] = Math.round(((sums[client] ?? 0) + rate) * 100) / 100;
+				}
+			}
+		}
+
+		return sums;
+	};
+
+	const take = ({value, observedAt}: DatedValue) => {
+		const now = clock();
+		switch (value.kind) {
+			case 'load': {
+				const {kind, backendServer, ...report} = value;
+				fleet.handle(
+					{kind: 'load-reported', backendServer, report, observedAt},
+					now,
+				);
+				options.onCapacity();
+				return;
+			}
+
+			case 'in-flight': {
+				fleet.handle(
+					{kind: 'peer-in-flight', node: value.node, counts: value.counts},
+					now,
+				);
+				return;
+			}
+
+			case 'leaving': {
+				fleet.handle(
+					{
+						kind: 'leaving',
+						backendServer: value.backendServer,
+						incarnation: value.incarnation,
+					},
+					now,
+				);
+				return;
+			}
+
+			case 'zone-summary':
+			case 'demand': {
+				// Read from the table when needed.
+				return;
+			}
+
+			default: {
+				assertNever(value);
+			}
+		}
+	};
+
+	return {
+		name: 'fleet',
+		configured({configuration}) {
+			local = configuration.backendServers.filter(
+				({availabilityZone}) => availabilityZone === settings.availabilityZone,
+			);
+			fleet.handle({kind: 'configured', backendServers: local}, clock());
+			// Words heard before the servers were known must hold as well.
+			heardAgain();
+		},
+		heard(values) {
+			for (const value of values) {
+				take(value);
+			}
+		},
+		leaving,
+		tick(now) {
+			if (now >= nextLoadAt) {
+				nextLoadAt = now + loadInterval;
+				readLoads();
+			}
+
+			if (now >= nextStatementAt) {
+				nextStatementAt = now + statementInterval;
+				state(now);
+			}
+
+			if (!(now >= nextSummaryAt)) {
+				return;
+			}
+
+			nextSummaryAt = now + summaryInterval;
+			summarize(now);
+		},
+		woken(now) {
+			fleet.handle({kind: 'woken'}, now);
+		},
+	};
+
+	function heardAgain() {
+		const now = clock();
+		for (const value of [
+			...digests.values('leaving', now),
+			...digests.values('load', now),
+		]) {
+			take(value);
+		}
+	}
+};
+
+const rounded = (summary: ZoneServiceSummary): ZoneServiceSummary => ({
+	load: Math.round(summary.load),
+	slots: summary.slots,
+	firstTokenMs: Math.round(summary.firstTokenMs),
+	costPerThousandTokens:
+		Math.round(summary.costPerThousandTokens * 1000) / 1000,
+});
--- /dev/null
+++ b/src/node/forward-handler.ts
@@ -0,0 +1,178 @@
+import {Readable} from 'node:stream';
+import {attemptHeader, notRunHeader} from '../engines/index.ts';
+import {
+	answerTable,
+	createGatewayError,
+	renderError,
+	type GatewayError,
+} from '../errors/index.ts';
+import {
+	refusalHeader,
+	type ForwardEnvelope,
+	type ForwardedRequest,
+} from '../peers/index.ts';
+import {
+	createSeenAttempts,
+	readForwarded,
+	type ForwardedAttempt,
+	type GatewayRequest,
+	type InFlight,
+	type RequestChain,
+	type RequestExecutor,
+} from '../requests/index.ts';
+import type {NodeContext} from './node-context.ts';
+
+/**
+What the handler is built from.
+*/
+export type ForwardHandlerOptions = {
+	readonly context: NodeContext;
+	readonly chain: RequestChain;
+	readonly executor: RequestExecutor;
+	readonly inFlight: InFlight;
+	readonly readiness: () => Promise<GatewayError | undefined>;
+};
+
+/**
+Header that names the backend server that a receiver chose.
+*/
+export const backendServerHeader = 'x-quillford-backend-server';
+
+/**
+Builds the handler of requests that other nodes pass to this one.
+*/
+export const createForwardHandler = (options: ForwardHandlerOptions) => {
+	const {context, inFlight} = options;
+	const isFirst = createSeenAttempts();
+
+	const serve = async (
+		request: GatewayRequest,
+		envelope: ForwardEnvelope,
+		reply: ForwardedRequest['reply'],
+	) => {
+		const opened = await options.executor.openForwarded(
+			request,
+			envelope.attemptId,
+			envelope.resumeFrom,
+		);
+		if (opened.isErr) {
+			refuse(reply, opened.error);
+			return;
+		}
+
+		await pass(opened.value, envelope, reply);
+	};
+
+	const redeem = async (
+		request: GatewayRequest,
+		envelope: ForwardEnvelope,
+		reply: ForwardedRequest['reply'],
+	) => {
+		const answer = await options.chain.redeem(request);
+		if (answer.kind === 'refused') {
+			refuse(reply, answer.error);
+			return;
+		}
+
+		void reply
+			.code(answer.status)
+			.headers({...answer.headers, [attemptHeader]: envelope.attemptId});
+		await reply.send(
+			answer.kind === 'complete' ? answer.body : Readable.from(answer.pieces),
+		);
+	};
+
+	return async ({envelope, body, reply}: ForwardedRequest): Promise<void> => {
+		inFlight.begin();
+		const abort = new AbortController();
+		reply.raw.once('close', () => {
+			inFlight.end();
+			if (!reply.raw.writableFinished) {
+				abort.abort();
+			}
+		});
+		// A node that is leaving still answers for the request ids that it issued.
+		const isRedemption = envelope?.purpose === 'redeem';
+		const obstacle = isRedemption ? undefined : await options.readiness();
+		const request = obstacle
+			? undefined
+			: readForwarded(envelope, body, {
+					configuration: context.configuration.current()?.configuration,
+					ownRegion: context.ownRegion(),
+					now: context.clock(),
+					signal: abort.signal,
+					isFirst,
+				});
+		if (!request || request.isErr) {
+			const error =
+				obstacle ??
+				(request?.isErr
+					? request.error
+					: createGatewayError('internal', 'No request'));
+			context.logger.warn(
+				{origin: envelope?.origin, kind: error.kind},
+				'forwarded request refused',
+			);
+			refuse(reply, error);
+			return;
+		}
+
+		await (envelope!.purpose === 'serve' ? serve : redeem)(
+			request.value,
+			envelope!,
+			reply,
+		);
+	};
+};
+
+const pass = async (
+	attempt: ForwardedAttempt,
+	envelope: ForwardEnvelope,
+	reply: ForwardedRequest['reply'],
+) => {
+	const {upstream} = attempt;
+	const contentType = upstream.headers['content-type'];
+	void reply.code(upstream.status).headers({
+		'content-type':
+			typeof contentType === 'string'
+				? contentType
+				: 'application/octet-stream',
+		[attemptHeader]: envelope.attemptId,
+		[backendServerHeader]: attempt.backendServer,
+	});
+	await reply.send(Readable.from(observed(attempt)));
+};
+
+// Bytes are passed on as they come: the origin checks them, as it would its own engine's.
+async function* observed(
+	attempt: ForwardedAttempt,
+): AsyncGenerator<Buffer, void, void> {
+	let isFirst = true;
+	let end: 'answered' | 'failed' | 'canceled' = 'canceled';
+	try {
+		for await (const chunk of attempt.upstream.body) {
+			if (isFirst) {
+				isFirst = false;
+				attempt.observeFirstByte();
+			}
+
+			yield chunk;
+		}
+
+		end = 'answered';
+	} catch (error) {
+		end = 'failed';
+		throw error;
+	} finally {
+		attempt.finish(end);
+	}
+}
+
+const refuse = (reply: ForwardedRequest['reply'], error: GatewayError) => {
+	const {headers, body} = renderError(error);
+	const evidence = error.outcome === 'not-run' ? {[notRunHeader]: '1'} : {};
+	void reply
+		.code(answerTable[error.kind].status)
+		.headers({...headers, ...evidence, [refusalHeader]: error.kind})
+		.send(body);
+};
--- /dev/null
+++ b/src/node/index.ts
@@ -0,0 +1,2 @@
+export type * from './node-context.ts';
+export * from './create-node.ts';
--- /dev/null
+++ b/src/node/membership-controller.ts
@@ -0,0 +1,118 @@
+import type {Controller} from '../controllers/index.ts';
+import type {DatedValue} from '../digests/index.ts';
+import type {
+	Member,
+	MembershipAction,
+	MembershipEvent,
+} from '../membership/index.ts';
+import {
+	openHeartbeatSocket,
+	type HeartbeatCodec,
+	type HeartbeatSocket,
+	type SocketCounts,
+} from '../peers/index.ts';
+import type {Address} from '../shared/index.ts';
+import type {ConfigurationStamp} from '../configuration/index.ts';
+import type {NodeContext} from './node-context.ts';
+
+/**
+Carries heartbeats, and soft state with them.
+*/
+export type MembershipController = Controller & {
+	/**
+	Hands an event to membership and carries out what follows.
+	*/
+	handle(event: MembershipEvent): void;
+	counts(): SocketCounts | undefined;
+};
+
+/**
+What the controller tells others.
+*/
+export type MembershipListeners = {
+	readonly onDigests: (values: readonly DatedValue[]) => void;
+	readonly onStamp: (stamp: ConfigurationStamp, from: Address) => void;
+	readonly onChanged: (member: Member) => void;
+};
+
+/**
+Bytes of soft state in one heartbeat; keeps a datagram below the usual size of a packet.
+*/
+export const digestBudget = 700;
+
+/**
+Builds the controller.
+*/
+export const createMembershipController = (
+	context: NodeContext,
+	codec: HeartbeatCodec,
+	translate: (address: Address) => Address,
+	listeners: MembershipListeners,
+): MembershipController => {
+	const {membership, digests, clock, logger} = context;
+	let socket: HeartbeatSocket | undefined;
+
+	const perform = (action: MembershipAction) => {
+		switch (action.kind) {
+			case 'send': {
+				const {to, message} = action;
+				const selected = digests.select(
+					to.availabilityZone,
+					digestBudget,
+					membership.members().length,
+					clock(),
+				);
+				const stamp = context.configuration.stamp();
+				socket?.send(
+					translate(to.peerAddress),
+					codec.encode({message, stamp, digests: selected}),
+				);
+				return;
+			}
+
+			case 'changed': {
+				const {id, status} = action.member;
+				logger.info({member: id, status}, 'member changed');
+				listeners.onChanged(action.member);
+			}
+		}
+	};
+
+	const handle = (event: MembershipEvent) => {
+		for (const action of membership.handle(event, clock())) {
+			perform(action);
+		}
+	};
+
+	const receive = (datagram: Buffer) => {
+		const heartbeat = codec.decode(datagram);
+		if (!heartbeat) {
+			logger.debug(
+				{bytes: datagram.length},
+				'datagram without a valid seal ignored',
+			);
+			return;
+		}
+
+		// Soft state first: the answer that `handle` sends may already carry it on.
+		listeners.onDigests(digests.apply(heartbeat.digests, clock()));
+		listeners.onStamp(heartbeat.stamp, heartbeat.message.from.peerAddress);
+		handle({kind: 'message', message: heartbeat.message});
+	};
+
+	return {
+		name: 'membership',
+		handle,
+		counts: () => socket?.counts(),
+		async start() {
+			socket = await openHeartbeatSocket(context.settings.peerAddress, receive);
+		},
+		tick() {
+			handle({kind: 'tick'});
+		},
+		async stop() {
+			await socket?.close();
+			socket = undefined;
+		},
+	};
+};
--- /dev/null
+++ b/src/node/permit-holder-call.ts
@@ -0,0 +1,134 @@
+import {createGatewayError, type GatewayError} from '../errors/index.ts';
+import type {UpstreamAnswer} from '../engines/index.ts';
+import type {Member} from '../membership/index.ts';
+import type {ForwardCall} from '../peers/index.ts';
+import type {AttemptFailure} from '../retries/index.ts';
+import type {
+	Answer,
+	GatewayRequest,
+	PermitHolder,
+	StreamEnd,
+} from '../requests/index.ts';
+import type {NodeContext} from './node-context.ts';
+
+/**
+ Builds the call that asks the node which issued a request id for the outcome.
+ 
+ Only that node may run the request. Where it cannot be asked, the outcome is unknown,
+ and it stays so: running the request here could run it twice.
+ */
+export const createPermitHolderCall =
+	(context: NodeContext) =>
+	async (request: GatewayRequest, holder: PermitHolder): Promise<Answer> => {
+		const member = context.membership.find(holder.node);
+		if (!member || member.status === 'dead') {
+			return refused(unreachable(holder.node));
+		}
+
+		const abort = new AbortController();
+		const timer = setTimeout(
+			() => {
+				abort.abort();
+			},
+			Math.max(1, request.deadline - context.clock()),
+		);
+		const answer = await context.peers.forward(
+			member,
+			callFor(request, context),
+			undefined,
+			abort.signal,
+		);
+		clearTimeout(timer);
+		return answer.isOk
+			? passOn(answer.value, member)
+			: refused(judge(answer.error, holder.node));
+	};
+
+const callFor = (
+	request: GatewayRequest,
+	context: NodeContext,
+): ForwardCall => ({
+	purpose: 'redeem',
+	requestId: request.requestId,
+	attemptId: `${context.settings.nodeId}.redeem.${request.requestId}.${context.clock()}`,
+	attempt: 1,
+	clientName: request.client.name,
+	policyName: request.policy.name,
+	serviceName: request.service.name,
+	model: request.model,
+	labels: request.labels,
+	requestedResidency: request.claim.requested,
+	homeRegion: request.homeRegion,
+	priority: request.priority,
+	remainingMs: Math.max(1, Math.round(request.deadline - context.clock())),
+	isRepeatable: request.isRepeatable,
+	isStreaming: request.isStreaming,
+	session: request.session,
+	prefixKey: request.prefixKey,
+	resumeFrom: 0,
+	method: request.method,
+	url: request.url,
+	contentType: request.contentType,
+	body: request.body,
+});
+
+// That the holder could not be reached proves nothing: it may have run the request before.
+const judge = (failure: AttemptFailure, node: string): GatewayError => {
+	const {kind, outcome} = failure.error;
+	return kind === 'attempt-failed'
+		? unreachable(node)
+		: {...failure.error, outcome};
+};
+
+const unreachable = (node: string): GatewayError =>
+	createGatewayError(
+		'outcome-unknown',
+		`The request id was issued by node "${node}", which cannot be asked; the request may have run and is not run again`,
+		{retryAfterSeconds: 5},
+	);
+
+const refused = (error: GatewayError): Answer => ({kind: 'refused', error});
+
+const passOn = (upstream: UpstreamAnswer, member: Member): Answer => {
+	const headers = Object.fromEntries(
+		Object.entries(upstream.headers).filter(
+			(entry): entry is [string, string] =>
+				typeof entry[1] === 'string' &&
+				(entry[0] === 'content-type' ||
+					entry[0].startsWith('x-quillford-') ||
+					entry[0] === 'x-request-id'),
+		),
+	);
+	return {
+		kind: 'stream',
+		status: upstream.status,
+		headers,
+		pieces: passPieces(upstream.body),
+		servedBy: {
+			region: headers['x-quillford-region'] ?? '',
+			availabilityZone: member.availabilityZone,
+			target: member.id,
+			attempts: 1,
+			costPerThousandTokens: 0,
+		},
+	};
+};
+
+async function* passPieces(
+	body: AsyncIterable<Buffer>,
+): AsyncGenerator<string, StreamEnd, void> {
+	const decoder = new TextDecoder();
+	try {
+		for await (const chunk of body) {
+			yield decoder.decode(chunk, {stream: true});
+		}
+
+		return {kind: 'complete', tokens: 0};
+	} catch {
+		const error = createGatewayError(
+			'stream-broken',
+			'The node that runs the request broke off its answer',
+		);
+		return {kind: 'broken', tokens: 0, error};
+	}
+}
--- /dev/null
+++ b/src/peers/heartbeat-codec.ts
@@ -0,0 +1,172 @@
+import {Packr} from 'msgpackr';
+import type {ConfigurationStamp} from '../configuration/index.ts';
+import type {DigestEntry, DigestScope, DigestValue} from '../digests/index.ts';
+import type {
+	Member,
+	MembershipMessage,
+	MemberStatus,
+} from '../membership/index.ts';
+import {sealBytes, type Sealer} from './seal.ts';
+
+/**
+A heartbeat as it travels: a membership message with soft state beside it.
+*/
+export type Heartbeat = {
+	readonly message: MembershipMessage;
+	/**
+	The configuration that the sender has in force.
+	*/
+	readonly stamp: ConfigurationStamp;
+	readonly digests: readonly DigestEntry[];
+};
+
+/**
+Turns heartbeats into sealed datagrams and back.
+*/
+export type HeartbeatCodec = {
+	encode(heartbeat: Heartbeat): Buffer;
+	/**
+	Undefined for anything that is not a sealed heartbeat of this format.
+	*/
+	decode(datagram: Buffer): Heartbeat | undefined;
+	/**
+	Size of an entry on the wire, in bytes.
+	*/
+	sizeOf(entry: DigestEntry): number;
+};
+
+const formatVersion = 1;
+const statuses: readonly MemberStatus[] = [
+	'alive',
+	'suspect',
+	'dead',
+	'leaving',
+];
+const scopes: readonly DigestScope[] = ['availability-zone', 'everywhere'];
+const messageKinds = ['ping', 'acknowledge', 'ping-request'] as const;
+
+// The fields of each kind in their order on the wire; the order is part of the format.
+const valueFields = {
+	load: ['backendServer', 'running', 'queued', 'slots', 'incarnation'],
+	'in-flight': ['node', 'counts'],
+	leaving: ['backendServer', 'incarnation'],
+	'zone-summary': ['availabilityZone', 'services'],
+	demand: ['holder', 'availabilityZone', 'rates'],
+} as const satisfies Readonly<Record<DigestValue['kind'], readonly string[]>>;
+
+const valueKinds = Object.keys(valueFields) as ReadonlyArray<
+	DigestValue['kind']
+>;
+
+type Tuple = readonly unknown[];
+
+/**
+Builds a codec whose datagrams carry a seal.
+*/
+export const createHeartbeatCodec = (sealer: Sealer): HeartbeatCodec => {
+	const packr = new Packr({useRecords: false, variableMapSize: true});
+	return {
+		encode({message, stamp, digests}) {
+			const body = packr.pack([
+				formatVersion,
+				messageKinds.indexOf(message.kind),
+				message.sequence,
+				encodeMember(message.from),
+				message.updates.map((member) => encodeMember(member)),
+				message.kind === 'ping-request' ? message.target : '',
+				digests.map((entry) => encodeEntry(entry)),
+				[stamp.version, stamp.digest],
+			]);
+			return Buffer.concat([sealer.seal(body), body]);
+		},
+		decode(datagram) {
+			const body = datagram.subarray(sealBytes);
+			if (!sealer.isSealed(body, datagram.subarray(0, sealBytes))) {
+				return undefined;
+			}
+
+			try {
+				return decodeHeartbeat(packr.unpack(body) as Tuple);
+			} catch {
+				return undefined;
+			}
+		},
+		sizeOf: (entry) => packr.pack(encodeEntry(entry)).length,
+	};
+};
+
+const encodeMember = (member: Member): Tuple => [
+	member.id,
+	member.availabilityZone,
+	member.peerAddress,
+	member.callerAddress,
+	member.incarnation,
+	member.revision,
+	statuses.indexOf(member.status),
+];
+
+const decodeMember = (tuple: Tuple): Member => ({
+	id: tuple[0] as string,
+	availabilityZone: tuple[1] as string,
+	peerAddress: tuple[2] as string,
+	callerAddress: tuple[3] as string,
+	incarnation: Number(tuple[4]),
+	revision: Number(tuple[5]),
+	status: statuses[tuple[6] as number]!,
+});
+
+const encodeEntry = (entry: DigestEntry): Tuple => [
+	entry.reporter,
+	entry.incarnation,
+	entry.counter,
+	entry.ageMs,
+	scopes.indexOf(entry.scope),
+	entry.availabilityZone,
+	valueKinds.indexOf(entry.value.kind),
+	valueFields[entry.value.kind].map(
+		(field) => (entry.value as unknown as Record<string, unknown>)[field],
+	),
+];
+
+const decodeEntry = (tuple: Tuple): DigestEntry => {
+	const kind = valueKinds[tuple[6] as number]!;
+	const values = tuple[7] as Tuple;
+	const fields = valueFields[kind].map((field, index) => [
+		field,
+		values[index],
+	]);
+	return {
+		reporter: tuple[0] as string,
+		incarnation: Number(tuple[1]),
+		counter: Number(tuple[2]),
+		ageMs: Number(tuple[3]),
+		scope: scopes[tuple[4] as number]!,
+		availabilityZone: tuple[5] as string,
+		value: {kind, ...Object.fromEntries(fields)} as DigestValue,
+	};
+};
+
+const decodeHeartbeat = (tuple: Tuple): Heartbeat | undefined => {
+	if (tuple[0] !== formatVersion) {
+		return undefined;
+	}
+
+	const kind = messageKinds[tuple[1] as number]!;
+	const common = {
+		sequence: tuple[2] as number,
+		from: decodeMember(tuple[3] as Tuple),
+		updates: (tuple[4] as readonly Tuple[]).map((member) =>
+			decodeMember(member),
+		),
+	};
+	const message: MembershipMessage =
+		kind === 'ping-request'
+			? {kind, ...common, target: tuple[5] as string}
+			: {kind, ...common};
+	const [version, digest] = tuple[7] as readonly [number, string];
+	return {
+		message,
+		stamp: {version, digest},
+		digests: (tuple[6] as readonly Tuple[]).map((entry) => decodeEntry(entry)),
+	};
+};
--- /dev/null
+++ b/src/peers/peer-calls.ts
@@ -0,0 +1,225 @@
+import {createTRPCClient, httpLink} from '@trpc/client';
+import {Agent, request, fetch as undiciFetch} from 'undici';
+import {Result} from 'true-myth';
+import {
+	failureOf,
+	attemptHeader,
+	notRunHeader,
+	type UpstreamAnswer,
+} from '../engines/index.ts';
+import {
+	createGatewayError,
+	errorKinds,
+	type ErrorKind,
+} from '../errors/index.ts';
+import type {Member} from '../membership/index.ts';
+import type {NodeReport} from '../reporting/index.ts';
+import type {AttemptFailure} from '../retries/index.ts';
+import type {ClearedRegion} from '../routing/index.ts';
+import type {Address} from '../shared/index.ts';
+import type {ForwardCall, ForwardEnvelope} from './forward-call.ts';
+import type {PeerRouter, PeerState} from './peer-router.ts';
+import type {Sealer} from './seal.ts';
+
+/**
+Calls to other nodes.
+*/
+export type PeerCalls = {
+	readState(
+		peer: Address,
+		availabilityZone: string,
+	): Promise<Result<PeerState, string>>;
+	readConfiguration(peer: Address): Promise<Result<string | undefined, string>>;
+	readReport(peer: Address): Promise<Result<NodeReport, string>>;
+	/**
+	Passes a request to a node in another zone, or to the node that holds its permit.
+	*/
+	forward(
+		member: Member,
+		call: ForwardCall,
+		cleared: ClearedRegion | undefined,
+		signal: AbortSignal,
+	): Promise<Result<UpstreamAnswer, AttemptFailure>>;
+	close(): Promise<void>;
+};
+
+/**
+What peer calls are built from.
+*/
+export type PeerCallOptions = {
+	readonly self: () => Member;
+	readonly configurationVersion: () => number;
+	readonly sealer: Sealer;
+	readonly translate: (address: Address) => Address;
+};
+
+/**
+Header with the sealed description of a forwarded request.
+*/
+export const envelopeHeader = 'x-quillford-envelope';
+
+/**
+Header with the seal.
+*/
+export const sealHeader = 'x-quillford-seal';
+
+/**
+Header that names the kind of error with which a node refused a forwarded request.
+*/
+export const refusalHeader = 'x-quillford-refusal';
+
+/**
+What is sealed to prove that a typed call comes from a node.
+*/
+export const callToken = 'quillford-peer-call';
+
+const connectTimeoutMs = 1000;
+const callTimeoutMs = 2000;
+
+/**
+Builds the calls of one node.
+*/
+export const createPeerCalls = (options: PeerCallOptions): PeerCalls => {
+	const dispatcher = new Agent({
+		connect: {timeout: connectTimeoutMs},
+		connections: 512,
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
+	const token = options.sealer
+		.seal(Buffer.from(callToken))
+		.toString('base64url');
+
+	const clientFor = (peer: Address) =>
+		createTRPCClient<PeerRouter>({
+			links: [
+				httpLink({
+					url: `http://${options.translate(peer)}/trpc`,
+					headers: {[sealHeader]: token},
+					fetch: async (url, init) =>
+						undiciFetch(url as string, {
+							...(init as Record<string, unknown>),
+							dispatcher,
+							signal: AbortSignal.timeout(callTimeoutMs),
+						}) as never,
+				}),
+			],
+		});
+
+	const attemptCall = async <Value>(
+		call: () => Promise<Value>,
+	): Promise<Result<Value, string>> => {
+		try {
+			return Result.ok(await call());
+		} catch (error) {
+			return Result.err((error as Error).message);
+		}
+	};
+
+	return {
+		readState: async (peer, availabilityZone) =>
+			attemptCall(
+				async () =>
+					clientFor(peer).state.query({availabilityZone}) as Promise<PeerState>,
+			),
+		readConfiguration: async (peer) =>
+			attemptCall(
+				async () => (await clientFor(peer).configuration.query()).text,
+			),
+		readReport: async (peer) =>
+			attemptCall(
+				async () => clientFor(peer).report.query() as Promise<NodeReport>,
+			),
+		async forward(member, call, _cleared, signal) {
+			const {body, ...described} = call;
+			const self = options.self();
+			const envelope: ForwardEnvelope = {
+				...described,
+				origin: self.id,
+				originZone: self.availabilityZone,
+				configurationVersion: options.configurationVersion(),
+			};
+			const text = Buffer.from(JSON.stringify(envelope)).toString('base64url');
+			try {
+				const answer = await request(
+					`http://${options.translate(member.peerAddress)}/forward`,
+					{
+						dispatcher,
+						method: 'POST',
+						headers: {
+							'content-type': 'application/octet-stream',
+							[envelopeHeader]: text,
+							[sealHeader]: options.sealer
+								.seal(Buffer.from(text))
+								.toString('base64url'),
+						},
+						body,
+						signal,
+					},
+				);
+				return await judgeAnswer(
+					answer.statusCode,
+					answer.headers,
+					answer.body,
+					call.attemptId,
+				);
+			} catch (error) {
+				return Result.err(failureOf(error as Error));
+			}
+		},
+		close: async () => dispatcher.destroy(),
+	};
+};
+
+type AnswerBody = AsyncIterable<Buffer> & {
+	json(): Promise<unknown>;
+	destroy(): unknown;
+};
+
+const judgeAnswer = async (
+	status: number,
+	headers: UpstreamAnswer['headers'],
+	body: AnswerBody,
+	attemptId: string,
+): Promise<Result<UpstreamAnswer, AttemptFailure>> => {
+	const refusal = headers[refusalHeader];
+	if (typeof refusal === 'string') {
+		const isNotRun = headers[notRunHeader] !== undefined;
+		return Result.err(refusalOf(refusal, isNotRun, await messageOf(body)));
+	}
+
+	if (headers[attemptHeader] !== attemptId) {
+		body.destroy();
+		return Result.err({
+			outcome: 'unknown',
+			error: createGatewayError(
+				'attempt-failed',
+				'The node answered for another attempt; the answer was dropped',
+			),
+		});
+	}
+
+	return Result.ok({status, headers, body});
+};
+
+const messageOf = async (body: AnswerBody): Promise<string> => {
+	try {
+		const {error} = (await body.json()) as {
+			readonly error?: {readonly message?: string};
+		};
+		return error?.message ?? 'no reason given';
+	} catch {
+		return 'no reason given';
+	}
+};
+
+const refusalOf = (
+	refusal: string,
+	isNotRun: boolean,
+	message: string,
+): AttemptFailure => {
+	const kind: ErrorKind =
+		errorKinds.find((candidate) => candidate === refusal) ?? 'attempt-failed';
+	const outcome = isNotRun ? 'not-run' : 'unknown';
+	return {outcome, error: createGatewayError(kind, message, {outcome})};
+};
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,1 @@
+export * from './platform-client.ts';
--- /dev/null
+++ b/src/platform/platform-client.ts
@@ -0,0 +1,193 @@
+import {Agent, request} from 'undici';
+import {Result} from 'true-myth';
+import {z} from 'zod';
+import {maximumDocumentBytes} from '../configuration/index.ts';
+import type {Address} from '../shared/index.ts';
+
+/**
+Why a read of the platform failed.
+*/
+export type PlatformFault = {
+	readonly kind: 'unreachable' | 'refused' | 'malformed' | 'too-large';
+	readonly message: string;
+};
+
+/**
+A document of the configuration service, or word that there is no newer one.
+*/
+export type ConfigurationRead =
+	| {readonly kind: 'document'; readonly text: string}
+	| {readonly kind: 'unchanged'};
+
+/**
+One VM in the platform's list.
+*/
+export type ListedVm = z.output<typeof listedVm>;
+
+/**
+One model version in the weight store.
+*/
+export type StoredWeights = z.output<typeof storedWeights>;
+
+/**
+ Reads the services of the platform; nothing can be written.
+ 
+ This is the one place that knows the platform's protocol. A deployment with another
+ protocol brings its own client with the same four calls.
+ */
+export type PlatformClient = {
+	/**
+	Waits up to `waitMs` for a document newer than `after`; each call counts against the service.
+	*/
+	readConfiguration(
+		after: number,
+		waitMs: number,
+	): Promise<Result<ConfigurationRead, PlatformFault>>;
+	readVmList(): Promise<Result<readonly ListedVm[], PlatformFault>>;
+	readDirectory(): Promise<Result<readonly string[], PlatformFault>>;
+	readWeights(): Promise<Result<readonly StoredWeights[], PlatformFault>>;
+	close(): Promise<void>;
+};
+
+const listedVm = z.discriminatedUnion('kind', [
+	z.object({
+		kind: z.literal('entry'),
+		id: z.string(),
+		availabilityZone: z.string(),
+		state: z.enum(['live', 'leaving']),
+		incarnation: z.number().default(0),
+		peerAddress: z.string(),
+		callerAddress: z.string(),
+	}),
+	z.object({
+		kind: z.literal('backendServer'),
+		id: z.string(),
+		availabilityZone: z.string(),
+		state: z.enum(['live', 'leaving']),
+		/**
+		Names the process meant; without it the word holds for any.
+		*/
+		incarnation: z.string().optional(),
+	}),
+]);
+
+const storedWeights = z.object({
+	model: z.string(),
+	version: z.string(),
+	bytes: z.number(),
+});
+const vmListBody = z.object({vms: z.array(listedVm)});
+const directoryBody = z.object({entryVms: z.array(z.string())});
+const weightsBody = z.object({weights: z.array(storedWeights)});
+
+const answerTimeoutMs = 2000;
+
+/**
+Builds a client for the platform at an address.
+*/
+export const createPlatformClient = (address: Address): PlatformClient => {
+	const dispatcher = new Agent({connect: {timeout: answerTimeoutMs}});
+	const base = `http://${address}`;
+
+	const get = async (
+		path: string,
+		waitMs = 0,
+	): Promise<Result<{status: number; text: string}, PlatformFault>> => {
+		try {
+			const answer = await request(base + path, {
+				dispatcher,
+				signal: AbortSignal.timeout(answerTimeoutMs + waitMs),
+			});
+			return Result.ok({
+				status: answer.statusCode,
+				text: await readBounded(answer.body),
+			});
+		} catch (error) {
+			const kind = error instanceof TooLargeError ? 'too-large' : 'unreachable';
+			return Result.err({kind, message: (error as Error).message});
+		}
+	};
+
+	const getParsed = async <Body>(
+		path: string,
+		schema: z.ZodType<Body>,
+	): Promise<Result<Body, PlatformFault>> => {
+		const answer = await get(path);
+		return answer.andThen(({status, text}) => parseBody(status, text, schema));
+	};
+
+	return {
+		async readConfiguration(after, waitMs) {
+			const answer = await get(
+				`/v1/configuration?after=${after}&waitMs=${waitMs}`,
+				waitMs,
+			);
+			return answer.andThen(({status, text}) => {
+				if (status === 204) {
+					return Result.ok<ConfigurationRead, PlatformFault>({
+						kind: 'unchanged',
+					});
+				}
+
+				return status === 200
+					? Result.ok<ConfigurationRead, PlatformFault>({
+							kind: 'document',
+							text,
+						})
+					: Result.err<ConfigurationRead, PlatformFault>(refused(status));
+			});
+		},
+		readVmList: async () =>
+			(await getParsed('/v1/vms', vmListBody)).map(({vms}) => vms),
+		readDirectory: async () =>
+			(await getParsed('/v1/directory', directoryBody)).map(
+				({entryVms}) => entryVms,
+			),
+		readWeights: async () =>
+			(await getParsed('/v1/weights', weightsBody)).map(({weights}) => weights),
+		close: async () => dispatcher.destroy(),
+	};
+};
+
+class TooLargeError extends Error {}
+
+const readBounded = async (body: AsyncIterable<Buffer>): Promise<string> => {
+	const chunks: Buffer[] = [];
+	let length = 0;
+	for await (const chunk of body) {
+		length += chunk.length;
+		if (length > 2 * maximumDocumentBytes) {
+			throw new TooLargeError(
+				`the answer is longer than ${2 * maximumDocumentBytes} bytes`,
+			);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+};
+
+const parseBody = <Body>(
+	status: number,
+	text: string,
+	schema: z.ZodType<Body>,
+): Result<Body, PlatformFault> => {
+	if (status !== 200) {
+		return Result.err(refused(status));
+	}
+
+	try {
+		const parsed = schema.safeParse(JSON.parse(text));
+		return parsed.success
+			? Result.ok(parsed.data)
+			: Result.err({kind: 'malformed', message: parsed.error.message});
+	} catch (error) {
+		return Result.err({kind: 'malformed', message: (error as Error).message});
+	}
+};
+
+const refused = (status: number): PlatformFault => ({
+	kind: 'refused',
+	message: `the platform answered with status ${status}`,
+});
--- /dev/null
+++ b/src/policies/matches-selector.ts
@@ -0,0 +1,42 @@
+import type {Selector} from '../configuration/index.ts';
+import {assertNever} from '../shared/index.ts';
+import type {Labels} from './labels.ts';
+
+type Expression = Selector['matchExpressions'][number];
+
+/**
+Whether labels satisfy every part of a selector; an empty selector matches everything.
+*/
+export const matchesSelector = (selector: Selector, labels: Labels): boolean =>
+	Object.entries(selector.matchLabels).every(
+		([key, value]) => labels[key] === value,
+	) &&
+	selector.matchExpressions.every((expression) =>
+		matchesExpression(expression, labels),
+	);
+
+const matchesExpression = (expression: Expression, labels: Labels): boolean => {
+	const value = labels[expression.key];
+	switch (expression.operator) {
+		case 'In': {
+			return value !== undefined && expression.values.includes(value);
+		}
+
+		case 'NotIn': {
+			// As in Kubernetes, an absent label is in no set.
+			return value === undefined || !expression.values.includes(value);
+		}
+
+		case 'Exists': {
+			return value !== undefined;
+		}
+
+		case 'DoesNotExist': {
+			return value === undefined;
+		}
+
+		default: {
+			return assertNever(expression);
+		}
+	}
+};
--- /dev/null
+++ b/src/reporting/index.ts
@@ -0,0 +1,4 @@
+export * from './histogram.ts';
+export * from './burn.ts';
+export * from './recorder.ts';
+export * from './metrics.ts';
--- /dev/null
+++ b/src/requests/answer.ts
@@ -0,0 +1,64 @@
+import type {GatewayError} from '../errors/index.ts';
+
+/**
+Headers of an answer.
+*/
+export type AnswerHeaders = Readonly<Record<string, string>>;
+
+/**
+How an answer was come by; reported, and told to the caller in headers.
+*/
+export type ServedBy = {
+	readonly region: string;
+	readonly availabilityZone: string;
+	/**
+	The backend server, or the node that chose one in another zone.
+	*/
+	readonly target: string;
+	readonly attempts: number;
+	readonly costPerThousandTokens: number;
+};
+
+/**
+What happened to a stream by its end.
+*/
+export type StreamEnd =
+	| {readonly kind: 'complete'; readonly tokens: number}
+	| {
+			readonly kind: 'broken';
+			readonly tokens: number;
+			readonly error: GatewayError;
+	  }
+	| {readonly kind: 'canceled'; readonly tokens: number};
+
+/**
+The answer to one request.
+*/
+export type Answer =
+	| {
+			readonly kind: 'complete';
+			readonly status: number;
+			readonly headers: AnswerHeaders;
+			readonly body: Buffer;
+			readonly servedBy: ServedBy | undefined;
+			readonly tokens: number;
+	  }
+	| {
+			readonly kind: 'stream';
+			readonly status: number;
+			readonly headers: AnswerHeaders;
+			/**
+			Pieces of the event stream; returns how it ended.
+			*/
+			readonly pieces: AsyncGenerator<string, StreamEnd, void>;
+			readonly servedBy: ServedBy;
+	  }
+	| {readonly kind: 'refused'; readonly error: GatewayError};
+
+/**
+Wraps an error as an answer.
+*/
+export const refuse = (error: GatewayError): Answer => ({
+	kind: 'refused',
+	error,
+});
--- /dev/null
+++ b/src/requests/filters/limit.ts
@@ -0,0 +1,31 @@
+import {createGatewayError} from '../../errors/index.ts';
+import type {ClientLimits} from '../../limits/index.ts';
+import {refuse} from '../answer.ts';
+import type {Filter} from '../filter-chain.ts';
+import type {GatewayRequest} from '../gateway-request.ts';
+
+/**
+Holds a client to its limit; a request beyond it is answered at once.
+*/
+export const createLimit =
+	(
+		limits: ClientLimits,
+		clock: () => number,
+	): Filter<GatewayRequest, GatewayRequest> =>
+	async (request, next) => {
+		const verdict = limits.admit(request.client, clock());
+		switch (verdict.kind) {
+			case 'admitted': {
+				return next(request);
+			}
+
+			case 'limited': {
+				const message = `Client "${request.client.name}" is over its limit of ${request.client.requestsPerSecond} requests a second`;
+				return refuse(
+					createGatewayError('limit-exceeded', message, {
+						retryAfterSeconds: verdict.retryAfterSeconds,
+					}),
+				);
+			}
+		}
+	};
--- /dev/null
+++ b/src/requests/filters/permit.ts
@@ -0,0 +1,125 @@
+import {createGatewayError, type GatewayError} from '../../errors/index.ts';
+import {sha256} from '../../shared/index.ts';
+import {refuse, type Answer} from '../answer.ts';
+import type {Filter} from '../filter-chain.ts';
+import type {GatewayRequest} from '../gateway-request.ts';
+import {keepAnswer, type KeptAnswer} from '../kept-answer.ts';
+import type {PermitHolder, Permits} from '../permits.ts';
+
+/**
+What the filter is built from.
+*/
+export type PermitFilterOptions = {
+	readonly permits: Permits<KeptAnswer>;
+	readonly clock: () => number;
+	/**
+	Asks the node that issued an id; left out where the request itself came from a node.
+	*/
+	readonly askHolder?: (
+		request: GatewayRequest,
+		holder: PermitHolder,
+	) => Promise<Answer>;
+	/**
+	Counts requests that go on after their caller has gone.
+	*/
+	readonly track: (isBeginning: boolean) => void;
+};
+
+/**
+Lets a request that is not repeatable run at most once.
+*/
+export const createPermitFilter =
+	(options: PermitFilterOptions): Filter<GatewayRequest, GatewayRequest> =>
+	async (request, next) => {
+		if (request.isRepeatable) {
+			return next(request);
+		}
+
+		const use = {
+			requestId: request.requestId,
+			clientName: request.client.name,
+			bodyDigest: sha256(
+				`${request.method}\n${request.url}\n${request.body.toString('base64')}`,
+			),
+		};
+		const redemption = options.permits.redeem(use, options.clock());
+		switch (redemption.kind) {
+			case 'run': {
+				return runOnce(options, request, next);
+			}
+
+			case 'repeat': {
+				const {kept} = redemption.record;
+				return kept
+					? kept.read()
+					: refuse(
+							createGatewayError(
+								'answer-not-kept',
+								'The request ran; its answer is no longer kept',
+							),
+						);
+			}
+
+			case 'conflict': {
+				return refuse(
+					createGatewayError(
+						'permit-conflict',
+						'The request id was used for another request; use a fresh id',
+					),
+				);
+			}
+
+			case 'elsewhere': {
+				return options.askHolder
+					? options.askHolder(request, redemption.holder)
+					: refuse(
+							createGatewayError(
+								'hop-refused',
+								'The request was passed to a node that did not issue its id',
+							),
+						);
+			}
+
+			case 'forgotten': {
+				return refuse(unknownUse());
+			}
+
+			case 'not-issued': {
+				return refuse(notIssued());
+			}
+		}
+	};
+
+const runOnce = async (
+	options: PermitFilterOptions,
+	request: GatewayRequest,
+	next: (request: GatewayRequest) => Promise<Answer>,
+): Promise<Answer> => {
+	const {requestId} = request;
+	options.track(true);
+	const kept = keepAnswer(
+		async () => next({...request, signal: new AbortController().signal}),
+		(outcome) => {
+			options.permits.end(
+				requestId,
+				outcome,
+				outcome === 'not-run' ? undefined : kept,
+			);
+			options.track(false);
+		},
+	);
+	options.permits.attach(requestId, kept);
+	return kept.read();
+};
+
+const unknownUse = (): GatewayError =>
+	createGatewayError(
+		'outcome-unknown',
+		'The request id was issued by a process that has ended or too long ago; the request may have run and is not run again',
+	);
+
+const notIssued = (): GatewayError =>
+	createGatewayError(
+		'bad-request',
+		'A request that is not repeatable needs an id of this system; take one from GET /v1/entry-vms or send none',
+	);
--- /dev/null
+++ b/src/requests/identify-client.ts
@@ -0,0 +1,49 @@
+import {Result} from 'true-myth';
+import type {Client, Configuration} from '../configuration/index.ts';
+import {createGatewayError, type GatewayError} from '../errors/index.ts';
+import {equalInConstantTime, sha256} from '../shared/index.ts';
+import {headerOf, type IncomingRequest} from './incoming-request.ts';
+
+const bearer = /^bearer (?<key>\S+)$/i;
+
+/**
+Finds the client account that a request's bearer key belongs to.
+*/
+export const identifyClient = (
+	request: IncomingRequest,
+	configuration: Configuration,
+): Result<Client, GatewayError> => {
+	const key = bearer.exec(headerOf(request, 'authorization') ?? '')?.groups
+		?.key;
+	if (key === undefined) {
+		return Result.err(
+			createGatewayError(
+				'unauthenticated',
+				'Send a client key: "Authorization: Bearer KEY"',
+			),
+		);
+	}
+
+	const client = findByKey(configuration.clients, key);
+	return client
+		? Result.ok(client)
+		: Result.err(
+				createGatewayError('unauthenticated', 'The client key is not known'),
+			);
+};
+
+// Every account is compared, so that the time taken does not tell which one came near.
+const findByKey = (
+	clients: readonly Client[],
+	key: string,
+): Client | undefined => {
+	const digest = sha256(key);
+	let found: Client | undefined;
+	for (const client of clients) {
+		if (equalInConstantTime(client.keySha256, digest)) {
+			found = client;
+		}
+	}
+
+	return found;
+};
--- /dev/null
+++ b/src/requests/incoming-request.ts
@@ -0,0 +1,46 @@
+/**
+A request as it came in over HTTP.
+*/
+export type IncomingRequest = {
+	readonly method: string;
+	/**
+	Path and query.
+	*/
+	readonly url: string;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly body: Buffer;
+	/**
+	Aborts when the caller has gone.
+	*/
+	readonly signal: AbortSignal;
+};
+
+/**
+One header's value; where it was sent more than once, the values are joined by commas.
+*/
+export const headerOf = (
+	request: IncomingRequest,
+	name: string,
+): string | undefined => {
+	const value = request.headers[name];
+	return Array.isArray(value) ? value.join(',') : value;
+};
+
+/**
+The path without its query.
+*/
+export const pathOf = ({url}: IncomingRequest): string => url.split('?', 1)[0]!;
+
+/**
+Names of the request headers that the gateway reads.
+*/
+export const requestHeaders = {
+	requestId: 'x-request-id',
+	labels: 'x-quillford-labels',
+	home: 'x-quillford-home',
+	residency: 'x-quillford-residency',
+	repeatable: 'x-quillford-repeatable',
+	priority: 'x-quillford-priority',
+	deadline: 'x-quillford-deadline-ms',
+	session: 'x-quillford-session',
+} as const;
--- /dev/null
+++ b/src/requests/index.ts
@@ -0,0 +1,14 @@
+export * from './answer.ts';
+export * from './capacity-wait.ts';
+export * from './choose-target.ts';
+export * from './event-stream.ts';
+export type * from './gateway-request.ts';
+export * from './identify-client.ts';
+export * from './in-flight.ts';
+export * from './incoming-request.ts';
+export * from './kept-answer.ts';
+export * from './permits.ts';
+export * from './read-request.ts';
+export * from './request-chain.ts';
+export * from './request-executor.ts';
+export * from './serve-forwarded.ts';
--- /dev/null
+++ b/src/requests/kept-answer.ts
@@ -0,0 +1,135 @@
+import {createGatewayError, type Outcome} from '../errors/index.ts';
+import {refuse, type Answer, type StreamEnd} from './answer.ts';
+
+/**
+ An answer that can be given more than once: to the caller, and to the same caller
+ coming back with the same request id.
+ */
+export type KeptAnswer = {
+	/**
+	The answer, for one reader.
+	*/
+	read(): Promise<Answer>;
+};
+
+/**
+The longest stream that is kept after its end, in characters.
+*/
+export const maximumKeptLength = 262_144;
+
+/**
+ Runs a request to its end, whether or not its caller stays, and keeps the answer.
+ 
+ A request that may run only once is not broken off when its caller goes: the caller
+ can come back with the same id and get the outcome.
+ 
+ @param run
+ @param onEnd called once, when the request has ended.
+ */
+export const keepAnswer = (
+	run: () => Promise<Answer>,
+	onEnd: (outcome: Outcome) => void,
+): KeptAnswer => {
+	const answer = settle(run, onEnd);
+	return {read: async () => (await answer)()};
+};
+
+type Reader = () => Answer;
+
+const settle = async (
+	run: () => Promise<Answer>,
+	onEnd: (outcome: Outcome) => void,
+): Promise<Reader> => {
+	const answer = await run();
+	switch (answer.kind) {
+		case 'complete': {
+			onEnd('ran');
+			return () => answer;
+		}
+
+		case 'refused': {
+			onEnd(answer.error.outcome);
+			return () => answer;
+		}
+
+		case 'stream': {
+			const stream = pump(answer.pieces, () => {
+				onEnd('ran');
+			});
+			return () =>
+				stream.isDropped()
+					? refuse(dropped())
+					: {...answer, pieces: stream.read()};
+		}
+	}
+};
+
+const dropped = () =>
+	createGatewayError(
+		'answer-not-kept',
+		'The request ran; its answer was too long to be kept',
+	);
+
+const pump = (
+	source: AsyncGenerator<string, StreamEnd, void>,
+	onEnd: () => void,
+) => {
+	let pieces: string[] = [];
+	let length = 0;
+	let end: StreamEnd | undefined;
+	let isDropped = false;
+	let wake: Array<() => void> = [];
+
+	const notify = () => {
+		const waiting = wake;
+		wake = [];
+		for (const resume of waiting) {
+			resume();
+		}
+	};
+
+	const drain = async () => {
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop
+			const next = await source.next();
+			if (next.done) {
+				end = next.value;
+				break;
+			}
+
+			pieces.push(next.value);
+			length += next.value.length;
+			notify();
+		}
+
+		if (length > maximumKeptLength) {
+			// Readers that are under way hold their own reference to the pieces.
+			pieces = [];
+			isDropped = true;
+		}
+
+		onEnd();
+		notify();
+	};
+
+	async function* read(): AsyncGenerator<string, StreamEnd, void> {
+		const own = pieces;
+		for (let index = 0; ; index += 1) {
+			while (index >= own.length) {
+				if (end) {
+					return end;
+				}
+
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise<void>((resolve) => {
+					wake.push(resolve);
+				});
+			}
+
+			yield own[index]!;
+		}
+	}
+
+	void drain();
+	return {read, isDropped: () => isDropped};
+};
--- /dev/null
+++ b/src/requests/read-request.ts
@@ -0,0 +1,333 @@
+import {Result} from 'true-myth';
+import type {Client, Configuration, Service} from '../configuration/index.ts';
+import {createGatewayError, type GatewayError} from '../errors/index.ts';
+import {parseLabels, type Labels} from '../policies/index.ts';
+import {resolveResidency} from '../routing/index.ts';
+import {stableHash} from '../shared/index.ts';
+import type {ReadRequest} from './gateway-request.ts';
+import {
+	headerOf,
+	pathOf,
+	requestHeaders,
+	type IncomingRequest,
+} from './incoming-request.ts';
+
+/**
+What reading a request depends on.
+*/
+export type ReadingContext = {
+	readonly configuration: Configuration;
+	readonly client: Client;
+	/**
+	Region of this node; home of a request that names none.
+	*/
+	readonly ownRegion: string;
+	readonly now: number;
+	/**
+	Issues an id for a request that came without one.
+	*/
+	readonly issueId: () => string;
+};
+
+/**
+Prompts of this many tokens and more get the label `prompt-length=long`.
+*/
+export const longPromptTokens = 4096;
+
+const charactersPerToken = 4;
+const prefixLength = 2048;
+const requestIdForm = /^[\w\-.:]{1,200}$/;
+const modelPaths: ReadonlySet<string> = new Set([
+	'/v1/chat/completions',
+	'/v1/completions',
+]);
+
+/**
+Reads and checks everything that a request states.
+*/
+export const readRequest = (
+	incoming: IncomingRequest,
+	context: ReadingContext,
+): Result<ReadRequest, GatewayError> =>
+	readTarget(incoming, context.configuration).andThen((target) => {
+		const labels = parseLabels(headerOf(incoming, requestHeaders.labels));
+		const options = readOptions(incoming, context);
+		if (labels.isErr) {
+			return Result.err(labels.error);
+		}
+
+		return options.map((read) => ({
+			...read,
+			client: context.client,
+			service: target.service,
+			model: target.model,
+			isStreaming: target.isStreaming,
+			labels: deriveLabels(labels.value, target, context.client),
+			isRepeatable:
+				read.isRepeatable ??
+				isRepeatableByService(target.service, incoming.method),
+			prefixKey: String(stableHash(target.prompt.slice(0, prefixLength))),
+			method: incoming.method,
+			url: incoming.url,
+			contentType: headerOf(incoming, 'content-type'),
+			body: incoming.body,
+			signal: incoming.signal,
+		}));
+	});
+
+type Target = {
+	readonly service: Service;
+	readonly model: string | undefined;
+	readonly isStreaming: boolean;
+	readonly prompt: string;
+};
+
+const readTarget = (
+	incoming: IncomingRequest,
+	configuration: Configuration,
+): Result<Target, GatewayError> => {
+	const path = pathOf(incoming);
+	return modelPaths.has(path)
+		? readModelCall(incoming, configuration)
+		: readPlainCall(path, configuration);
+};
+
+const readPlainCall = (
+	path: string,
+	configuration: Configuration,
+): Result<Target, GatewayError> => {
+	const service = configuration.services
+		.filter(
+			(candidate) =>
+				candidate.kind === 'plain' && isBelow(path, candidate.pathPrefix),
+		)
+		.toSorted(
+			(left, right) => prefixOf(right).length - prefixOf(left).length,
+		)[0];
+	return service
+		? Result.ok({service, model: undefined, isStreaming: false, prompt: ''})
+		: Result.err(
+				createGatewayError(
+					'unknown-path',
+					`No service answers at ${path.slice(0, 200)}`,
+				),
+			);
+};
+
+const prefixOf = (service: Service): string =>
+	service.kind === 'plain' ? service.pathPrefix : '';
+
+const isBelow = (path: string, prefix: string): boolean => {
+	const trimmed = prefix.replace(/\/$/, '');
+	return path === trimmed || path.startsWith(`${trimmed}/`);
+};
+
+const readModelCall = (
+	incoming: IncomingRequest,
+	configuration: Configuration,
+): Result<Target, GatewayError> => {
+	if (incoming.method !== 'POST') {
+		return Result.err(
+			createGatewayError('bad-request', 'Use POST for completions'),
+		);
+	}
+
+	const body = parseObject(incoming.body);
+	if (body === undefined) {
+		return Result.err(
+			createGatewayError(
+				'bad-request',
+				'The body cannot be read: send one JSON object',
+			),
+		);
+	}
+
+	const {model} = body;
+	if (typeof model !== 'string') {
+		return Result.err(
+			createGatewayError('bad-request', 'Name a model: "model" must be a text'),
+		);
+	}
+
+	const service = configuration.services.find(
+		(candidate) =>
+			candidate.kind === 'model' && candidate.models.includes(model),
+	);
+	return service
+		? Result.ok({
+				service,
+				model,
+				isStreaming: body.stream === true,
+				prompt: promptOf(body),
+			})
+		: Result.err(
+				createGatewayError(
+					'unknown-model',
+					`No service offers model "${model.slice(0, 100)}"; see GET /v1/models`,
+				),
+			);
+};
+
+const parseObject = (
+	body: Buffer,
+): Readonly<Record<string, unknown>> | undefined => {
+	try {
+		const value: unknown = JSON.parse(body.toString('utf8'));
+		return typeof value === 'object' && value !== null && !Array.isArray(value)
+			? (value as Record<string, unknown>)
+			: undefined;
+	} catch {
+		return undefined;
+	}
+};
+
+const promptOf = (body: Readonly<Record<string, unknown>>): string => {
+	const {prompt, messages} = body;
+	if (typeof prompt === 'string') {
+		return prompt;
+	}
+
+	return Array.isArray(messages)
+		? messages.map((message) => contentOf(message)).join('\n')
+		: '';
+};
+
+const contentOf = (message: unknown): string => {
+	const {content} = (message ?? {}) as {readonly content?: unknown};
+	return typeof content === 'string' ? content : JSON.stringify(content ?? '');
+};
+
+const deriveLabels = (
+	labels: Labels,
+	target: Target,
+	client: Client,
+): Labels => {
+	const isLong = target.prompt.length >= longPromptTokens * charactersPerToken;
+	return {
+		...client.labels,
+		...labels,
+		// Derived labels come last: a caller cannot pass itself off as another client.
+		client: client.name,
+		service: target.service.name,
+		...(target.model !== undefined && {
+			model: target.model,
+			'prompt-length': isLong ? 'long' : 'short',
+		}),
+	};
+};
+
+const isRepeatableByService = (service: Service, method: string): boolean => {
+	switch (service.kind) {
+		case 'model': {
+			return service.repeatable;
+		}
+
+		case 'plain': {
+			return service.repeatableMethods.includes(method);
+		}
+	}
+};
+
+const readOptions = (incoming: IncomingRequest, context: ReadingContext) => {
+	const {configuration, client, now} = context;
+	const givenId = headerOf(incoming, requestHeaders.requestId);
+	if (givenId !== undefined && !requestIdForm.test(givenId)) {
+		return fault(
+			'x-request-id must be 1 to 200 letters, digits, ".", ":", "_" or "-"',
+		);
+	}
+
+	const priority = readNumber(
+		incoming,
+		requestHeaders.priority,
+		client.priority,
+		0,
+		9,
+	);
+	if (priority === undefined) {
+		return fault('x-quillford-priority must be a whole number from 0 to 9');
+	}
+
+	const remainingMs = readNumber(
+		incoming,
+		requestHeaders.deadline,
+		configuration.timing.requestTimeoutMs,
+		1,
+		maximumDeadlineMs,
+	);
+	if (remainingMs === undefined) {
+		return fault(
+			`x-quillford-deadline-ms must be a whole number from 1 to ${maximumDeadlineMs}`,
+		);
+	}
+
+	const repeatable = headerOf(incoming, requestHeaders.repeatable);
+	if (
+		repeatable !== undefined &&
+		repeatable !== 'true' &&
+		repeatable !== 'false'
+	) {
+		return fault('x-quillford-repeatable must be "true" or "false"');
+	}
+
+	const claim = {requested: readRegions(incoming), client};
+	return resolveResidency(claim, configuration).andThen((residency) => {
+		const home = headerOf(incoming, requestHeaders.home);
+		if (
+			home !== undefined &&
+			configuration.regions.every(({name}) => name !== home)
+		) {
+			return fault(
+				`x-quillford-home names region "${home.slice(0, 100)}", which is not configured`,
+			);
+		}
+
+		// A request bound to one region is at home there, wherever it entered.
+		const bound =
+			residency.kind === 'regions' && residency.regions.length === 1
+				? residency.regions[0]
+				: undefined;
+		return Result.ok({
+			requestId: givenId ?? context.issueId(),
+			hasCallerId: givenId !== undefined,
+			claim,
+			homeRegion: home ?? bound ?? context.ownRegion,
+			priority,
+			deadline: now + remainingMs,
+			isRepeatable:
+				repeatable === undefined ? undefined : repeatable === 'true',
+			session: headerOf(incoming, requestHeaders.session) ?? '',
+		});
+	});
+};
+
+const maximumDeadlineMs = 3_600_000;
+
+const fault = (message: string) =>
+	Result.err<never, GatewayError>(createGatewayError('bad-request', message));
+
+const readNumber = (
+	incoming: IncomingRequest,
+	name: string,
+	fallback: number,
+	minimum: number,
+	maximum: number,
+): number | undefined => {
+	const text = headerOf(incoming, name);
+	if (text === undefined) {
+		return fallback;
+	}
+
+	const value = Number(text);
+	return /^\d+$/.test(text) && value >= minimum && value <= maximum
+		? value
+		: undefined;
+};
+
+const readRegions = (
+	incoming: IncomingRequest,
+): readonly string[] | undefined =>
+	headerOf(incoming, requestHeaders.residency)
+		?.split(',')
+		.map((region) => region.trim())
+		.filter((region) => region !== '');
--- /dev/null
+++ b/src/requests/request-chain.ts
@@ -0,0 +1,178 @@
+import type {ParsedConfiguration} from '../configuration/index.ts';
+import {createGatewayError, type GatewayError} from '../errors/index.ts';
+import type {ClientLimits} from '../limits/index.ts';
+import type {Metrics, Recorder} from '../reporting/index.ts';
+import {refuse, type Answer} from './answer.ts';
+import {chain, type Filter} from './filter-chain.ts';
+import {
+	createAccount,
+	createLimit,
+	createMatch,
+	createPermitFilter,
+	createRead,
+	identify,
+	onAnswerEnd,
+	type ReadyRequest,
+} from './filters/index.ts';
+import type {GatewayRequest} from './gateway-request.ts';
+import {
+	headerOf,
+	requestHeaders,
+	type IncomingRequest,
+} from './incoming-request.ts';
+import type {InFlight} from './in-flight.ts';
+import type {KeptAnswer} from './kept-answer.ts';
+import type {PermitHolder, Permits} from './permits.ts';
+import type {RequestExecutor} from './request-executor.ts';
+
+/**
+What the chain is built from.
+*/
+export type RequestChainOptions = {
+	readonly clock: () => number;
+	readonly wallClock: () => number;
+	readonly configuration: () => ParsedConfiguration | undefined;
+	readonly ownRegion: () => string;
+	/**
+	Why nothing may be sent now, if so; waits out a short recovery after a pause.
+	*/
+	readonly readiness: () => Promise<GatewayError | undefined>;
+	readonly limits: ClientLimits;
+	readonly permits: Permits<KeptAnswer>;
+	readonly executor: RequestExecutor;
+	readonly askHolder: (
+		request: GatewayRequest,
+		holder: PermitHolder,
+	) => Promise<Answer>;
+	readonly recorder: Recorder;
+	readonly metrics: Metrics;
+	readonly inFlight: InFlight;
+};
+
+/**
+The way of a request through this node.
+*/
+export type RequestChain = {
+	/**
+	Answers a caller's request.
+	*/
+	answer(incoming: IncomingRequest): Promise<Answer>;
+	/**
+	Answers a request that another node passed here because its permit is from here.
+	*/
+	redeem(request: GatewayRequest): Promise<Answer>;
+};
+
+/**
+Builds the chain; read it from top to bottom to follow a request.
+*/
+export const createRequestChain = (
+	options: RequestChainOptions,
+): RequestChain => {
+	const {clock, inFlight} = options;
+
+	const track = (isBeginning: boolean) => {
+		if (isBeginning) {
+			inFlight.begin();
+		} else {
+			inFlight.end();
+		}
+	};
+
+	const awaitReadiness: Filter<IncomingRequest, ReadyRequest> = async (
+		incoming,
+		next,
+	) => {
+		const obstacle = await options.readiness();
+		if (obstacle) {
+			return refuse(obstacle);
+		}
+
+		const parsed = options.configuration();
+		return parsed
+			? next({incoming, parsed})
+			: refuse(
+					createGatewayError(
+						'not-ready',
+						'This node has not received a configuration yet',
+					),
+				);
+	};
+
+	const countInFlight: Filter<IncomingRequest, IncomingRequest> = async (
+		incoming,
+		next,
+	) => {
+		inFlight.begin();
+		try {
+			return onAnswerEnd(await next(incoming), inFlight.end, clock);
+		} catch (error) {
+			inFlight.end();
+			throw error;
+		}
+	};
+
+	const read = createRead({
+		clock,
+		ownRegion: options.ownRegion,
+		issueId: () => options.permits.issue(clock()),
+	});
+	const limit = createLimit(options.limits, clock);
+	const match = createMatch(options.wallClock);
+	const account = createAccount({
+		clock,
+		wallClock: options.wallClock,
+		configuration: () => options.configuration()?.configuration,
+		recorder: options.recorder,
+		metrics: options.metrics,
+	});
+	const permit = createPermitFilter({
+		permits: options.permits,
+		clock,
+		track,
+		askHolder: options.askHolder,
+	});
+	const permitOfPeer = createPermitFilter({
+		permits: options.permits,
+		clock,
+		track,
+	});
+
+	const understand = chain(chain(awaitReadiness, identify), chain(read, match));
+
+	// A refusal that comes before the permit is looked at speaks of this submission alone;
+	// of an id that was used before it must not claim that nothing ran.
+	const understandWithCare: Filter<IncomingRequest, GatewayRequest> = async (
+		incoming,
+		next,
+	) => {
+		let isUnderstood = false;
+		const answer = await understand(incoming, async (request) => {
+			isUnderstood = true;
+			return next(request);
+		});
+		const requestId = headerOf(incoming, requestHeaders.requestId);
+		const isDoubtful =
+			!isUnderstood &&
+			requestId !== undefined &&
+			options.permits.mayHaveRun(requestId);
+		return answer.kind === 'refused' && isDoubtful
+			? refuse({...answer.error, outcome: 'unknown'})
+			: answer;
+	};
+
+	const enter = chain(countInFlight, understandWithCare);
+	const admit = chain(account, chain(permit, limit));
+	const admitFromPeer = chain(account, chain(permitOfPeer, limit));
+
+	return {
+		answer: async (incoming) =>
+			chain(enter, admit)(incoming, async (request) =>
+				options.executor.execute(request, false),
+			),
+		redeem: async (request) =>
+			admitFromPeer(request, async (permitted) =>
+				options.executor.execute(permitted, true),
+			),
+	};
+};
--- /dev/null
+++ b/src/retries/decide-retry.ts
@@ -0,0 +1,105 @@
+import {
+	createGatewayError,
+	type GatewayError,
+	type Outcome,
+} from '../errors/index.ts';
+
+/**
+How one attempt failed.
+*/
+export type AttemptFailure = {
+	/**
+	What the failure proves about the backend server having run the attempt.
+	*/
+	readonly outcome: Outcome;
+	readonly error: GatewayError;
+};
+
+/**
+The state of a request when an attempt has failed.
+*/
+export type RetryQuestion = {
+	readonly failure: AttemptFailure;
+	readonly isRepeatable: boolean;
+	/**
+	Whether any byte of the answer has gone to the caller.
+	*/
+	readonly hasDelivered: boolean;
+	/**
+	Whether the answer can be taken up at a count of tokens.
+	*/
+	readonly isResumable: boolean;
+	readonly attempts: number;
+	readonly maximumAttempts: number;
+	/**
+	Milliseconds left until the deadline.
+	*/
+	readonly remainingMs: number;
+};
+
+/**
+What to do about a failed attempt.
+*/
+export type RetryDecision =
+	| {readonly kind: 'retry'}
+	| {readonly kind: 'resume'}
+	| {readonly kind: 'give-up'; readonly error: GatewayError};
+
+/**
+Less time than this before the deadline is not worth another attempt.
+*/
+export const smallestWorthwhileMs = 20;
+
+/**
+ Decides about another attempt; only the node at which a request entered asks this.
+ 
+ @param question
+ @param takeFromBudget called only where another attempt would be made.
+ */
+export const decideRetry = (
+	question: RetryQuestion,
+	takeFromBudget: () => boolean,
+): RetryDecision => {
+	const {failure, isRepeatable, hasDelivered, isResumable} = question;
+	if (!isRepeatable && failure.outcome !== 'not-run') {
+		return giveUp(unknownOutcome(failure));
+	}
+
+	if (hasDelivered && !isResumable) {
+		return giveUp(
+			createGatewayError(
+				'stream-broken',
+				`The answer broke off: ${failure.error.message}`,
+			),
+		);
+	}
+
+	if (question.remainingMs < smallestWorthwhileMs) {
+		return giveUp(pastDeadline(failure));
+	}
+
+	return question.attempts >= question.maximumAttempts || !takeFromBudget()
+		? giveUp(failure.error)
+		: {kind: hasDelivered ? 'resume' : 'retry'};
+};
+
+const giveUp = (error: GatewayError): RetryDecision => ({
+	kind: 'give-up',
+	error,
+});
+
+const unknownOutcome = (failure: AttemptFailure): GatewayError =>
+	createGatewayError(
+		'outcome-unknown',
+		`The request may or may not have run and may not be repeated: ${failure.error.message}`,
+		{outcome: failure.outcome},
+	);
+
+const pastDeadline = (failure: AttemptFailure): GatewayError =>
+	createGatewayError(
+		'deadline-exceeded',
+		`No time is left for another attempt: ${failure.error.message}`,
+		{
+			outcome: failure.outcome,
+		},
+	);
--- /dev/null
+++ b/src/retries/index.ts
@@ -0,0 +1,2 @@
+export * from './retry-budget.ts';
+export * from './decide-retry.ts';
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,5 @@
+export * from './residency.ts';
+export * from './candidates.ts';
+export * from './choose-backend-server.ts';
+export * from './choose-zone.ts';
+export * from './route.ts';
--- /dev/null
+++ b/src/settings/serve-settings.ts
@@ -0,0 +1,150 @@
+import {logLevelNames} from '../logging/index.ts';
+import type {SettingValue} from './setting.ts';
+import {
+	addressListSetting,
+	addressPairsSetting,
+	addressSetting,
+	choiceSetting,
+	numberSetting,
+	optionalAddressSetting,
+	textSetting,
+} from './setting-kinds.ts';
+
+const nameForm = /^[\da-z][\d\-.a-z]{0,62}$/;
+const nameAllowed =
+	'lower-case letters, digits, "." and "-", at most 63 characters';
+const keyForm = /^\S{16,}$/;
+const keyAllowed = 'at least 16 characters without white space';
+const mebibyte = 1_048_576;
+
+/**
+The settings of `quillford serve`; each is a flag and an environment variable.
+*/
+export const serveSettings = {
+	nodeId: textSetting(
+		{
+			flag: '--node-id',
+			description: 'Name of this node, unique among all nodes',
+		},
+		nameForm,
+		nameAllowed,
+	),
+	availabilityZone: textSetting(
+		{flag: '--availability-zone', description: 'Availability zone of this VM'},
+		nameForm,
+		nameAllowed,
+	),
+	callerAddress: addressSetting({
+		flag: '--caller-address',
+		description: 'Where callers connect',
+	}),
+	peerAddress: addressSetting({
+		flag: '--peer-address',
+		description: 'Where other nodes connect (UDP and TCP)',
+	}),
+	administrationAddress: addressSetting({
+		flag: '--administration-address',
+		description: 'Where operators connect',
+	}),
+	administrationKey: textSetting(
+		{
+			flag: '--administration-key',
+			description: 'Bearer key of the administration API',
+			isSecret: true,
+		},
+		keyForm,
+		keyAllowed,
+	),
+	peerKey: textSetting(
+		{
+			flag: '--peer-key',
+			description: 'Key shared by all nodes; seals what they send each other',
+			isSecret: true,
+		},
+		keyForm,
+		keyAllowed,
+	),
+	platformAddress: addressSetting({
+		flag: '--platform-address',
+		description: 'Where the platform services answer',
+	}),
+	seedPeers: addressListSetting({
+		flag: '--seed-peers',
+		description: 'Peer addresses to ask at start, besides the VM list',
+		fallback: '',
+	}),
+	addressTranslations: addressPairsSetting({
+		flag: '--address-translations',
+		description: 'Addresses as published and as reached from this VM',
+		fallback: '',
+	}),
+	statsdAddress: optionalAddressSetting({
+		flag: '--statsd-address',
+		description: 'Where metrics are sent (StatsD over UDP)',
+		fallback: '',
+	}),
+	logLevel: choiceSetting(
+		{
+			flag: '--log-level',
+			description: 'Lowest level that is logged',
+			fallback: 'info',
+		},
+		logLevelNames,
+	),
+	maximumBodyBytes: numberSetting(
+		{
+			flag: '--maximum-body-bytes',
+			description: 'Longest request body',
+			fallback: String(4 * mebibyte),
+		},
+		1024,
+		64 * mebibyte,
+	),
+	maximumWaiting: numberSetting(
+		{
+			flag: '--maximum-waiting',
+			description: 'Requests that may wait for a free slot',
+			fallback: '64',
+		},
+		0,
+		10_000,
+	),
+	maximumWaitMs: numberSetting(
+		{
+			flag: '--maximum-wait-ms',
+			description: 'Longest wait for a free slot, in milliseconds',
+			fallback: '1000',
+		},
+		0,
+		60_000,
+	),
+	joinTimeoutMs: numberSetting(
+		{
+			flag: '--join-timeout-ms',
+			description:
+				'How long a starting node waits for its peers before it serves, in milliseconds',
+			fallback: '1500',
+		},
+		0,
+		60_000,
+	),
+	drainTimeoutMs: numberSetting(
+		{
+			flag: '--drain-timeout-ms',
+			description:
+				'How long a planned stop waits for requests in flight, in milliseconds',
+			fallback: '600000',
+		},
+		0,
+		86_400_000,
+	),
+} as const;
+
+/**
+The values of all settings of `quillford serve`.
+*/
+export type ServeSettings = {
+	readonly [Name in keyof typeof serveSettings]: SettingValue<
+		(typeof serveSettings)[Name]
+	>;
+};
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,10 @@
+const config = [
+	{
+		ignores: ['dist/**'],
+	},
+	{
+		prettier: true,
+	},
+];
+
+export default config;
