Trust load reports for one second instead of three

A report was trusted for 3 s, while what the nodes of a zone have in flight reaches all of them in under a second: a report of middling age replaced better knowledge. Ruled out: the summaries of other zones (away share the same).

Change: the decay of trust is 1 s.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -122,7 +122,7 @@
 Parameters in use unless a test states others.
 */
 export const defaultFleetParameters: FleetParameters = {
-	reportDecay: 3000,
+	reportDecay: 1000,
 	failuresToEject: 3,
 	ejection: 2000,
 	maximumEjection: 30_000,
