Let a cheap zone take a falling share as it fills, and overflow like home first

All nodes saw the same summary, about a second old, and its sharp edges (fast or not, full or not) moved the whole traffic to one zone and back. Ruled out: the choice of a server within the zone (the same as power of two); the age of reports (the same at 0.1 and 5 s).

Change: between half and 0.85 of its slots a zone takes a falling share of what comes; what no cheap zone takes is placed as with home first; old summaries count for less.

Tried first and reverted: leaving the rest at home without overflow.

--- a/src/routing/choose-zone.ts
+++ b/src/routing/choose-zone.ts
@@ -54,7 +54,11 @@
 		}
 
 		case 'cheapest': {
-			return cheapestWithin(candidates, strategy.firstTokenObjectiveMs);
+			return cheapestWithin(
+				candidates,
+				strategy.firstTokenObjectiveMs,
+				context,
+			);
 		}
 
 		case 'power-of-two':
@@ -146,7 +150,7 @@
 	}
 
 	const away = sampleBetter(roomy, context.random);
-	const isWorthIt = expected(away) * overflow.advantage < expected(home);
+	const isWorthIt = doubtful(away) * overflow.advantage < expected(home);
 	return isWorthIt && context.awayShare < overflow.maximumAwayShare
 		? away
 		: home;
@@ -158,6 +162,12 @@
 
 const expected = (zone: ZoneCandidate): number => zone.expectedFirstTokenMs;
 
+// What is known of another zone counts for less the older it is.
+const doubtful = (zone: ZoneCandidate): number =>
+	expected(zone) / Math.max(leastTrust, zone.trust);
+
+const leastTrust = 0.1;
+
 // Two at random, as for servers: all nodes of a busy zone see the same summary of a quiet one.
 const sampleBetter = (
 	zones: readonly ZoneCandidate[],
@@ -168,24 +178,30 @@
 	return expected(second) < expected(first) ? second : first;
 };
 
+// Below this use a cheap zone takes whatever comes, above the upper end nothing; in between
+// it takes a falling share. A sharp edge would send all nodes there at once and away again,
+// for they all see the same summary, and late.
+const takesAllBelow = 0.5;
+const takesNoneFrom = 0.85;
+
+const isTaking = (zone: ZoneCandidate, random: Random): boolean => {
+	const share =
+		(takesNoneFrom - utilization(zone)) / (takesNoneFrom - takesAllBelow);
+	return random.fraction() < share;
+};
+
 const cheapestWithin = (
 	candidates: readonly ZoneCandidate[],
 	objectiveMs: number,
+	context: ZoneContext,
 ): ZoneCandidate => {
-	const fast = candidates.filter(
-		(zone) =>
-			zone.expectedFirstTokenMs <= objectiveMs &&
-			!isFull(zone, overflowDefaults.overflowAtLoad, false),
-	);
-	if (fast.length === 0) {
-		return least(candidates, expected);
-	}
-
-	const lowest = Math.min(
-		...fast.map(({costPerThousandTokens}) => costPerThousandTokens),
-	);
-	const cheapest = fast.filter(
-		({costPerThousandTokens}) => costPerThousandTokens === lowest,
+	const fast = candidates
+		.filter((zone) => doubtful(zone) <= objectiveMs)
+		.toSorted(
+			(left, right) => left.costPerThousandTokens - right.costPerThousandTokens,
+		);
+	return (
+		fast.find((zone) => isTaking(zone, context.random)) ??
+		homeFirst(candidates, overflowDefaults, context)
 	);
-	return cheapest.find(({isOwn}) => isOwn) ?? least(cheapest, expected);
 };
