Give a cheap zone's own callers the room before those of others

Tried first and reverted: choosing the server by prefix affinity as well.

Change: a zone outside the home region must be expected within half of the objective.

--- a/src/routing/choose-zone.ts
+++ b/src/routing/choose-zone.ts
@@ -190,13 +190,19 @@
 	return random.fraction() < share;
 };
 
+// A zone takes requests of others only while it is far from the objective itself; else its own
+// callers would be pushed out to dearer zones.
+const awayMargin = 0.5;
+
 const cheapestWithin = (
 	candidates: readonly ZoneCandidate[],
 	objectiveMs: number,
 	context: ZoneContext,
 ): ZoneCandidate => {
 	const fast = candidates
-		.filter((zone) => doubtful(zone) <= objectiveMs)
+		.filter(
+			(zone) => doubtful(zone) <= objectiveMs * (zone.isHome ? 1 : awayMargin),
+		)
 		.toSorted(
 			(left, right) => left.costPerThousandTokens - right.costPerThousandTokens,
 		);
