Send to another zone for its price only where it is cheaper than home

Cause: the cheapest strategy went through all fast zones by price and asked each, home included, whether it takes a share. Ruled out: the objective (the cost rose with it from 400 ms on).

Change: only zones that cost less than home are asked; everything else is placed as with home first. Test: tests/routing, failed before.

The objective now trades time for money in one direction.

--- a/src/routing/choose-zone.ts
+++ b/src/routing/choose-zone.ts
@@ -199,15 +199,19 @@
 	objectiveMs: number,
 	context: ZoneContext,
 ): ZoneCandidate => {
-	const fast = candidates
+	const home = nearest(candidates.filter(({isHome}) => isHome));
+	const homeCost = home?.costPerThousandTokens ?? Infinity;
+	const cheaper = candidates
 		.filter(
-			(zone) => doubtful(zone) <= objectiveMs * (zone.isHome ? 1 : awayMargin),
+			(zone) =>
+				zone.costPerThousandTokens < homeCost &&
+				doubtful(zone) <= objectiveMs * (zone.isHome ? 1 : awayMargin),
 		)
 		.toSorted(
 			(left, right) => left.costPerThousandTokens - right.costPerThousandTokens,
 		);
 	return (
-		fast.find((zone) => isTaking(zone, context.random)) ??
+		cheaper.find((zone) => isTaking(zone, context.random)) ??
 		homeFirst(candidates, overflowDefaults, context)
 	);
 };
--- a/tests/routing/strategies.test.ts
+++ b/tests/routing/strategies.test.ts
@@ -265,3 +265,20 @@
 		'home-b',
 	);
 });
+
+test('cheapest never sends a request to a zone that is dearer than home while home has room', () => {
+	const dear = zone('dear', {
+		costPerThousandTokens: 2,
+		expectedFirstTokenMs: 1,
+	});
+	const busyHome = {...home, load: 80, costPerThousandTokens: 1};
+	for (let turn = 0; turn < 50; turn += 1) {
+		const context = {...calm, turn, random: fixedRandom()};
+		const chosen = chooseZone(
+			{kind: 'cheapest', firstTokenObjectiveMs: 400},
+			[busyHome, dear],
+			context,
+		);
+		assert.equal(chosen!.region, 'home');
+	}
+});
