--- a/benchmarks/decisions.ts
+++ b/benchmarks/decisions.ts
@@ -11,7 +11,9 @@
 
 const rounds = 20_000;
 
-/** Measures decisions with all workers in the deciding node's zone, the worst case. */
+/**
+Measures decisions with all workers in the deciding node's zone, the worst case.
+*/
 export const measureDecisions = (): readonly Row[] => {
 	const rows = [11, 100, 700].flatMap((workers) =>
 		(
@@ -36,7 +38,7 @@
 	fleet.handle(
 		{
 			kind: 'configured',
-			backendServers: configuration.backendServers as readonly BackendServer[],
+			backendServers: configuration.backendServers,
 		},
 		0,
 	);
--- a/benchmarks/membership.ts
+++ b/benchmarks/membership.ts
@@ -66,11 +66,13 @@
 	let isCounting = false;
 
 	const accept = (node: ModelNode, version: number) => {
-		if (version > node.version) {
-			node.version = version;
-			inForceAt = timeline.now();
-			perform(node, node.membership.handle({kind: 'announce'}, timeline.now()));
+		if (!(version > node.version)) {
+			return;
 		}
+
+		node.version = version;
+		inForceAt = timeline.now();
+		perform(node, node.membership.handle({kind: 'announce'}, timeline.now()));
 	};
 
 	const perform = (node: ModelNode, actions: readonly MembershipAction[]) => {
@@ -98,13 +100,18 @@
 
 			const isNear =
 				to.availabilityZone === node.membership.self().availabilityZone;
-			timeline.at(timeline.now() + (isNear ? latencyMs : wideLatencyMs), () => {
-				const receiver = nodes.get(to.id)!;
-				if (!receiver.isDead) {
+			timeline.schedule(
+				timeline.now() + (isNear ? latencyMs : wideLatencyMs),
+				() => {
+					const receiver = nodes.get(to.id)!;
+					if (receiver.isDead) {
+						return;
+					}
+
 					const heard = codec.decode(datagram)!;
 					receiver.digests.apply(heard.digests, timeline.now());
 					if (heard.stamp.version > receiver.version) {
-						timeline.at(timeline.now() + fetchMs, () => {
+						timeline.schedule(timeline.now() + fetchMs, () => {
 							accept(receiver, heard.stamp.version);
 						});
 					}
@@ -116,8 +123,8 @@
 							timeline.now(),
 						),
 					);
-				}
-			});
+				},
+			);
 		}
 	};
 
@@ -156,24 +163,26 @@
 			now,
 		);
 		if (!node.isDead) {
-			timeline.at(now + 500, () => {
+			timeline.schedule(now + 500, () => {
 				state(index, node);
 			});
 		}
 	};
 
 	const tick = (node: ModelNode) => {
-		if (!node.isDead) {
-			perform(node, node.membership.handle({kind: 'tick'}, timeline.now()));
-			timeline.at(timeline.now() + tickMs, () => {
-				tick(node);
-			});
+		if (node.isDead) {
+			return;
 		}
+
+		perform(node, node.membership.handle({kind: 'tick'}, timeline.now()));
+		timeline.schedule(timeline.now() + tickMs, () => {
+			tick(node);
+		});
 	};
 
-	for (const [index, node] of [...nodes.values()].entries()) {
+	for (const [index, node] of nodes.values().toArray().entries()) {
 		node.membership.handle({kind: 'state', members: selves}, 0);
-		timeline.at(index % tickMs, () => {
+		timeline.schedule(index % tickMs, () => {
 			tick(node);
 			state(index, node);
 		});
@@ -189,20 +198,19 @@
 	const publishedAt = timeline.now();
 	accept(nodes.get('node-0')!, 2);
 	timeline.run(publishedAt + 10_000);
-	const spread = [...nodes.values()].every(({version}) => version === 2)
+	const spread = nodes.values().every(({version}) => version === 2)
 		? inForceAt - publishedAt
-		: Number.POSITIVE_INFINITY;
+		: Infinity;
 
 	const diedAt = timeline.now();
 	nodes.get('node-1')!.isDead = true;
-	let knownAt = Number.POSITIVE_INFINITY;
-	for (
-		let step = 1;
-		step <= 600 && knownAt === Number.POSITIVE_INFINITY;
-		step += 1
-	) {
+	let knownAt = Infinity;
+	for (let step = 1; knownAt === Infinity && step <= 600; step += 1) {
 		timeline.run(diedAt + step * tickMs);
-		const viewers = [...nodes.values()].filter(({isDead}) => !isDead);
+		const viewers = nodes
+			.values()
+			.filter(({isDead}) => !isDead)
+			.toArray();
 		if (
 			viewers.every(
 				({membership}) => membership.find('node-1')?.status === 'dead',
@@ -224,7 +232,9 @@
 	};
 };
 
-/** Measures heartbeats at several sizes of the fleet. */
+/**
+Measures heartbeats at several sizes of the fleet.
+*/
 export const measureMembership = (): readonly Row[] => {
 	const rows = [3, 9, 27, 81, 378].map((members) => measure(members));
 	printTable(rows);
--- a/benchmarks/memory.ts
+++ b/benchmarks/memory.ts
@@ -43,7 +43,9 @@
 	status: 'alive',
 });
 
-/** Measures heap growth; run with `--expose-gc` for steady figures. */
+/**
+Measures heap growth; run with `--expose-gc` for steady figures.
+*/
 export const measureMemory = (): readonly Row[] => {
 	const configuration: Configuration = scaledConfiguration(scale);
 	const rows = [
@@ -58,8 +60,7 @@
 			fleet.handle(
 				{
 					kind: 'configured',
-					backendServers:
-						configuration.backendServers as readonly BackendServer[],
+					backendServers: configuration.backendServers,
 				},
 				0,
 			);
--- a/benchmarks/model/engine-model.ts
+++ b/benchmarks/model/engine-model.ts
@@ -1,28 +1,36 @@
 import TinyQueue from 'tinyqueue';
 
-/** Orders what happens in virtual time. */
+/**
+Orders what happens in virtual time.
+*/
 export type Timeline = {
 	now(): number;
-	at(time: number, act: () => void): void;
+	/**
+	Does something at a time, or now if that has passed.
+	*/
+	schedule(time: number, act: () => void): void;
 	run(until: number): void;
 };
 
-/** Builds an empty timeline. */
+/**
+Builds an empty timeline.
+*/
 export const createTimeline = (): Timeline => {
 	type Item = {
 		readonly time: number;
 		readonly order: number;
 		readonly act: () => void;
 	};
-	const queue = new TinyQueue<Item>(
-		[],
-		(left, right) => left.time - right.time || left.order - right.order,
+	const queue = new TinyQueue<Item>([], (left, right) =>
+		left.time === right.time
+			? left.order - right.order
+			: left.time - right.time,
 	);
 	let now = 0;
 	let order = 0;
 	return {
 		now: () => now,
-		at(time, act) {
+		schedule(time, act) {
 			order += 1;
 			queue.push({time: Math.max(time, now), order, act});
 		},
@@ -42,41 +50,59 @@
 	};
 };
 
-/** One request at an engine. */
+/**
+One request at an engine.
+*/
 export type EngineJob = {
 	readonly prompt: string;
-	/** Work on the prompt where nothing of it is cached, in milliseconds. */
+	/**
+	Work on the prompt where nothing of it is cached, in milliseconds.
+	*/
 	readonly prefillMs: number;
 	readonly tokens: number;
 	readonly onFirstToken: () => void;
 	readonly onEnd: () => void;
 };
 
-/** A model of one backend server: slots, a short line, a prefix cache, steps that slow with the batch. */
+/**
+A model of one backend server: slots, a short line, a prefix cache, steps that slow with the batch.
+*/
 export type EngineModel = {
-	/** False where it refuses. */
+	/**
+	False where it refuses.
+	*/
 	submit(job: EngineJob): boolean;
 	load(): {readonly running: number; readonly queued: number};
-	/** From now on everything takes this many times as long. */
+	/**
+	From now on everything takes this many times as long.
+	*/
 	setSlowness(factor: number): void;
-	/** Loses its cache and whatever it runs. */
+	/**
+	Loses its cache and whatever it runs.
+	*/
 	restart(): void;
 	setDown(isDown: boolean): void;
 	isDown(): boolean;
 };
 
-/** Sizes of an engine. */
+/**
+Sizes of an engine.
+*/
 export type EngineSizes = {
 	readonly slots: number;
 	readonly stepMs: number;
-	/** Share of the work on a prompt that remains where its prefix is cached. */
+	/**
+	Share of the work on a prompt that remains where its prefix is cached.
+	*/
 	readonly warmShare: number;
 	readonly cachedPrefixes: number;
 };
 
 const queueShare = 0.5;
 
-/** Builds an idle engine. */
+/**
+ Starts with nothing to do; the first prompt of each prefix costs its whole work.
+ */
 export const createEngineModel = (
 	timeline: Timeline,
 	sizes: EngineSizes,
@@ -89,7 +115,7 @@
 	let life = 0;
 	let prefillFreeAt = 0;
 
-	const touch = (prompt: string): boolean => {
+	const wasCached = (prompt: string): boolean => {
 		const isWarm = cached.delete(prompt);
 		cached.add(prompt);
 		if (cached.size > sizes.cachedPrefixes) {
@@ -102,24 +128,26 @@
 	const begin = (job: EngineJob) => {
 		running += 1;
 		const own = life;
-		const share = touch(job.prompt) ? sizes.warmShare : 1;
+		const share = wasCached(job.prompt) ? sizes.warmShare : 1;
 		// Prompts are worked on one after the other; a long one holds up the next.
 		const start = Math.max(timeline.now(), prefillFreeAt);
 		prefillFreeAt = start + job.prefillMs * share * slowness;
 		const step = sizes.stepMs * (1 + running / sizes.slots) * slowness;
-		timeline.at(prefillFreeAt + step, () => {
+		timeline.schedule(prefillFreeAt + step, () => {
 			if (own === life) {
 				job.onFirstToken();
 			}
 		});
-		timeline.at(prefillFreeAt + step * job.tokens, () => {
-			if (own === life) {
-				running -= 1;
-				job.onEnd();
-				const next = waiting.shift();
-				if (next) {
-					begin(next);
-				}
+		timeline.schedule(prefillFreeAt + step * job.tokens, () => {
+			if (own !== life) {
+				return;
+			}
+
+			running -= 1;
+			job.onEnd();
+			const next = waiting.shift();
+			if (next) {
+				begin(next);
 			}
 		});
 	};
--- a/benchmarks/model/fleet-model.ts
+++ b/benchmarks/model/fleet-model.ts
@@ -24,29 +24,45 @@
 	type Timeline,
 } from './engine-model.ts';
 
-/** A situation that strategies are compared in. */
+/**
+A situation that strategies are compared in.
+*/
 export type Situation = {
 	readonly name: string;
-	/** Requests a second entering each zone, as a share of what its engines can carry. */
+	/**
+	Requests a second entering each zone, as a share of what its engines can carry.
+	*/
 	readonly loadOf: (zone: number, seconds: number) => number;
-	/** Age of load reports, in milliseconds. */
+	/**
+	Age of load reports, in milliseconds.
+	*/
 	readonly reportLagMs: number;
-	/** Changes engines as time goes by. */
+	/**
+	Changes engines as time goes by.
+	*/
 	readonly script?: (model: ScriptedModel) => void;
-	/** A client that asks for this many times its limit; others ask for a tenth of theirs. */
+	/**
+	A client that asks for this many times its limit; others ask for a tenth of theirs.
+	*/
 	readonly greed?: number;
-	/** Whether retries have a budget; without one every failure is tried again. */
+	/**
+	Whether retries have a budget; without one every failure is tried again.
+	*/
 	readonly hasBudget?: boolean;
 };
 
-/** What a script can change. */
+/**
+What a script can change.
+*/
 export type ScriptedModel = {
 	readonly timeline: Timeline;
 	readonly engines: ReadonlyMap<string, EngineModel>;
 	readonly enginesIn: (zone: number) => readonly EngineModel[];
 };
 
-/** Figures of one run. */
+/**
+Figures of one run.
+*/
 export type RunFigures = {
 	readonly requests: number;
 	readonly answeredShare: number;
@@ -56,12 +72,16 @@
 	readonly awayShare: number;
 	readonly costPerThousand: number;
 	readonly attemptsPerRequest: number;
-	/** Of the clients that keep to their limits, where one does not. */
+	/**
+	Of the clients that keep to their limits, where one does not.
+	*/
 	readonly modestP99: number;
 	readonly modestAnsweredShare: number;
 };
 
-/** How a run is set up. */
+/**
+How a run is set up.
+*/
 export type RunOptions = {
 	readonly deployment: 'ajoke' | 'lindner';
 	readonly situation: Situation;
@@ -113,7 +133,9 @@
 	return parsed.value.configuration;
 };
 
-/** Requests a second that one engine carries with all slots taken. */
+/**
+Requests a second that one engine carries with all slots taken.
+*/
 export const capacityOf = (slots: number, stepMs: number): number => {
 	const meanTokens =
 		weights.light.tokens * weights.light.share +
@@ -128,7 +150,9 @@
 const drawInterval = (random: Random, perSecond: number): number =>
 	(-Math.log(1 - random.fraction()) * 1000) / perSecond;
 
-/** Runs one situation in virtual time with the decisions of the real nodes. */
+/**
+Runs one situation in virtual time with the decisions of the real nodes.
+*/
 export const runModel = (options: RunOptions): RunFigures => {
 	const {situation, seed, seconds} = options;
 	const configuration = load(options.deployment);
@@ -212,7 +236,7 @@
 			const {running, queued} = engines.get(id)!.load();
 			const report = {running, queued, slots: 0, incarnation: 'i'};
 			if (!engines.get(id)!.isDown()) {
-				timeline.at(observedAt + situation.reportLagMs, () => {
+				timeline.schedule(observedAt + situation.reportLagMs, () => {
 					for (const node of nodes) {
 						node.fleet.handle(
 							{kind: 'load-reported', backendServer: id, report, observedAt},
@@ -225,7 +249,7 @@
 
 		for (const [index, node] of nodes.entries()) {
 			const counts = node.fleet.inFlight();
-			timeline.at(timeline.now() + digestDelayMs, () => {
+			timeline.schedule(timeline.now() + digestDelayMs, () => {
 				for (const other of nodesIn(node.zone)) {
 					if (other !== node) {
 						other.fleet.handle(
@@ -246,7 +270,7 @@
 			node.limits.setPeerDemand(demand.filter((_, other) => other !== index));
 		}
 
-		timeline.at(timeline.now() + statementMs, exchange);
+		timeline.schedule(timeline.now() + statementMs, exchange);
 	};
 
 	const summarize = () => {
@@ -256,12 +280,12 @@
 				timeline.now(),
 			);
 			const at = timeline.now();
-			timeline.at(at + digestDelayMs, () => {
+			timeline.schedule(at + digestDelayMs, () => {
 				summaries.set(name, {...figures, ageMs: 0, at});
 			});
 		}
 
-		timeline.at(timeline.now() + summaryMs, summarize);
+		timeline.schedule(timeline.now() + summaryMs, summarize);
 	};
 
 	const first = createDurationHistogram();
@@ -293,12 +317,14 @@
 	};
 
 	const retry = (job: Job) => {
-		const mayRetry =
+		const hasRetry =
 			situation.hasBudget === false || job.node.budget.hasRetry();
-		if (job.attempts < 4 && mayRetry) {
-			job.node.budget.spend();
-			attempt(job);
+		if (!hasRetry || job.attempts >= 4) {
+			return;
 		}
+
+		job.node.budget.spend();
+		attempt(job);
 	};
 
 	const serve = (job: Job, node: ModelNode, server: string, wayMs: number) => {
@@ -325,15 +351,17 @@
 				);
 			},
 		});
-		if (!isTaken) {
-			const end = engine.isDown() ? 'unreachable' : 'refused';
-			node.fleet.handle(
-				{kind: 'attempt-ended', backendServer: server, end},
-				timeline.now(),
-			);
-			job.excluded.add(server);
-			retry(job);
+		if (isTaken) {
+			return;
 		}
+
+		const end = engine.isDown() ? 'unreachable' : 'refused';
+		node.fleet.handle(
+			{kind: 'attempt-ended', backendServer: server, end},
+			timeline.now(),
+		);
+		job.excluded.add(server);
+		retry(job);
 	};
 
 	const count = (job: Job, server: string, firstTokenMs: number) => {
@@ -350,10 +378,12 @@
 		totals.cost += (tokens / 1000) * costPerThousandTokens;
 		totals.tokens += tokens;
 		first.record(firstTokenMs);
-		if (job.isModest) {
-			totals.modestAnswered += 1;
-			modest.record(firstTokenMs);
+		if (!job.isModest) {
+			return;
 		}
+
+		totals.modestAnswered += 1;
+		modest.record(firstTokenMs);
 	};
 
 	const attempt = (job: Job) => {
@@ -367,7 +397,7 @@
 		if (choice.kind === 'backend-server') {
 			serve(job, job.node, choice.server.id, 0);
 		} else if (choice.kind === 'peer') {
-			timeline.at(timeline.now() + wideAreaMs, () => {
+			timeline.schedule(timeline.now() + wideAreaMs, () => {
 				const receivers = nodesIn(zones.indexOf(choice.zone.availabilityZone));
 				const receiver = receivers[random.below(receivers.length)]!;
 				const local = receiver.chooser.choose(
@@ -391,9 +421,12 @@
 			situation.loadOf(home, now / 1000) *
 			serversIn(home).length *
 			capacityOf(serversIn(home)[0]!.slots, stepMs);
-		timeline.at(now + drawInterval(random, Math.max(0.1, perSecond)), () => {
-			arrive(home);
-		});
+		timeline.schedule(
+			now + drawInterval(random, Math.max(0.1, perSecond)),
+			() => {
+				arrive(home);
+			},
+		);
 		// Callers of a lost zone ask the entry VMs of another one.
 		const zone = isZoneUp(home) ? home : (home + 1) % zones.length;
 		const weight: Weight =
--- a/benchmarks/model/scaled-configuration.ts
+++ b/benchmarks/model/scaled-configuration.ts
@@ -7,7 +7,9 @@
 import type {GatewayRequest} from '../../src/requests/index.ts';
 import {sha256} from '../../src/shared/index.ts';
 
-/** Sizes of a made-up deployment. */
+/**
+Sizes of a made-up deployment.
+*/
 export type Scale = {
 	readonly workers: number;
 	readonly zones: number;
@@ -31,7 +33,9 @@
 	},
 };
 
-/** A policy for a strategy that matches everything. */
+/**
+A policy for a strategy that matches everything.
+*/
 export const policyOf = (kind: Strategy['kind']): Policy => ({
 	name: kind,
 	priority: 0,
@@ -41,7 +45,9 @@
 	strategy: strategies[kind],
 });
 
-/** A configuration of a given size. */
+/**
+A configuration of a given size.
+*/
 export const scaledConfiguration = ({
 	workers,
 	zones,
@@ -95,7 +101,9 @@
 	},
 });
 
-/** A request under a strategy. */
+/**
+A request under a strategy.
+*/
 export const requestOf = (
 	configuration: Configuration,
 	kind: Strategy['kind'],
--- a/benchmarks/overhead.ts
+++ b/benchmarks/overhead.ts
@@ -156,7 +156,9 @@
 	};
 };
 
-/** Measures overhead with one node, and engines that answer as fast as they can. */
+/**
+Measures overhead with one node, and engines that answer as fast as they can.
+*/
 export const measureOverhead = async (): Promise<readonly Row[]> => {
 	const document = parse(
 		readFileSync('examples/ajoke/configuration.yaml', 'utf8'),
@@ -166,10 +168,10 @@
 		.map((server) => ({...server, slots: 5000}));
 	document.regions = document.regions.slice(0, 1);
 	(
-		document['clients'] as Array<{requestsPerSecond: number; burst: number}>
+		document.clients as Array<{requestsPerSecond: number; burst: number}>
 	)[0]!.requestsPerSecond = 100_000;
 	(
-		document['clients'] as Array<{requestsPerSecond: number; burst: number}>
+		document.clients as Array<{requestsPerSecond: number; burst: number}>
 	)[0]!.burst = 100_000;
 	const deployment = await startDeployment({
 		document,
--- a/benchmarks/routing.ts
+++ b/benchmarks/routing.ts
@@ -11,7 +11,9 @@
 const seconds = 45;
 const even = () => 0.6;
 
-/** The situations that the strategies are compared in. */
+/**
+The situations that the strategies are compared in.
+*/
 export const situations: readonly Situation[] = [
 	{name: 'even load', loadOf: even, reportLagMs: 300},
 	{
@@ -24,7 +26,7 @@
 		loadOf: () => 0.45,
 		reportLagMs: 300,
 		script({timeline, enginesIn}) {
-			timeline.at(3000, () => {
+			timeline.schedule(3000, () => {
 				enginesIn(0)[0]!.setSlowness(10);
 			});
 		},
@@ -34,13 +36,13 @@
 		loadOf: () => 0.45,
 		reportLagMs: 300,
 		script({timeline, enginesIn}) {
-			timeline.at(15_000, () => {
+			timeline.schedule(15_000, () => {
 				for (const engine of enginesIn(0)) {
 					engine.setDown(true);
 					engine.restart();
 				}
 			});
-			timeline.at(30_000, () => {
+			timeline.schedule(30_000, () => {
 				for (const engine of enginesIn(0)) {
 					engine.setDown(false);
 				}
@@ -83,7 +85,7 @@
 	timeline,
 	enginesIn,
 }: Parameters<NonNullable<Situation['script']>>[0]): void {
-	timeline.at(10_000, () => {
+	timeline.schedule(10_000, () => {
 		for (const engine of enginesIn(0)) {
 			engine.setDown(true);
 			engine.restart();
@@ -108,13 +110,16 @@
 const mean = (runs: readonly RunFigures[], figure: keyof RunFigures): number =>
 	runs.reduce((sum, run) => sum + run[figure], 0) / runs.length;
 
-/** Runs every strategy in every situation, for both deployments. */
+/**
+Runs every strategy in every situation, for both deployments.
+*/
 export const measureRouting = (only?: string): readonly Row[] => {
 	const rows: Row[] = [];
+	const chosen = situations.filter(
+		({name}) => only === undefined || name.includes(only),
+	);
 	for (const deployment of ['ajoke', 'lindner'] as const) {
-		for (const situation of situations.filter(
-			({name}) => only === undefined || name.includes(only),
-		)) {
+		for (const situation of chosen) {
 			for (const strategy of strategies) {
 				const runs = seeds.map((seed) =>
 					runModel({deployment, situation, strategy, seed, seconds}),
@@ -131,12 +136,10 @@
 					cost: mean(runs, 'costPerThousand'),
 					answeredPercent: 100 * mean(runs, 'answeredShare'),
 					attempts: mean(runs, 'attemptsPerRequest'),
-					...(situation.greed === undefined
-						? {}
-						: {
-								modestP99: mean(runs, 'modestP99'),
-								modestAnsweredPercent: 100 * mean(runs, 'modestAnsweredShare'),
-							}),
+					...(situation.greed !== undefined && {
+						modestP99: mean(runs, 'modestP99'),
+						modestAnsweredPercent: 100 * mean(runs, 'modestAnsweredShare'),
+					}),
 				});
 			}
 		}
--- a/benchmarks/table.ts
+++ b/benchmarks/table.ts
@@ -1,6 +1,8 @@
 import process from 'node:process';
 
-/** One measured row; the keys name the columns. */
+/**
+One measured row; the keys name the columns.
+*/
 export type Row = Readonly<Record<string, string | number>>;
 
 const format = (value: string | number | undefined): string => {
@@ -11,7 +13,9 @@
 	return value ?? '';
 };
 
-/** Prints rows as a table. */
+/**
+Prints rows as a table.
+*/
 export const printTable = (rows: readonly Row[]): void => {
 	const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
 	const lines = [
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -89,9 +89,13 @@
 export type FleetCapacity = {
 	readonly load: number;
 	readonly slots: number;
-	/** Mean over the servers, weighted by their slots, in milliseconds. */
+	/**
+	Mean over the servers, weighted by their slots, in milliseconds.
+	*/
 	readonly firstTokenMs: number;
-	/** Median over the servers, which one slow server does not move. */
+	/**
+	Median over the servers, which one slow server does not move.
+	*/
 	readonly typicalFirstTokenMs: number;
 	readonly costPerThousandTokens: number;
 };
@@ -114,7 +118,9 @@
 	*/
 	readonly queueAllowance: number;
 
-	/** How long sums over many servers are used again. */
+	/**
+	How long sums over many servers are used again.
+	*/
 	readonly sumValidity: number;
 };
 
--- a/src/node/permit-holder-call.ts
+++ b/src/node/permit-holder-call.ts
@@ -74,9 +74,8 @@
 });
 
 // That the holder could not be reached proves nothing: it may have run the request before.
-const judge = (failure: AttemptFailure, node: string): GatewayError => {
-	return failure.isStated ? failure.error : unreachable(node);
-};
+const judge = (failure: AttemptFailure, node: string): GatewayError =>
+	failure.isStated ? failure.error : unreachable(node);
 
 const unreachable = (node: string): GatewayError =>
 	createGatewayError(
--- a/src/requests/request-executor.ts
+++ b/src/requests/request-executor.ts
@@ -40,7 +40,9 @@
 	readonly capacity: CapacityWait;
 	readonly issueAttemptId: () => string;
 
-	/** Resolves at once, or after a pause of the process once the node is up to date again. */
+	/**
+	Resolves at once, or after a pause of the process once the node is up to date again.
+	*/
 	readonly caughtUp: () => Promise<void>;
 	readonly logger: Logger;
 };
--- a/src/retries/decide-retry.ts
+++ b/src/retries/decide-retry.ts
@@ -14,7 +14,9 @@
 	readonly outcome: Outcome;
 	readonly error: GatewayError;
 
-	/** Whether the other side said so itself; false where the connection failed. */
+	/**
+	Whether the other side said so itself; false where the connection failed.
+	*/
 	readonly isStated: boolean;
 };
 
--- a/src/routing/choose-backend-server.ts
+++ b/src/routing/choose-backend-server.ts
@@ -3,19 +3,27 @@
 import {allCandidates, type CandidatePool} from './candidate-pool.ts';
 import {utilization, type BackendServerCandidate} from './candidates.ts';
 
-/** What a choice depends on besides the servers. */
+/**
+What a choice depends on besides the servers.
+*/
 export type ChoiceContext = {
-	/** Groups requests that share a prompt prefix. */
+	/**
+	Groups requests that share a prompt prefix.
+	*/
 	readonly prefixKey: string;
 
-	/** Rises by one with each choice; drives round robin. */
+	/**
+	Rises by one with each choice; drives round robin.
+	*/
 	readonly turn: number;
 	readonly random: Random;
 };
 
 type Choice = BackendServerCandidate | undefined;
 
-/** Chooses one of the servers that may be given work, or none if there are none. */
+/**
+Chooses one of the servers that may be given work, or none if there are none.
+*/
 export const chooseBackendServer = (
 	strategy: Strategy,
 	pool: CandidatePool,
@@ -53,7 +61,9 @@
 	}
 };
 
-/** The time a further request would wait, as far as known; lower is better. */
+/**
+The time a further request would wait, as far as known; lower is better.
+*/
 export const costOfWaiting = (candidate: BackendServerCandidate): number =>
 	((candidate.load + 1) / candidate.slots) *
 	Math.max(1, candidate.expectedFirstTokenMs);
@@ -77,10 +87,12 @@
 	let bestCost = Infinity;
 	for (const item of items) {
 		const cost = costOf(item);
-		if (cost < bestCost) {
-			best = item;
-			bestCost = cost;
+		if (!(cost < bestCost)) {
+			continue;
 		}
+
+		best = item;
+		bestCost = cost;
 	}
 
 	return best;
@@ -161,11 +173,13 @@
 		[];
 	for (const server of servers) {
 		const weight = weightOf(server.id);
-		if (top.length < warmPlaces || weight > top.at(-1)!.weight) {
-			top.push({server, weight});
-			top.sort((left, right) => right.weight - left.weight);
-			top.length = Math.min(top.length, warmPlaces);
+		if (!(top.length < warmPlaces || weight > top.at(-1)!.weight)) {
+			continue;
 		}
+
+		top.push({server, weight});
+		top.sort((left, right) => right.weight - left.weight);
+		top.length = Math.min(top.length, warmPlaces);
 	}
 
 	return top.map(({server}) => server);
--- a/src/shared/hash.ts
+++ b/src/shared/hash.ts
@@ -29,7 +29,7 @@
 };
 
 // The last step of MurmurHash over two 32-bit numbers.
-/* eslint-disable no-bitwise */
+/* eslint-disable no-bitwise -- mixing bits is what a hash does */
 const mix = (left: number, right: number): number => {
 	let mixed = left ^ Math.imul(right, 0x9e_37_79_b1);
 	mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85_eb_ca_6b);
@@ -39,9 +39,9 @@
 /* eslint-enable no-bitwise */
 
 /**
- * The weight of each id under one key, for rendezvous (highest random weight) hashing.
- *
- * Every VM derives the same weights without a message.
+ The weight of each id under one key, for rendezvous (highest random weight) hashing.
+ 
+ Every VM derives the same weights without a message.
  */
 export const keyedWeight = (key: string): ((id: string) => number) => {
 	const hash = stableHash(key);
@@ -49,10 +49,10 @@
 };
 
 /**
- * Orders members by rendezvous hashing for one key.
- *
- * Every VM that sees the same members derives the same order; when a member goes, only
- * the keys it held move.
+ Orders members by rendezvous hashing for one key.
+ 
+ Every VM that sees the same members derives the same order; when a member goes, only
+ the keys it held move.
  */
 export const rendezvousOrder = <Member>(
 	key: string,
--- a/stand-ins/backend-server.ts
+++ b/stand-ins/backend-server.ts
@@ -56,7 +56,9 @@
 	Cache events that are lost, one in this many; 0 for none.
 	*/
 	loseEventEvery: number;
-	/** Milliseconds of one step. */
+	/**
+	Milliseconds of one step.
+	*/
 	stepMs: number;
 };
 
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -14,7 +14,9 @@
 	'msgpackr-extract',
 ];
 
-/** Bundles the command line into one file. */
+/**
+Bundles the command line into one file.
+*/
 export const bundle = async (
 	output: string,
 	plugins: Plugin[] = [],
--- a/tools/prove.ts
+++ b/tools/prove.ts
@@ -8,7 +8,9 @@
 import type {Plugin} from 'esbuild';
 import {bundle} from './bundle.ts';
 
-/** A mechanism and the edit that takes it out. */
+/**
+A mechanism and the edit that takes it out.
+*/
 type Mechanism = {
 	readonly tag: string;
 	readonly what: string;
@@ -128,10 +130,11 @@
 const chosen = process.argv.slice(2);
 const stillGreen: string[] = [];
 for (const mechanism of mechanisms) {
-	if (chosen.length === 0 || chosen.includes(mechanism.tag)) {
-		if (!(await isRed(mechanism))) {
-			stillGreen.push(mechanism.tag);
-		}
+	if (
+		(chosen.length === 0 || chosen.includes(mechanism.tag)) &&
+		!(await isRed(mechanism))
+	) {
+		stillGreen.push(mechanism.tag);
 	}
 }
 
