--- a/benchmarks/model/engine-model.ts
+++ b/benchmarks/model/engine-model.ts
@@ -86,7 +86,7 @@
 };
 
 /**
-Sizes of an engine.
+How many requests it runs at once, how fast, and how many prefixes it keeps.
 */
 export type EngineSizes = {
 	readonly slots: number;
