--- a/src/command-line/report-command.ts
+++ b/src/command-line/report-command.ts
@@ -1,6 +1,11 @@
 import {Command, Option} from 'clipanion';
 import type {GatheredReports} from '../administration/index.ts';
-import type {BurnReport, ReportRow} from '../reporting/index.ts';
+import {
+	comparePolicies,
+	type BurnReport,
+	type PolicyComparison,
+	type ReportRow,
+} from '../reporting/index.ts';
 import {callAdministration} from './administration-call.ts';
 import {AdministrationCommand} from './administration-command.ts';
 import {exitCodes} from './exit-codes.ts';
@@ -29,6 +34,10 @@
 
 	all = Option.Boolean('--all', false, {description: 'Ask all nodes'});
 
+	compare = Option.String('--compare', {
+		description: 'Two policies to compare, separated by a comma',
+	});
+
 	async execute(): Promise<number> {
 		const target = this.target();
 		if (!target) {
@@ -44,11 +53,22 @@
 			return exitCodes.failure;
 		}
 
-		this.print(
-			this.json
-				? JSON.stringify(answer.value, undefined, 2)
-				: format(answer.value),
-		);
+		const names = this.compare?.split(',');
+		if (names && names.length !== 2) {
+			this.fail('Name two policies: --compare FIRST,SECOND');
+			return exitCodes.usage;
+		}
+
+		if (names) {
+			const comparison = comparePolicies(answer.value.reports, [
+				names[0]!,
+				names[1]!,
+			]);
+			this.print(this.json ? asJson(comparison) : formatComparison(comparison));
+			return exitCodes.ok;
+		}
+
+		this.print(this.json ? asJson(answer.value) : format(answer.value));
 		return exitCodes.ok;
 	}
 }
@@ -66,6 +86,54 @@
 			: 'all nodes asked have answered',
 	].join('\n');
 
+const asJson = (value: unknown): string => JSON.stringify(value, undefined, 2);
+
+const formatComparison = ({
+	first,
+	second,
+	differences,
+}: PolicyComparison): string =>
+	[
+		formatColumns([
+			['measure', first.policy, second.policy],
+			...comparedMeasures.map(([title, figure]) => [
+				title,
+				figure(first),
+				figure(second),
+			]),
+		]),
+		'',
+		...differences.map(
+			({measure, difference, confidence}) =>
+				`difference in ${measure}: ${difference.toPrecision(3)} (confidence ${(100 * confidence).toFixed(1)} %)`,
+		),
+	].join('\n');
+
+const asPercent = (share: number): string => `${(100 * share).toFixed(1)} %`;
+
+const comparedMeasures: ReadonlyArray<
+	readonly [string, (figures: PolicyComparison['first']) => string]
+> = [
+	['requests', ({requests}) => String(requests)],
+	['answered', ({answeredShare}) => asPercent(answeredShare)],
+	['away', ({awayShare}) => asPercent(awayShare)],
+	[
+		'cost of 1,000 tokens',
+		(figures) => figures.costPerThousandTokens.toFixed(4),
+	],
+	['first token p50 (ms)', ({firstToken}) => firstToken.p50.toFixed(1)],
+	['first token p95 (ms)', ({firstToken}) => firstToken.p95.toFixed(1)],
+	['first token p99 (ms)', ({firstToken}) => firstToken.p99.toFixed(1)],
+	['between tokens p95 (ms)', ({interToken}) => interToken.p95.toFixed(1)],
+	[
+		'errors',
+		({errors}) =>
+			Object.entries(errors)
+				.map(([kind, count]) => `${kind} ${count}`)
+				.join(', '),
+	],
+];
+
 const rowTitles = [
 	'by',
 	'name',
--- /dev/null
+++ b/src/reporting/compare-policies.ts
@@ -0,0 +1,159 @@
+import {cumulativeStdNormalProbability} from 'simple-statistics';
+import {mergeHistograms, type Percentiles} from './histogram.ts';
+import type {NodeReport, ReportRow} from './recorder.ts';
+
+/**
+Figures of one policy over all nodes that reported.
+*/
+export type PolicyFigures = {
+	readonly policy: string;
+	readonly requests: number;
+	readonly answeredShare: number;
+	readonly awayShare: number;
+	/**
+	Cost of a thousand tokens.
+	*/
+	readonly costPerThousandTokens: number;
+	readonly firstToken: Percentiles;
+	readonly interToken: Percentiles;
+	readonly errors: Readonly<Record<string, number>>;
+};
+
+/**
+A difference between two policies, with how sure it is.
+*/
+export type Difference = {
+	readonly measure: 'answered share' | 'away share' | 'mean first token (ms)';
+	/**
+	Second policy less first.
+	*/
+	readonly difference: number;
+	/**
+	From 0 to 1: how unlikely chance alone makes a difference of this size.
+	*/
+	readonly confidence: number;
+};
+
+/**
+Two policies side by side.
+*/
+export type PolicyComparison = {
+	readonly first: PolicyFigures;
+	readonly second: PolicyFigures;
+	readonly differences: readonly Difference[];
+};
+
+/**
+Sums up one policy over the reports of several nodes.
+*/
+export const figuresOf = (
+	reports: readonly NodeReport[],
+	policy: string,
+): PolicyFigures => {
+	const rows = reports
+		.flatMap((report) => report.rows)
+		.filter((row) => row.dimension === 'policy' && row.name === policy);
+	const requests = sumOf(rows, (row) => row.requests);
+	const answered = sumOf(rows, (row) => row.answered);
+	const tokens = sumOf(rows, (row) => row.tokens);
+	return {
+		policy,
+		requests,
+		answeredShare: share(answered, requests),
+		awayShare: share(
+			sumOf(rows, (row) => row.away),
+			answered,
+		),
+		costPerThousandTokens: share(1000 * sumOf(rows, (row) => row.cost), tokens),
+		firstToken: mergeHistograms(rows.map((row) => row.firstTokenHistogram)),
+		interToken: mergeHistograms(rows.map((row) => row.interTokenHistogram)),
+		errors: sumErrors(rows),
+	};
+};
+
+/**
+Compares two policies that ran side by side on slices of the same traffic.
+*/
+export const comparePolicies = (
+	reports: readonly NodeReport[],
+	names: readonly [string, string],
+): PolicyComparison => {
+	const first = figuresOf(reports, names[0]);
+	const second = figuresOf(reports, names[1]);
+	return {
+		first,
+		second,
+		differences: [
+			shareDifference('answered share', first, second, 'answeredShare'),
+			shareDifference('away share', first, second, 'awayShare'),
+			meanDifference(first.firstToken, second.firstToken),
+		],
+	};
+};
+
+const sumOf = (
+	rows: readonly ReportRow[],
+	figure: (row: ReportRow) => number,
+): number => {
+	let sum = 0;
+	for (const row of rows) {
+		sum += figure(row);
+	}
+
+	return sum;
+};
+
+const share = (part: number, whole: number): number =>
+	whole === 0 ? 0 : part / whole;
+
+const sumErrors = (
+	rows: readonly ReportRow[],
+): Readonly<Record<string, number>> => {
+	const sums: Record<string, number> = {};
+	for (const {errors} of rows) {
+		for (const [kind, count] of Object.entries(errors)) {
+			sums[kind] = (sums[kind] ?? 0) + count;
+		}
+	}
+
+	return sums;
+};
+
+// Two-sided, by the normal distribution: fair from some dozens of requests on.
+const confidenceOf = (difference: number, standardError: number): number =>
+	standardError === 0
+		? 0
+		: 2 * cumulativeStdNormalProbability(Math.abs(difference) / standardError) -
+			1;
+
+const shareDifference = (
+	measure: Difference['measure'],
+	first: PolicyFigures,
+	second: PolicyFigures,
+	figure: 'answeredShare' | 'awayShare',
+): Difference => {
+	const difference = second[figure] - first[figure];
+	const varianceOf = (figures: PolicyFigures) =>
+		share(figures[figure] * (1 - figures[figure]), figures.requests);
+	const standardError = Math.sqrt(varianceOf(first) + varianceOf(second));
+	return {
+		measure,
+		difference,
+		confidence: confidenceOf(difference, standardError),
+	};
+};
+
+const meanDifference = (
+	first: Percentiles,
+	second: Percentiles,
+): Difference => {
+	const difference = second.mean - first.mean;
+	const varianceOf = ({deviation, count}: Percentiles) =>
+		share(deviation ** 2, count);
+	const standardError = Math.sqrt(varianceOf(first) + varianceOf(second));
+	return {
+		measure: 'mean first token (ms)',
+		difference,
+		confidence: confidenceOf(difference, standardError),
+	};
+};
--- a/src/reporting/histogram.ts
+++ b/src/reporting/histogram.ts
@@ -1,4 +1,9 @@
-import {build, type Histogram} from 'hdr-histogram-js';
+import {
+	build,
+	decodeFromCompressedBase64,
+	encodeIntoCompressedBase64,
+	type Histogram,
+} from 'hdr-histogram-js';
 
 /**
 Percentiles of a duration, in milliseconds.
@@ -9,6 +14,10 @@
 	readonly p95: number;
 	readonly p99: number;
 	readonly mean: number;
+	/**
+	Standard deviation.
+	*/
+	readonly deviation: number;
 };
 
 /**
@@ -16,44 +25,74 @@
 */
 export type DurationHistogram = {
 	/**
-	@param milliseconds a duration; fractions are kept to a tenth.
+	Takes in a duration in milliseconds; fractions are kept to a tenth.
 	*/
 	record(milliseconds: number, count?: number): void;
 	percentiles(): Percentiles;
+	/**
+	The whole histogram as text, to be merged with those of other nodes.
+	*/
+	encode(): string;
 };
 
 const unitsPerMillisecond = 10;
 const highestMilliseconds = 600_000;
 
-/**
-Builds an empty histogram.
-*/
-export const createDurationHistogram = (): DurationHistogram => {
-	const histogram: Histogram = build({
+const buildEmpty = (): Histogram =>
+	build({
 		bitBucketSize: 32,
 		lowestDiscernibleValue: 1,
 		highestTrackableValue: highestMilliseconds * unitsPerMillisecond,
 		numberOfSignificantValueDigits: 2,
 		autoResize: true,
 	});
+
+const percentilesOf = (histogram: Histogram): Percentiles => {
+	const inMilliseconds = (units: number) => units / unitsPerMillisecond;
 	const at = (percentile: number) =>
-		histogram.getValueAtPercentile(percentile) / unitsPerMillisecond;
+		inMilliseconds(histogram.getValueAtPercentile(percentile));
+	const isEmpty = histogram.totalCount === 0;
+	return {
+		count: histogram.totalCount,
+		p50: at(50),
+		p95: at(95),
+		p99: at(99),
+		mean: isEmpty ? 0 : inMilliseconds(histogram.mean),
+		deviation: isEmpty ? 0 : inMilliseconds(histogram.stdDeviation),
+	};
+};
+
+/**
+Builds an empty histogram.
+*/
+export const createDurationHistogram = (): DurationHistogram => {
+	const histogram = buildEmpty();
 	return {
 		record(milliseconds, count = 1) {
 			const units = Math.round(milliseconds * unitsPerMillisecond);
-			const bounded = Math.min(
-				Math.max(0, units),
-				highestMilliseconds * unitsPerMillisecond - 1,
+			const highest = highestMilliseconds * unitsPerMillisecond - 1;
+			histogram.recordValueWithCount(
+				Math.min(Math.max(0, units), highest),
+				count,
 			);
-			histogram.recordValueWithCount(bounded, count);
 		},
-		percentiles: () => ({
-			count: histogram.totalCount,
-			p50: at(50),
-			p95: at(95),
-			p99: at(99),
-			mean:
-				histogram.totalCount === 0 ? 0 : histogram.mean / unitsPerMillisecond,
-		}),
+		percentiles: () => percentilesOf(histogram),
+		encode: () => encodeIntoCompressedBase64(histogram),
 	};
 };
+
+/**
+Percentiles over histograms of several nodes, as if one had recorded it all.
+*/
+export const mergeHistograms = (
+	encoded: ReadonlyArray<string | undefined>,
+): Percentiles => {
+	const merged = buildEmpty();
+	for (const text of encoded) {
+		if (text !== undefined) {
+			merged.add(decodeFromCompressedBase64(text));
+		}
+	}
+
+	return percentilesOf(merged);
+};
--- a/src/reporting/recorder.ts
+++ b/src/reporting/recorder.ts
@@ -47,6 +47,12 @@
 	readonly interToken: Percentiles;
 	readonly total: Percentiles;
 	readonly errors: Readonly<Record<string, number>>;
+
+	/**
+	Whole histograms, for policies only: those are compared over all nodes.
+	*/
+	readonly firstTokenHistogram: string | undefined;
+	readonly interTokenHistogram: string | undefined;
 };
 
 /**
@@ -158,6 +164,7 @@
 
 const describe = (key: string, row: Row): ReportRow => {
 	const [dimension, ...name] = key.split('/');
+	const isCompared = dimension === 'policy';
 	return {
 		dimension: dimension as ReportRow['dimension'],
 		name: name.join('/'),
@@ -170,5 +177,7 @@
 		interToken: row.interToken.percentiles(),
 		total: row.total.percentiles(),
 		errors: Object.fromEntries(row.errors),
+		firstTokenHistogram: isCompared ? row.firstToken.encode() : undefined,
+		interTokenHistogram: isCompared ? row.interToken.encode() : undefined,
 	};
 };
--- a/tests/reporting/reporting.test.ts
+++ b/tests/reporting/reporting.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import type {Objective} from '../../src/configuration/index.ts';
 import {
+	comparePolicies,
 	createBurnTracker,
 	createDurationHistogram,
 	createRecorder,
@@ -118,3 +119,49 @@
 	assert.ok(Math.abs(p50 - 500) <= 8, String(p50));
 	assert.ok(Math.abs(p99 - 990) <= 10, String(p99));
 });
+
+test('two policies are compared over all nodes, with how sure the difference is', () => {
+	const nodes = ['a', 'b'].map((name) => createRecorder(name));
+	for (let index = 0; index < 400; index += 1) {
+		const node = nodes[index % 2]!;
+		const noise = (index * 7) % 40;
+		node.record(record({policy: 'slow', firstTokenMs: 200 + noise}), []);
+		node.record(
+			record({
+				policy: 'fast',
+				firstTokenMs: 100 + noise,
+				servedRegion: index % 20 < 2 ? 'away' : 'home',
+			}),
+			[],
+		);
+	}
+
+	const reports = nodes.map((node) => node.report([], 0));
+	const {first, second, differences} = comparePolicies(reports, [
+		'slow',
+		'fast',
+	]);
+	assert.equal(first.requests, 400);
+	assert.ok(Math.abs(second.awayShare - 0.1) < 0.001);
+	assert.ok(
+		Math.abs(first.firstToken.p99 - 239) < 3,
+		String(first.firstToken.p99),
+	);
+	const mean = differences.find(({measure}) => measure.startsWith('mean'))!;
+	assert.ok(Math.abs(mean.difference + 100) < 2);
+	// The table behind it ends at 0.998.
+	assert.ok(mean.confidence > 0.99);
+	const answered = differences.find(
+		({measure}) => measure === 'answered share',
+	)!;
+	assert.equal(answered.confidence, 0);
+});
+
+test('a policy that no node knows has no figures', () => {
+	const {first} = comparePolicies(
+		[createRecorder('a').report([], 0)],
+		['x', 'y'],
+	);
+	assert.equal(first.requests, 0);
+	assert.equal(first.firstToken.p99, 0);
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -26,6 +26,51 @@
 			'unicorn/max-nested-calls': 'off',
 		},
 	},
+	{
+		// What decides is told the time and given its random numbers; it reads and writes nothing.
+		files: [
+			'configuration',
+			'digests',
+			'fleet',
+			'limits',
+			'membership',
+			'policies',
+			'retries',
+			'routing',
+		].map((folder) => `src/${folder}/*.ts`),
+		rules: {
+			'no-restricted-imports': [
+				'error',
+				{
+					patterns: [
+						'node:*',
+						'!node:buffer',
+						'undici',
+						'fastify',
+						'@nestjs/*',
+						'@trpc/*',
+						'**/logging/*',
+						'**/platform/*',
+						'**/engines/*',
+						'**/peers/*',
+					],
+				},
+			],
+			'no-restricted-globals': [
+				'error',
+				'setTimeout',
+				'setInterval',
+				'performance',
+				'process',
+				'fetch',
+			],
+			'no-restricted-properties': [
+				'error',
+				{object: 'Date', property: 'now'},
+				{object: 'Math', property: 'random'},
+			],
+		},
+	},
 	{
 		// Decorators are called like functions.
 		files: ['src/administration/*.ts', 'src/callers/*.ts'],
