--- a/benchmarks/membership.ts
+++ b/benchmarks/membership.ts
@@ -30,6 +30,20 @@
 	isDead: boolean;
 };
 
+// Seconds since the load of each server was true, as one node knows it; of two nodes that read
+// a server the later statement counts.
+const loadAges = (digests: DigestTable, now: number): readonly number[] => {
+	const ages = new Map<string, number>();
+	for (const {value, observedAt} of digests.values('loads', now)) {
+		for (const {backendServer} of value.reports) {
+			const age = (now - observedAt) / 1000;
+			ages.set(backendServer, Math.min(age, ages.get(backendServer) ?? age));
+		}
+	}
+
+	return ages.values().toArray();
+};
+
 const measure = (members: number): Row => {
 	const timeline = createTimeline();
 	const codec = createHeartbeatCodec(createSealer('a key shared by all nodes'));
@@ -136,22 +150,18 @@
 		const perNode = Math.ceil(
 			(2 * workersPerZone) / Math.min(members, nodesPerZone),
 		);
-		for (let worker = 0; worker < perNode; worker += 1) {
-			const id = `${zone}-worker-${(index * perNode + worker) % workersPerZone}`;
-			node.digests.put(
-				{
-					kind: 'load',
-					backendServer: id,
-					running: index % 9,
-					queued: 0,
-					slots: 8,
-					incarnation: '0a1b2c3d',
-				},
-				'availability-zone',
-				now,
-			);
-		}
-
+		const reports = Array.from({length: perNode}, (_, worker) => ({
+			backendServer: `${zone}-worker-${(index * perNode + worker) % workersPerZone}`,
+			running: index % 9,
+			queued: 0,
+			slots: 8,
+			incarnation: '0a1b2c3d',
+		}));
+		node.digests.put(
+			{kind: 'loads', node: selves[index]!.id, reports},
+			'availability-zone',
+			now,
+		);
 		const countsOf = Object.fromEntries(
 			Array.from({length: 8}, (_, worker) => [
 				`${zone}-worker-${worker * 5}`,
@@ -196,6 +206,12 @@
 	const {user, system} = process.cpuUsage(before);
 	isCounting = false;
 
+	const ages = nodes
+		.values()
+		.flatMap(({digests}) => loadAges(digests, timeline.now()))
+		.toArray()
+		.toSorted((left, right) => left - right);
+
 	const publishedAt = timeline.now();
 	accept(nodes.get('node-0')!, 2);
 	timeline.run(publishedAt + 10_000);
@@ -237,6 +253,8 @@
 		bytesPerSecond: counts.bytes / members / seconds,
 		// Sending and receiving of one node, as a share of one core; the model's own work is in it.
 		corePercent: (100 * (user + system)) / 1_000_000 / members / seconds,
+		loadAgeMedianSeconds: ages[Math.floor(ages.length / 2)]!,
+		loadAgeP95Seconds: ages[Math.floor(ages.length * 0.95)]!,
 		configurationInForceSeconds: spread / 1000,
 		deadKnownInZoneSeconds: knownInZone,
 		deadKnownTo99PercentSeconds: knownTo99Percent,
--- a/benchmarks/overhead.ts
+++ b/benchmarks/overhead.ts
@@ -12,8 +12,9 @@
 
 const calls = 1500;
 const rounds = 4;
-const relayStreams = 64;
-const tokensPerStream = 1500;
+const relayStreams = 300;
+const tokensPerStream = 600;
+const engines = 6;
 const streamsHeld = 1000;
 
 const dispatcher = new Agent({
@@ -150,7 +151,6 @@
 	abort.abort();
 	return {
 		benchmark: 'stream memory',
-		idleMegabytes: idle.rss / 1_048_576,
 		megabytesPerThousandStreams:
 			(busy.rss - idle.rss) / 1_048_576 / (streamsHeld / 1000),
 	};
@@ -163,9 +163,13 @@
 	const document = parse(
 		readFileSync('examples/ajoke/configuration.yaml', 'utf8'),
 	) as ConfigurationDocument;
-	document.backendServers = document.backendServers
-		.filter(({availabilityZone}) => availabilityZone === 'abj-wuse')
-		.map((server) => ({...server, slots: 5000}));
+	const [engine] = document.backendServers;
+	// Enough engines that the node, not they, is what is measured.
+	document.backendServers = Array.from({length: engines}, (_, index) => ({
+		...engine!,
+		id: `quill-scribes-${index + 1}`,
+		slots: 5000,
+	}));
 	document.regions = document.regions.slice(0, 1);
 	(
 		document.clients as Array<{requestsPerSecond: number; burst: number}>
@@ -183,7 +187,13 @@
 	try {
 		const node = `http://${deployment.nodes.get('abj-wuse-1')!.address}`;
 		const direct = `http://${deployment.backendServers.get('quill-scribes-1')!.address}`;
-		const rows = [
+		const start = await usageOf(deployment);
+		const rows: Row[] = [
+			{
+				benchmark: 'idle',
+				megabytes: start.rss / 1_048_576,
+				heapMegabytes: start.heapUsed / 1_048_576,
+			},
 			await measureLatency(direct, node),
 			await measureRelay(deployment, node),
 		];
--- a/src/digests/digest-entry.ts
+++ b/src/digests/digest-entry.ts
@@ -3,23 +3,32 @@
 */
 export type DigestScope = 'availability-zone' | 'everywhere';
 
+/**
+Load of a backend server, as its latest report gave it.
+*/
+export type ServerLoad = {
+	readonly backendServer: string;
+	readonly running: number;
+	readonly queued: number;
+	readonly slots: number;
+
+	/**
+	Names the engine process; a restart changes it.
+	*/
+	readonly incarnation: string;
+};
+
 /**
 What one entry says; each kind is small and complete in itself.
 */
 export type DigestValue =
 	| {
 			/**
-			Load of a backend server, as its latest report gave it.
-			*/
-			readonly kind: 'load';
-			readonly backendServer: string;
-			readonly running: number;
-			readonly queued: number;
-			readonly slots: number;
-			/**
-			Names the engine process; a restart changes it.
+			Loads of the backend servers that one node reads.
 			*/
-			readonly incarnation: string;
+			readonly kind: 'loads';
+			readonly node: string;
+			readonly reports: readonly ServerLoad[];
 	  }
 	| {
 			/**
@@ -92,8 +101,8 @@
 */
 export const digestKey = (value: DigestValue): string => {
 	switch (value.kind) {
-		case 'load': {
-			return `load/${value.backendServer}`;
+		case 'loads': {
+			return `loads/${value.node}`;
 		}
 
 		case 'in-flight': {
--- a/src/digests/digest-table.ts
+++ b/src/digests/digest-table.ts
@@ -76,7 +76,7 @@
 };
 
 const defaultRetention: Readonly<Record<DigestValue['kind'], number>> = {
-	load: 30_000,
+	loads: 30_000,
 	'in-flight': 10_000,
 	leaving: 3_600_000,
 	'zone-summary': 60_000,
--- a/src/node/fleet-controller.ts
+++ b/src/node/fleet-controller.ts
@@ -3,7 +3,11 @@
 	ParsedConfiguration,
 } from '../configuration/index.ts';
 import type {Controller} from '../controllers/index.ts';
-import type {DatedValue, ZoneServiceSummary} from '../digests/index.ts';
+import type {
+	DatedValue,
+	ServerLoad,
+	ZoneServiceSummary,
+} from '../digests/index.ts';
 import type {EngineClient} from '../engines/index.ts';
 import type {ClientLimits, PeerDemand} from '../limits/index.ts';
 import {hasDuty, nodesPerDuty} from '../membership/index.ts';
@@ -43,6 +47,11 @@
 */
 export const loadInterval = 500;
 
+/**
+Milliseconds that each server read adds to that; bounds the reads of a node with many servers.
+*/
+export const readSpacing = 125;
+
 /**
 Milliseconds between two statements of own requests in flight and of demand.
 */
@@ -69,6 +78,11 @@
 	const {fleet, membership, digests, clock, settings} = context;
 	let local: readonly BackendServer[] = [];
 	const polling = new Set<string>();
+	// Reports read since the last statement.
+	const unstated = new Map<
+		string,
+		{readonly observedAt: number; readonly load: ServerLoad}
+	>();
 	let nextLoadAt = 0;
 	let nextStatementAt = 0;
 	let nextSummaryAt = 0;
@@ -118,26 +132,50 @@
 			},
 			now,
 		);
-		digests.put(
-			{kind: 'load', backendServer: server.id, ...report},
-			'availability-zone',
-			now - ageMs,
-		);
+		unstated.set(server.id, {
+			observedAt: now - ageMs,
+			load: {backendServer: server.id, ...report},
+		});
 		options.onCapacity();
 		if (isLeaving) {
 			leaving(server.id, report.incarnation);
 		}
 	};
 
-	const readLoads = () => {
-		for (const server of local) {
-			if (!polling.has(server.id) && isWatched(server)) {
+	const readLoads = (now: number) => {
+		const watched = local.filter((server) => isWatched(server));
+		nextLoadAt = now + Math.max(loadInterval, watched.length * readSpacing);
+		for (const server of watched) {
+			if (!polling.has(server.id)) {
 				void readLoad(server);
 			}
 		}
 	};
 
+	// One entry for all servers that this node reads: an entry has more head than body.
+	const stateLoads = (now: number) => {
+		if (unstated.size === 0) {
+			return;
+		}
+
+		const reports = unstated
+			.values()
+			.map(({load}) => load)
+			.toArray();
+		const oldest = Math.min(
+			...unstated.values().map(({observedAt}) => observedAt),
+		);
+		const {id: node} = membership.self();
+		digests.put(
+			{kind: 'loads', node, reports},
+			'availability-zone',
+			Math.min(now, oldest),
+		);
+		unstated.clear();
+	};
+
 	const state = (now: number) => {
+		stateLoads(now);
 		const counts = fleet.inFlight();
 		const rates = limits.demand(now);
 		const next = {
@@ -222,12 +260,14 @@
 	const take = ({value, observedAt}: DatedValue) => {
 		const now = clock();
 		switch (value.kind) {
-			case 'load': {
-				const {kind, backendServer, ...report} = value;
-				fleet.handle(
-					{kind: 'load-reported', backendServer, report, observedAt},
-					now,
-				);
+			case 'loads': {
+				for (const {backendServer, ...report} of value.reports) {
+					fleet.handle(
+						{kind: 'load-reported', backendServer, report, observedAt},
+						now,
+					);
+				}
+
 				options.onCapacity();
 				return;
 			}
@@ -282,8 +322,7 @@
 		leaving,
 		tick(now) {
 			if (now >= nextLoadAt) {
-				nextLoadAt = now + loadInterval;
-				readLoads();
+				readLoads(now);
 			}
 
 			if (now >= nextStatementAt) {
@@ -307,7 +346,7 @@
 		const now = clock();
 		for (const value of [
 			...digests.values('leaving', now),
-			...digests.values('load', now),
+			...digests.values('loads', now),
 		]) {
 			take(value);
 		}
--- a/src/peers/heartbeat-codec.ts
+++ b/src/peers/heartbeat-codec.ts
@@ -1,7 +1,12 @@
 import {Buffer} from 'node:buffer';
 import {Packr} from 'msgpackr';
 import type {ConfigurationStamp} from '../configuration/index.ts';
-import type {DigestEntry, DigestScope, DigestValue} from '../digests/index.ts';
+import type {
+	DigestEntry,
+	DigestScope,
+	DigestValue,
+	ServerLoad,
+} from '../digests/index.ts';
 import type {
 	Member,
 	MembershipMessage,
@@ -48,7 +53,7 @@
 
 // The fields of each kind in their order on the wire; the order is part of the format.
 const valueFields = {
-	load: ['backendServer', 'running', 'queued', 'slots', 'incarnation'],
+	loads: ['node', 'reports'],
 	'in-flight': ['node', 'counts'],
 	leaving: ['backendServer', 'incarnation'],
 	'zone-summary': ['availabilityZone', 'services'],
@@ -122,29 +127,64 @@
 	entry.counter,
 	entry.ageMs,
 	scopes.indexOf(entry.scope),
-	entry.availabilityZone,
+	// An entry of one zone travels in that zone only, so its name need not.
+	entry.scope === 'everywhere' ? entry.availabilityZone : '',
 	valueKinds.indexOf(entry.value.kind),
-	valueFields[entry.value.kind].map(
-		(field) => (entry.value as unknown as Record<string, unknown>)[field],
-	),
+	encodeValue(entry.value),
+];
+
+const encodeValue = (value: DigestValue): Tuple =>
+	value.kind === 'loads'
+		? [value.node, value.reports.map((report) => encodeLoad(report))]
+		: valueFields[value.kind].map(
+				(field) => (value as unknown as Record<string, unknown>)[field],
+			);
+
+const encodeLoad = (report: ServerLoad): Tuple => [
+	report.backendServer,
+	report.running,
+	report.queued,
+	report.slots,
+	report.incarnation,
 ];
 
-const decodeEntry = (tuple: Tuple): DigestEntry => {
-	const kind = valueKinds[tuple[6] as number]!;
-	const values = tuple[7] as Tuple;
+const decodeLoad = (tuple: Tuple): ServerLoad => ({
+	backendServer: tuple[0] as string,
+	running: tuple[1] as number,
+	queued: tuple[2] as number,
+	slots: tuple[3] as number,
+	incarnation: tuple[4] as string,
+});
+
+const decodeValue = (kind: DigestValue['kind'], values: Tuple): DigestValue => {
+	if (kind === 'loads') {
+		const reports = values[1] as readonly Tuple[];
+		return {
+			kind,
+			node: values[0] as string,
+			reports: reports.map((report) => decodeLoad(report)),
+		};
+	}
+
 	const fields = valueFields[kind].map((field, index) => [
 		field,
 		values[index],
 	]);
 	const value: unknown = {kind, ...Object.fromEntries(fields)};
+	return value as DigestValue;
+};
+
+const decodeEntry = (tuple: Tuple, senderZone: string): DigestEntry => {
+	const scope = scopes[tuple[4] as number]!;
 	return {
 		reporter: tuple[0] as string,
 		incarnation: Number(tuple[1]),
 		counter: Number(tuple[2]),
 		ageMs: Number(tuple[3]),
-		scope: scopes[tuple[4] as number]!,
-		availabilityZone: tuple[5] as string,
-		value: value as DigestValue,
+		scope,
+		availabilityZone:
+			scope === 'everywhere' ? (tuple[5] as string) : senderZone,
+		value: decodeValue(valueKinds[tuple[6] as number]!, tuple[7] as Tuple),
 	};
 };
 
@@ -169,6 +209,8 @@
 	return {
 		message,
 		stamp: {version, digest},
-		digests: (tuple[6] as readonly Tuple[]).map((entry) => decodeEntry(entry)),
+		digests: (tuple[6] as readonly Tuple[]).map((entry) =>
+			decodeEntry(entry, common.from.availabilityZone),
+		),
 	};
 };
--- a/tests/digests/digest-table.test.ts
+++ b/tests/digests/digest-table.test.ts
@@ -6,19 +6,21 @@
 const create = (node: string, availabilityZone = 'a', incarnation = 1) =>
 	createDigestTable({node, availabilityZone, incarnation, sizeOf: () => 100});
 
-const load = (running: number) =>
+const loads = (running: number) =>
 	({
-		kind: 'load',
-		backendServer: 's',
-		running,
-		queued: 0,
-		slots: 8,
-		incarnation: 'i',
+		kind: 'loads',
+		node: 'shared',
+		reports: [
+			{backendServer: 's', running, queued: 0, slots: 8, incarnation: 'i'},
+		],
 	}) as const;
 
+const runningOf = (value: DigestEntry['value']): number =>
+	value.kind === 'loads' ? value.reports[0]!.running : 0;
+
 test('entries of one zone stay in it', () => {
 	const table = create('n');
-	table.put(load(1), 'availability-zone', 0);
+	table.put(loads(1), 'availability-zone', 0);
 	table.put(
 		{kind: 'zone-summary', availabilityZone: 'a', services: {}},
 		'everywhere',
@@ -49,9 +51,9 @@
 
 test('old entries are dropped', () => {
 	const table = create('n');
-	table.put(load(1), 'availability-zone', 0);
-	assert.equal(table.values('load', 1000).length, 1);
-	assert.equal(table.values('load', 100_000).length, 0);
+	table.put(loads(1), 'availability-zone', 0);
+	assert.equal(table.values('loads', 1000).length, 1);
+	assert.equal(table.values('loads', 100_000).length, 0);
 });
 
 test('in whatever order and however often entries arrive, the latest statement of a reporter stays', () => {
@@ -63,7 +65,7 @@
 			ageMs: 0,
 			scope: 'availability-zone' as const,
 			availabilityZone: 'a',
-			value: load(incarnation * 10 + counter),
+			value: loads(incarnation * 10 + counter),
 		})),
 	);
 	fc.assert(
@@ -77,12 +79,11 @@
 					table.apply([entry], 0);
 				}
 
-				const latest = Math.max(
-					...order.map(({value}) =>
-						value.kind === 'load' ? value.running : 0,
-					),
+				const latest = Math.max(...order.map(({value}) => runningOf(value)));
+				assert.equal(
+					table.values('loads', 0)[0]!.value.reports[0]!.running,
+					latest,
 				);
-				assert.equal(table.values('load', 0)[0]!.value.running, latest);
 			},
 		),
 	);
@@ -96,16 +97,16 @@
 		scope: 'availability-zone',
 		availabilityZone: 'a',
 	} as const;
-	table.apply([{...entry, reporter: 'x', ageMs: 100, value: load(1)}], 1000);
-	table.apply([{...entry, reporter: 'y', ageMs: 800, value: load(2)}], 1000);
-	assert.equal(table.values('load', 1000)[0]!.value.running, 1);
+	table.apply([{...entry, reporter: 'x', ageMs: 100, value: loads(1)}], 1000);
+	table.apply([{...entry, reporter: 'y', ageMs: 800, value: loads(2)}], 1000);
+	assert.equal(table.values('loads', 1000)[0]!.value.reports[0]!.running, 1);
 });
 
 test('a node does not take back its own statement from others', () => {
 	const table = create('n');
-	table.put(load(5), 'availability-zone', 100);
+	table.put(loads(5), 'availability-zone', 100);
 	const [echo] = table.everything('a', 100);
-	table.put(load(6), 'availability-zone', 200);
+	table.put(loads(6), 'availability-zone', 200);
 	table.apply([echo!], 300);
-	assert.equal(table.values('load', 300)[0]!.value.running, 6);
+	assert.equal(table.values('loads', 300)[0]!.value.reports[0]!.running, 6);
 });
--- a/tests/peers/heartbeat-codec.test.ts
+++ b/tests/peers/heartbeat-codec.test.ts
@@ -34,12 +34,17 @@
 		{
 			...entry,
 			value: {
-				kind: 'load',
-				backendServer: 's',
-				running: 1,
-				queued: 2,
-				slots: 3,
-				incarnation: 'i',
+				kind: 'loads',
+				node: 'n',
+				reports: [
+					{
+						backendServer: 's',
+						running: 1,
+						queued: 2,
+						slots: 3,
+						incarnation: 'i',
+					},
+				],
 			},
 		},
 		{...entry, value: {kind: 'in-flight', node: 'n', counts: {s: 4}}},
