--- a/benchmarks/model/fleet-model.ts
+++ b/benchmarks/model/fleet-model.ts
@@ -49,6 +49,8 @@
 	Whether retries have a budget; without one every failure is tried again.
 	*/
 	readonly hasBudget?: boolean;
+	/** Whether long prompts have one engine of each zone to themselves. */
+	readonly isSplit?: boolean;
 };
 
 /**
@@ -72,6 +74,8 @@
 	readonly awayShare: number;
 	readonly costPerThousand: number;
 	readonly attemptsPerRequest: number;
+	readonly lightP99: number;
+	readonly heavyP99: number;
 	/**
 	Of the clients that keep to their limits, where one does not.
 	*/
@@ -150,6 +154,12 @@
 const drawInterval = (random: Random, perSecond: number): number =>
 	(-Math.log(1 - random.fraction()) * 1000) / perSecond;
 
+// The examples label one engine of each zone as large.
+const selectorOf = (weight: Weight): Policy['backendServers'] => ({
+	matchLabels: {engine: weight === 'heavy' ? 'large' : 'standard'},
+	matchExpressions: [],
+});
+
 /**
 Runs one situation in virtual time with the decisions of the real nodes.
 */
@@ -185,6 +195,11 @@
 		backendServers: {matchLabels: {}, matchExpressions: []},
 		strategy: options.strategy,
 	};
+	const policyOf = (weight: Weight): Policy =>
+		situation.isSplit === true
+			? {...policy, name: weight, backendServers: selectorOf(weight)}
+			: policy;
+	const policies = {light: policyOf('light'), heavy: policyOf('heavy')};
 	const summaries = new Map<string, HeardSummary & {readonly at: number}>();
 	const serversIn = (zone: number) =>
 		servers.filter(({availabilityZone}) => availabilityZone === zones[zone]);
@@ -290,6 +305,10 @@
 
 	const first = createDurationHistogram();
 	const modest = createDurationHistogram();
+	const byWeight = {
+		light: createDurationHistogram(),
+		heavy: createDurationHistogram(),
+	};
 	const totals = {
 		requests: 0,
 		answered: 0,
@@ -378,6 +397,7 @@
 		totals.cost += (tokens / 1000) * costPerThousandTokens;
 		totals.tokens += tokens;
 		first.record(firstTokenMs);
+		byWeight[job.weight].record(firstTokenMs);
 		if (!job.isModest) {
 			return;
 		}
@@ -468,7 +488,7 @@
 			contentType: undefined,
 			body: undefined as never,
 			signal: undefined as never,
-			policy,
+			policy: policies[weight],
 		};
 		node.budget.earn();
 		attempt({
@@ -505,6 +525,8 @@
 		awayShare: totals.away / Math.max(1, totals.answered),
 		costPerThousand: (1000 * totals.cost) / Math.max(1, totals.tokens),
 		attemptsPerRequest: totals.attempts / totals.requests,
+		lightP99: byWeight.light.percentiles().p99,
+		heavyP99: byWeight.heavy.percentiles().p99,
 		modestP99: modest.percentiles().p99,
 		modestAnsweredShare: totals.modestAnswered / Math.max(1, totals.modest),
 	};
--- a/benchmarks/routing.ts
+++ b/benchmarks/routing.ts
@@ -67,6 +67,20 @@
 		hasBudget: false,
 		script: refuseInZoneZero,
 	},
+	...[0.3, 0.45, 0.6].flatMap((load): readonly Situation[] => [
+		{
+			name: `long prompts together, ${load}`,
+			loadOf: () => load,
+			reportLagMs: 300,
+			isSplit: false,
+		},
+		{
+			name: `long prompts apart, ${load}`,
+			loadOf: () => load,
+			reportLagMs: 300,
+			isSplit: true,
+		},
+	]),
 	{
 		name: 'clients within limits',
 		loadOf: () => 0.35,
@@ -136,6 +150,10 @@
 					cost: mean(runs, 'costPerThousand'),
 					answeredPercent: 100 * mean(runs, 'answeredShare'),
 					attempts: mean(runs, 'attemptsPerRequest'),
+					...(situation.isSplit !== undefined && {
+						lightP99: mean(runs, 'lightP99'),
+						heavyP99: mean(runs, 'heavyP99'),
+					}),
 					...(situation.greed !== undefined && {
 						modestP99: mean(runs, 'modestP99'),
 						modestAnsweredPercent: 100 * mean(runs, 'modestAnsweredShare'),
--- a/benchmarks/run.ts
+++ b/benchmarks/run.ts
@@ -3,6 +3,7 @@
 import {appendFileSync, mkdirSync, rmSync} from 'node:fs';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {measureControl} from './control.ts';
 import {measureDecisions} from './decisions.ts';
 import {measureMembership} from './membership.ts';
 import {measureMemory} from './memory.ts';
@@ -23,6 +24,7 @@
 	decisions: measureDecisions,
 	memory: measureMemory,
 	membership: measureMembership,
+	control: measureControl,
 	routing: () => measureRouting(values.only),
 	overhead: measureOverhead,
 };
