--- a/benchmarks/control.ts
+++ b/benchmarks/control.ts
@@ -69,7 +69,9 @@
 	}
 };
 
-/** Measures idle nodes as processes of their own. */
+/**
+Measures idle nodes as processes of their own.
+*/
 export const measureControl = async (): Promise<readonly Row[]> => {
 	const rows: Row[] = [];
 	for (const nodesPerZone of [1, 3, 9]) {
--- a/benchmarks/model/fleet-model.ts
+++ b/benchmarks/model/fleet-model.ts
@@ -49,7 +49,9 @@
 	Whether retries have a budget; without one every failure is tried again.
 	*/
 	readonly hasBudget?: boolean;
-	/** Whether long prompts have one engine of each zone to themselves. */
+	/**
+	Whether long prompts have one engine of each zone to themselves.
+	*/
 	readonly isSplit?: boolean;
 };
 
