Describe a forwarded request in one place

The call to a node of another zone and the call to the holder of a permit described a request twice, field by field.

--- a/benchmarks/control.ts
+++ b/benchmarks/control.ts
@@ -20,9 +20,12 @@
 
 const usages = async (deployment: Deployment): Promise<readonly Usage[]> =>
 	Promise.all(
-		[...deployment.nodes.keys()].map(
-			async (name) => (await deployment.administration(name, 'usage')) as Usage,
-		),
+		deployment.nodes
+			.keys()
+			.map(
+				async (name) =>
+					(await deployment.administration(name, 'usage')) as Usage,
+			),
 	);
 
 const meanOf = (values: readonly number[]): number => {
@@ -73,10 +76,10 @@
 Measures idle nodes as processes of their own.
 */
 export const measureControl = async (): Promise<readonly Row[]> => {
-	const rows: Row[] = [];
-	for (const nodesPerZone of [1, 3, 9]) {
-		rows.push(await measure(nodesPerZone));
-	}
+	// One after the other: each deployment takes its share of the machine.
+	const rows = await Array.fromAsync([1, 3, 9], async (nodesPerZone) =>
+		measure(nodesPerZone),
+	);
 
 	printTable(rows);
 	return rows;
--- a/src/node/permit-holder-call.ts
+++ b/src/node/permit-holder-call.ts
@@ -4,11 +4,12 @@
 import type {Member} from '../membership/index.ts';
 import type {ForwardCall} from '../peers/index.ts';
 import type {AttemptFailure} from '../retries/index.ts';
-import type {
-	Answer,
-	GatewayRequest,
-	PermitHolder,
-	StreamEnd,
+import {
+	forwardCall,
+	type Answer,
+	type GatewayRequest,
+	type PermitHolder,
+	type StreamEnd,
 } from '../requests/index.ts';
 import type {NodeContext} from './node-context.ts';
 
@@ -47,31 +48,18 @@
 
 const callFor = (
 	request: GatewayRequest,
-	context: NodeContext,
-): ForwardCall => ({
-	purpose: 'redeem',
-	requestId: request.requestId,
-	attemptId: `${context.settings.nodeId}.redeem.${request.requestId}.${context.clock()}`,
-	attempt: 1,
-	clientName: request.client.name,
-	policyName: request.policy.name,
-	serviceName: request.service.name,
-	model: request.model,
-	labels: request.labels,
-	requestedResidency: request.claim.requested,
-	homeRegion: request.homeRegion,
-	priority: request.priority,
-	remainingMs: Math.max(1, Math.round(request.deadline - context.clock())),
-	isRepeatable: request.isRepeatable,
-	isStreaming: request.isStreaming,
-	session: request.session,
-	prefixKey: request.prefixKey,
-	resumeFrom: 0,
-	method: request.method,
-	url: request.url,
-	contentType: request.contentType,
-	body: request.body,
-});
+	{settings, clock}: NodeContext,
+): ForwardCall => {
+	const now = clock();
+	const attemptId = `${settings.nodeId}.redeem.${request.requestId}.${now}`;
+	const details = {
+		purpose: 'redeem',
+		attemptId,
+		attempt: 1,
+		resumeFrom: 0,
+	} as const;
+	return forwardCall(request, details, now);
+};
 
 // That the holder could not be reached proves nothing: it may have run the request before.
 const judge = (failure: AttemptFailure, node: string): GatewayError =>
--- a/src/requests/attempt-calls.ts
+++ b/src/requests/attempt-calls.ts
@@ -1,6 +1,7 @@
 import type {BackendCall} from '../engines/index.ts';
 import type {ForwardCall} from '../peers/index.ts';
 import type {AttemptPlan} from './attempt.ts';
+import type {GatewayRequest} from './gateway-request.ts';
 
 /**
 An attempt as a call to a backend server.
@@ -25,16 +26,23 @@
 });
 
 /**
-An attempt as a call to a node of another zone.
+What a call to another node states besides the request.
+*/
+export type ForwardDetails = Pick<
+	ForwardCall,
+	'purpose' | 'attemptId' | 'attempt' | 'resumeFrom'
+>;
+
+/**
+A request as a call to another node.
 */
 export const forwardCall = (
-	{request, progress, attemptId, resumeFrom}: AttemptPlan,
+	request: GatewayRequest,
+	details: ForwardDetails,
 	now: number,
 ): ForwardCall => ({
-	purpose: 'serve',
+	...details,
 	requestId: request.requestId,
-	attemptId,
-	attempt: progress.attempts,
 	clientName: request.client.name,
 	policyName: request.policy.name,
 	serviceName: request.service.name,
@@ -48,7 +56,6 @@
 	isStreaming: request.isStreaming,
 	session: request.session,
 	prefixKey: request.prefixKey,
-	resumeFrom,
 	method: request.method,
 	url: request.url,
 	contentType: request.contentType,
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -277,7 +277,14 @@
 			}
 
 			case 'peer': {
-				const call = forwardCall(plan, clock());
+				const {request, progress, attemptId, resumeFrom} = plan;
+				const details = {
+					purpose: 'serve',
+					attemptId,
+					attempt: progress.attempts,
+					resumeFrom,
+				} as const;
+				const call = forwardCall(request, details, clock());
 				return options.peers.forward(
 					target.member,
 					call,
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -1,4 +1,5 @@
 export * from './answer.ts';
+export * from './attempt-calls.ts';
 export * from './attempts.ts';
 export * from './capacity-wait.ts';
 export * from './choose-target.ts';
