End a kept request that fails unexpectedly, and keep no long whole answers

Cause: an unexpected error left a request that may run only once in flight for good, so that a planned stop would wait for it until its bound; whole answers of any length were kept for ten minutes.

--- a/src/requests/kept-answer.ts
+++ b/src/requests/kept-answer.ts
@@ -13,9 +13,9 @@
 };
 
 /**
-The longest stream that is kept after its end, in characters.
+The longest answer that is kept after its end, in bytes of a body or characters of a stream.
 */
-export const maximumKeptLength = 262_144;
+export const maximumKeptLength = 65_536;
 
 /**
  Runs a request to its end, whether or not its caller stays, and keeps the answer.
@@ -39,11 +39,13 @@
 	run: () => Promise<Answer>,
 	onEnd: (outcome: Outcome) => void,
 ): Promise<Reader> => {
-	const answer = await run();
+	const answer = await runSafely(run);
 	switch (answer.kind) {
 		case 'complete': {
 			onEnd('ran');
-			return () => answer;
+			return answer.body.length > maximumKeptLength
+				? readOnce(answer)
+				: () => answer;
 		}
 
 		case 'refused': {
@@ -63,6 +65,26 @@
 	}
 };
 
+// An error of the program itself must still end the request in the books.
+const runSafely = async (run: () => Promise<Answer>): Promise<Answer> => {
+	try {
+		return await run();
+	} catch {
+		return refuse(
+			createGatewayError('internal', 'An unexpected error happened'),
+		);
+	}
+};
+
+const readOnce = (answer: Answer): Reader => {
+	let left: Answer | undefined = answer;
+	return () => {
+		const read = left ?? refuse(dropped());
+		left = undefined;
+		return read;
+	};
+};
+
 const dropped = () =>
 	createGatewayError(
 		'answer-not-kept',
