--- a/tests/acceptance/operators.test.ts
+++ b/tests/acceptance/operators.test.ts
@@ -42,12 +42,12 @@
 	];
 	const child = spawn('dist/quillford', [...words, ...target]);
 	let output = '';
-	for (const stream of [child.stdout, child.stderr]) {
-		stream.on('data', (chunk: Uint8Array) => {
-			output += chunk.toString();
-		});
-	}
+	const collect = (chunk: Uint8Array) => {
+		output += chunk.toString();
+	};
 
+	child.stdout.on('data', collect);
+	child.stderr.on('data', collect);
 	const code = await new Promise<number | null>((resolve) => {
 		child.once('close', resolve);
 	});
