--- a/tools/prove.ts
+++ b/tools/prove.ts
@@ -117,6 +117,7 @@
 			'--tags',
 			`@${mechanism.tag}`,
 			'--fail-fast',
+			'--exit',
 			'--parallel',
 			'0',
 		],
