End what a deployment started however it ends, and keep its addresses below the range of outgoing connections

Cause: a deployment whose start failed left its processes behind; with a fourth worker its addresses reached into the range from which the system takes those of outgoing connections, and one was taken (connection refused at port 32790).

--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -114,7 +114,7 @@
 const host = '127.0.0.1';
 // Scenarios run side by side; each worker takes its addresses from a range of its own, below
 // the range from which the system takes those of outgoing connections.
-const portRange = 7000;
+const portRange = 5000;
 const workerId = Number(process.env.CUCUMBER_WORKER_ID ?? 0);
 const firstPort = 10_000 + portRange * workerId;
 const startTimeoutMs = 30_000;
@@ -196,6 +196,15 @@
 	}
 };
 
+// However this process ends, what it started ends with it.
+const running = new Set<ChildProcess>();
+
+process.once('exit', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+
 const start = (
 	name: string,
 	address: string,
@@ -213,8 +222,10 @@
 	});
 	child.stdout.pipe(log, {end: false});
 	child.stderr.pipe(log, {end: false});
+	running.add(child);
 	const exited = new Promise<number | undefined>((resolve) => {
 		child.once('exit', (code) => {
+			running.delete(child);
 			resolve(code ?? undefined);
 		});
 	});
