--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -199,11 +199,11 @@
 // However this process ends, what it started ends with it.
 const running = new Set<ChildProcess>();
 
-process.once('exit', () => {
+const endAll = () => {
 	for (const child of running) {
 		child.kill('SIGKILL');
 	}
-});
+};
 
 const start = (
 	name: string,
@@ -259,6 +259,7 @@
 export const startDeployment = async (
 	options: DeploymentOptions,
 ): Promise<Deployment> => {
+	process.once('exit', endAll);
 	const logFolder = mkdtempSync(path.join(tmpdir(), 'quillford-'));
 	const document = structuredClone(options.document);
 	const regionOf = new Map(
@@ -496,6 +497,7 @@
 		control,
 		administration,
 		async stop() {
+			process.off('exit', endAll);
 			const all = [platform, ...nodes.values(), ...backendServers.values()];
 			for (const {child} of all) {
 				child.kill('SIGKILL');
