Take out a field that nothing read, and build the benchmarks' loaded fleet in one place

Requests carried whether their caller gave the id; only the permit itself is looked at. Two benchmarks set up the same fleet line by line.

--- a/benchmarks/decisions.ts
+++ b/benchmarks/decisions.ts
@@ -2,11 +2,14 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import type {BackendServer} from '../src/configuration/index.ts';
-import {createFleet} from '../src/fleet/index.ts';
 import {matchPolicy, orderedPolicies} from '../src/policies/index.ts';
 import {createTargetChooser, untried} from '../src/requests/index.ts';
 import {createRandom} from '../src/shared/index.ts';
-import {requestOf, scaledConfiguration} from './model/scaled-configuration.ts';
+import {
+	createLoadedFleet,
+	requestOf,
+	scaledConfiguration,
+} from './model/scaled-configuration.ts';
 import {printTable, type Row} from './table.ts';
 
 const rounds = 20_000;
@@ -34,25 +37,7 @@
 		clients: 280,
 		policies: 20,
 	});
-	const fleet = createFleet();
-	fleet.handle(
-		{
-			kind: 'configured',
-			backendServers: configuration.backendServers,
-		},
-		0,
-	);
-	for (const {id} of configuration.backendServers) {
-		fleet.handle(
-			{
-				kind: 'load-reported',
-				backendServer: id,
-				report: {running: 3, queued: 0, slots: 8, incarnation: 'i'},
-				observedAt: 0,
-			},
-			0,
-		);
-	}
+	const fleet = createLoadedFleet(configuration);
 
 	const chooser = createTargetChooser({
 		availabilityZone: 'zone-0',
--- a/benchmarks/memory.ts
+++ b/benchmarks/memory.ts
@@ -1,13 +1,15 @@
 // Memory of what a node keeps, for each thing that it keeps.
 import process from 'node:process';
 import type {BackendServer, Configuration} from '../src/configuration/index.ts';
-import {createFleet} from '../src/fleet/index.ts';
 import {createClientLimits} from '../src/limits/index.ts';
 import {createMembership, type Member} from '../src/membership/index.ts';
 import {createRecorder} from '../src/reporting/index.ts';
 import {createPermits} from '../src/requests/index.ts';
 import {createRandom} from '../src/shared/index.ts';
-import {scaledConfiguration} from './model/scaled-configuration.ts';
+import {
+	createLoadedFleet,
+	scaledConfiguration,
+} from './model/scaled-configuration.ts';
 import {printTable, type Row} from './table.ts';
 
 const collect = (): number => {
@@ -56,25 +58,7 @@
 			scaledConfiguration(scale),
 		),
 		measure('worker in the fleet', 700, () => {
-			const fleet = createFleet();
-			fleet.handle(
-				{
-					kind: 'configured',
-					backendServers: configuration.backendServers,
-				},
-				0,
-			);
-			for (const {id} of configuration.backendServers) {
-				fleet.handle(
-					{
-						kind: 'load-reported',
-						backendServer: id,
-						report: {running: 3, queued: 0, slots: 8, incarnation: 'i'},
-						observedAt: 0,
-					},
-					0,
-				);
-			}
+			const fleet = createLoadedFleet(configuration);
 
 			return fleet;
 		}),
--- a/benchmarks/model/fleet-model.ts
+++ b/benchmarks/model/fleet-model.ts
@@ -472,7 +472,6 @@
 
 		const request: GatewayRequest = {
 			requestId: '',
-			hasCallerId: false,
 			client,
 			service,
 			model: undefined,
--- a/benchmarks/model/scaled-configuration.ts
+++ b/benchmarks/model/scaled-configuration.ts
@@ -4,6 +4,7 @@
 	Policy,
 	Strategy,
 } from '../../src/configuration/index.ts';
+import {createFleet, type Fleet} from '../../src/fleet/index.ts';
 import type {GatewayRequest} from '../../src/requests/index.ts';
 import {sha256} from '../../src/shared/index.ts';
 
@@ -109,7 +110,6 @@
 	kind: Strategy['kind'],
 ): GatewayRequest => ({
 	requestId: 'id',
-	hasCallerId: false,
 	client: configuration.clients[0]!,
 	service: configuration.services[0]!,
 	model: 'model',
@@ -129,3 +129,21 @@
 	signal: new AbortController().signal,
 	policy: policyOf(kind),
 });
+
+/**
+A fleet of all servers of a configuration, each with a load report.
+*/
+export const createLoadedFleet = (configuration: Configuration): Fleet => {
+	const fleet = createFleet();
+	const {backendServers} = configuration;
+	fleet.handle({kind: 'configured', backendServers}, 0);
+	const report = {running: 3, queued: 0, slots: 8, incarnation: 'i'};
+	for (const {id} of backendServers) {
+		fleet.handle(
+			{kind: 'load-reported', backendServer: id, report, observedAt: 0},
+			0,
+		);
+	}
+
+	return fleet;
+};
--- a/src/requests/gateway-request.ts
+++ b/src/requests/gateway-request.ts
@@ -8,10 +8,6 @@
 */
 export type ReadRequest = {
 	readonly requestId: string;
-	/**
-	Whether the caller gave the id itself.
-	*/
-	readonly hasCallerId: boolean;
 	readonly client: Client;
 	readonly service: Service;
 	readonly model: string | undefined;
--- a/src/requests/read-request.ts
+++ b/src/requests/read-request.ts
@@ -287,7 +287,6 @@
 				: undefined;
 		return Result.ok({
 			requestId: givenId ?? context.issueId(),
-			hasCallerId: givenId !== undefined,
 			claim,
 			homeRegion: home ?? bound ?? context.ownRegion,
 			priority,
--- a/src/requests/serve-forwarded.ts
+++ b/src/requests/serve-forwarded.ts
@@ -96,7 +96,6 @@
 
 	return Result.ok({
 		requestId: envelope.requestId,
-		hasCallerId: true,
 		client,
 		service,
 		policy,
--- a/tests/fixtures.ts
+++ b/tests/fixtures.ts
@@ -72,7 +72,6 @@
 	change: Partial<GatewayRequest> = {},
 ): GatewayRequest => ({
 	requestId: 'request',
-	hasCallerId: false,
 	client: configuration.clients[0]!,
 	service: configuration.services[0]!,
 	model: 'scribe-8b',
