--- a/benchmarks/membership.ts
+++ b/benchmarks/membership.ts
@@ -68,7 +68,7 @@
 				digests: createDigestTable({
 					node: self.id,
 					availabilityZone: self.availabilityZone,
-					incarnation: self.incarnation,
+					incarnation: () => self.incarnation,
 					sizeOf: codec.sizeOf,
 				}),
 				version: 1,
--- a/src/digests/digest-table.ts
+++ b/src/digests/digest-table.ts
@@ -20,7 +20,10 @@
 export type DigestTableOptions = {
 	readonly node: string;
 	readonly availabilityZone: string;
-	readonly incarnation: number;
+	/**
+	Start of this process as membership states it; it can rise once when others know a later one.
+	*/
+	readonly incarnation: () => number;
 	/**
 	Size of an entry on the wire, in bytes.
 	*/
@@ -152,7 +155,8 @@
 			}
 
 			counter += 1;
-			const {node: reporter, availabilityZone, incarnation} = options;
+			const {node: reporter, availabilityZone} = options;
+			const incarnation = options.incarnation();
 			store(
 				{
 					reporter,
--- /dev/null
+++ b/src/gateway/event-relay.ts
@@ -0,0 +1,112 @@
+import {Buffer} from 'node:buffer';
+
+/**
+Passes on the whole events of a stream that may be continued elsewhere.
+*/
+export type EventRelay = {
+	/**
+	Takes in bytes and returns the whole events among them; undefined where an event is missing
+	or the stream is out of order, so that it must not go on.
+	*/
+	push(chunk: Buffer): Buffer | undefined;
+	/**
+	Starts reading a stream that continues this one.
+	*/
+	restart(): void;
+	/**
+	The id of the last event that was passed on.
+	*/
+	lastEventId(): string | undefined;
+	/**
+	Whether the stream stopped in the middle of an event.
+	*/
+	hasRest(): boolean;
+};
+
+const lineFeed = 10;
+// An event that does not end within this many bytes is no event of an engine.
+const maximumEventBytes = 1_048_576;
+
+/**
+Builds a relay for a stream that its receiver has up to an event.
+*/
+export const createEventRelay = (
+	lastDelivered: string | undefined,
+): EventRelay => {
+	let rest: Buffer = Buffer.alloc(0);
+	let lastId = lastDelivered;
+
+	const idOf = (event: string): number | undefined => {
+		const match = /^id: ?(?<id>\d+)/mv.exec(event);
+		return match?.groups ? Number(match.groups.id) : undefined;
+	};
+
+	// Ids rise by one. Events that the receiver has already are left out; a gap ends the stream.
+	const admit = (event: string): 'pass' | 'skip' | 'gap' => {
+		const id = idOf(event);
+		if (id === undefined) {
+			return 'pass';
+		}
+
+		const last = lastId === undefined ? undefined : Number(lastId);
+		if (last === undefined || Number.isNaN(last) || id === last + 1) {
+			lastId = String(id);
+			return 'pass';
+		}
+
+		return id <= last ? 'skip' : 'gap';
+	};
+
+	return {
+		push(chunk) {
+			const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+			const passed: Buffer[] = [];
+			let start = 0;
+			for (
+				let end = endOfEvent(bytes, start);
+				end !== -1;
+				end = endOfEvent(bytes, start)
+			) {
+				const event = bytes.subarray(start, end);
+				const verdict = admit(event.toString('latin1'));
+				if (verdict === 'gap') {
+					return undefined;
+				}
+
+				if (verdict === 'pass') {
+					passed.push(event);
+				}
+
+				start = end;
+			}
+
+			rest = bytes.subarray(start);
+			if (rest.length > maximumEventBytes) {
+				return undefined;
+			}
+
+			return passed.length === 1 ? passed[0] : Buffer.concat(passed);
+		},
+		restart() {
+			rest = Buffer.alloc(0);
+		},
+		lastEventId: () => lastId,
+		hasRest: () => rest.length > 0,
+	};
+};
+
+// An event ends with an empty line; a line may end with or without a carriage return.
+const endOfEvent = (bytes: Buffer, start: number): number => {
+	for (
+		let index = bytes.indexOf(lineFeed, start);
+		index !== -1;
+		index = bytes.indexOf(lineFeed, index + 1)
+	) {
+		const next = bytes[index + 1] === 13 ? index + 2 : index + 1;
+		if (bytes[next] === lineFeed) {
+			return next + 1;
+		}
+	}
+
+	return -1;
+};
--- /dev/null
+++ b/src/gateway/exchange.ts
@@ -0,0 +1,96 @@
+import type {Buffer} from 'node:buffer';
+import type {GatewayError} from '../errors/index.ts';
+import type {Prompt, Route} from '../routes/index.ts';
+
+/**
+A request that was read whole and has its route.
+*/
+export type Exchange = {
+	readonly requestId: string;
+	readonly method: string;
+	/**
+	Path and query, as they came.
+	*/
+	readonly target: string;
+	/**
+	Names and values in turn; without what is of one connection only, and without reserved headers.
+	*/
+	readonly headers: readonly string[];
+	readonly body: Buffer | undefined;
+	readonly route: Route;
+	readonly service: string;
+	readonly prompt: Prompt | undefined;
+	/**
+	When it had been read, by this node's clock in milliseconds, like all times here.
+	*/
+	readonly receivedAt: number;
+	/**
+	When it is answered at the latest: the caller's deadline or the route's timeout.
+	*/
+	readonly expiresAt: number;
+	/**
+	When the caller's own deadline passes.
+	*/
+	readonly callerDeadline: number;
+	/**
+	The last event that the caller has of a stream that it takes up again.
+	*/
+	readonly lastEventId: string | undefined;
+	/**
+	Given for a request that another node sent here.
+	*/
+	readonly hop: Hop | undefined;
+};
+
+/**
+What another node says of a request that it sends here.
+*/
+export type Hop = {
+	readonly origin: string;
+	/**
+	Backend servers that failed the request already.
+	*/
+	readonly excluded: readonly string[];
+};
+
+/**
+How an answer leaves this node.
+*/
+export type AnswerSink = {
+	/**
+	Sends the head.
+
+	@param server the backend server whose answer it is.
+	*/
+	begin(status: number, headers: readonly string[], server: string): void;
+	/**
+	Returns false when the receiver is slow; `onDrain` is called once it can take more.
+	*/
+	write(chunk: Buffer): boolean;
+	end(chunk?: Buffer): void;
+	/**
+	Ends the connection without an end of the answer.
+	*/
+	breakOff(): void;
+	refuse(error: GatewayError, tried: readonly string[]): void;
+	onDrain(resume: () => void): void;
+};
+
+/**
+How a request ended, for logs and metrics.
+*/
+export type DeliveryRecord = {
+	readonly exchange: Exchange;
+	readonly result:
+		'answered' | 'refused' | 'broken' | 'expired' | 'caller-left';
+	readonly status: number;
+	readonly reason: string;
+	readonly outcome: string;
+	/**
+	What was tried, in order.
+	*/
+	readonly steps: readonly string[];
+	readonly firstByteMs: number | undefined;
+	readonly totalMs: number;
+	readonly waitedMs: number;
+};
--- /dev/null
+++ b/src/gateway/front-listener.ts
@@ -0,0 +1,260 @@
+import {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {
+	createGatewayError,
+	renderError,
+	type GatewayError,
+} from '../errors/index.ts';
+import {splitAddress, type Address} from '../shared/index.ts';
+import type {CallerLimits} from '../routes/index.ts';
+import type {AnswerSink} from './exchange.ts';
+
+/**
+A request that was read whole.
+*/
+export type ReadRequest = {
+	readonly method: string;
+	readonly target: string;
+	readonly host: string;
+	readonly rawHeaders: readonly string[];
+	readonly header: (name: string) => string | undefined;
+	readonly body: Buffer | undefined;
+};
+
+/**
+Takes requests from callers.
+*/
+export type FrontListener = {
+	/**
+	Takes over the bounds of a new configuration.
+	*/
+	limit(limits: CallerLimits): void;
+	/**
+	Closes connections as they become idle, and takes no new ones.
+	*/
+	finish(): void;
+	close(): Promise<void>;
+};
+
+/**
+What a listener for callers is built from.
+*/
+export type FrontListenerOptions = {
+	readonly address: Address;
+	/**
+	Bounds before the first configuration.
+	*/
+	readonly limits: CallerLimits;
+	/**
+	Whether answers tell the caller to close its connection.
+	*/
+	readonly isLeaving: () => boolean;
+	/**
+	Handles a request; returns what to call when the caller closes its connection.
+	*/
+	readonly onRequest: (request: ReadRequest, sink: AnswerSink) => () => void;
+	readonly onUnreadable: (reason: string) => void;
+};
+
+// New connections that may wait to be taken; a full queue costs a caller seconds.
+const backlog = 1024;
+// A connection outlasts the stated idle time a little, so that a request that is sent at its end
+// still finds it open.
+const idleMarginMs = 2000;
+
+/**
+Starts listening for callers.
+*/
+export const startFrontListener = async (
+	options: FrontListenerOptions,
+): Promise<FrontListener> => {
+	let {limits} = options;
+	const server = createServer(
+		{
+			noDelay: true,
+			maxHeaderSize: limits.maximumHeaderBytes,
+			keepAliveTimeout: limits.idleTimeoutMs + idleMarginMs,
+			headersTimeout: limits.headerTimeoutMs + idleMarginMs,
+			requestTimeout: 0,
+			highWaterMark: 65_536,
+		},
+		(request, response) => {
+			readBody(request, limits.maximumBodyBytes, (body) => {
+				const sink = createResponseSink(response, options.isLeaving);
+				if (body === 'too-large') {
+					sink.refuse(
+						createGatewayError(
+							'body-too-large',
+							`The body is longer than ${limits.maximumBodyBytes} bytes`,
+						),
+						[],
+					);
+					request.destroy();
+					return;
+				}
+
+				const callerLeft = options.onRequest(toRead(request, body), sink);
+				response.once('close', () => {
+					if (!response.writableFinished) {
+						callerLeft();
+					}
+				});
+			});
+		},
+	);
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		options.onUnreadable(error.code ?? error.message);
+		answerUnreadable(error, socket as Socket);
+	});
+	const {host, port} = splitAddress(options.address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, backlog, resolve);
+	});
+
+	return {
+		limit(given) {
+			limits = given;
+			server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
+			server.headersTimeout = limits.headerTimeoutMs + idleMarginMs;
+		},
+		finish() {
+			server.close();
+			server.closeIdleConnections();
+		},
+		close: async () => closeAtOnce(server),
+	};
+};
+
+const closeAtOnce = async (server: Server): Promise<void> =>
+	new Promise((resolve) => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeAllConnections();
+	});
+
+/**
+Reads a body whole; nothing is called when the sender breaks off.
+*/
+export const readBody = (
+	request: IncomingMessage,
+	maximumBytes: number,
+	done: (body: Buffer | 'too-large' | undefined) => void,
+): void => {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	request.on('data', (chunk: Buffer) => {
+		size += chunk.length;
+		if (size <= maximumBytes) {
+			chunks.push(chunk);
+		}
+	});
+	request.on('end', () => {
+		if (size > maximumBytes) {
+			done('too-large');
+		} else {
+			done(size === 0 ? undefined : Buffer.concat(chunks, size));
+		}
+	});
+	// A sender that breaks off gets no answer; the connection is gone.
+	request.on('error', () => undefined);
+};
+
+/**
+The parts of a request that was read.
+*/
+export const toRead = (
+	request: IncomingMessage,
+	body: Buffer | undefined,
+): ReadRequest => ({
+	method: request.method ?? 'GET',
+	target: request.url ?? '/',
+	host: request.headers.host ?? '',
+	rawHeaders: request.rawHeaders,
+	header(name) {
+		const value = request.headers[name];
+		return Array.isArray(value) ? value[0] : value;
+	},
+	body,
+});
+
+/**
+Writes an answer to a response of Node's HTTP server.
+*/
+export const createResponseSink = (
+	response: ServerResponse,
+	isLeaving: () => boolean,
+): AnswerSink => {
+	const closing = (): readonly string[] =>
+		isLeaving() ? ['connection', 'close'] : [];
+
+	return {
+		begin(status, headers) {
+			response.writeHead(status, [...headers, ...closing()]);
+		},
+		write: (chunk) => response.write(chunk),
+		end(chunk) {
+			response.end(chunk);
+		},
+		breakOff() {
+			response.destroy();
+		},
+		refuse(error) {
+			if (response.headersSent || response.destroyed) {
+				response.destroy();
+				return;
+			}
+
+			const {status, headers, body} = renderRefusal(error);
+			response.writeHead(status, [...headers, ...closing()]);
+			response.end(body);
+		},
+		onDrain(resume) {
+			response.once('drain', resume);
+		},
+	};
+};
+
+// Callers of a gateway heed fractions of a second, and a whole second is long against the latency
+// that they hope for.
+const renderRefusal = (error: GatewayError) => {
+	const rendered = renderError(error);
+	const fields = {
+		...rendered.headers,
+		...(error.retryAfterSeconds !== undefined && {
+			'retry-after': error.retryAfterSeconds.toFixed(2),
+		}),
+		'content-length': String(Buffer.byteLength(rendered.body)),
+	};
+	return {
+		status: rendered.status,
+		headers: Object.entries(fields).flat(),
+		body: rendered.body,
+	};
+};
+
+// A head that cannot be read never becomes a request, so its answer is written to the socket.
+const answerUnreadable = (
+	error: NodeJS.ErrnoException,
+	socket: Socket,
+): void => {
+	if (!socket.writable || error.code === 'ECONNRESET') {
+		socket.destroy();
+		return;
+	}
+
+	const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+	const status = isTooLarge
+		? '431 Request Header Fields Too Large'
+		: '400 Bad Request';
+	socket.end(
+		`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+	);
+};
--- /dev/null
+++ b/src/gateway/gateway-observer.ts
@@ -0,0 +1,188 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {Logger} from '../logging/index.ts';
+import type {DeliveryRecord} from './exchange.ts';
+
+/**
+Writes what happened to requests to log and metrics.
+*/
+export type GatewayObserver = {
+	record(record: DeliveryRecord): void;
+	/**
+	A request that ended before it had a route.
+	*/
+	rejected(requestId: string, reason: string, status: number): void;
+	/**
+	Counts and lines that bound themselves by time; called at each tick.
+	*/
+	tick(now: number): void;
+	/**
+	All figures in the text format of Prometheus.
+	*/
+	metrics(): Promise<string>;
+};
+
+/**
+What an observer is built from.
+*/
+export type GatewayObserverOptions = {
+	readonly logger: Logger;
+	readonly gauges: Readonly<Record<string, () => number>>;
+	/**
+	Age of the routes and of the registry's copy, in milliseconds, for log lines.
+	*/
+	readonly inputs: () => Readonly<Record<string, number | string>>;
+};
+
+/**
+Lines about requests in a second at the most. Lines of answered requests are left out first.
+*/
+export const linesPerSecond = 40;
+
+/**
+One of so many answered requests is logged.
+*/
+export const answeredSample = 50;
+
+const secondMs = 1000;
+// Upper ends of the latency classes, in milliseconds.
+const latencyBuckets = [
+	10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12_800,
+];
+
+/**
+Builds an observer.
+*/
+export const createGatewayObserver = (
+	options: GatewayObserverOptions,
+): GatewayObserver => {
+	const {logger} = options;
+	const registry = new Registry();
+	const requests = new Counter({
+		name: 'quillford_requests_total',
+		help: 'Requests by route, result and status',
+		labelNames: ['route', 'result', 'status'],
+		registers: [registry],
+	});
+	const rejections = new Counter({
+		name: 'quillford_rejected_total',
+		help: 'Requests that ended before they had a route',
+		labelNames: ['status'],
+		registers: [registry],
+	});
+	const droppedLines = new Counter({
+		name: 'quillford_log_lines_dropped_total',
+		help: 'Log lines about requests that were left out to bound the volume',
+		registers: [registry],
+	});
+	const firstByte = new Histogram({
+		name: 'quillford_first_byte_milliseconds',
+		help: 'Time to the first event or the whole answer',
+		labelNames: ['route'],
+		buckets: latencyBuckets,
+		registers: [registry],
+	});
+	const waited = new Histogram({
+		name: 'quillford_waited_milliseconds',
+		help: 'Time that requests waited for room at a backend server',
+		labelNames: ['route'],
+		buckets: latencyBuckets,
+		registers: [registry],
+	});
+	for (const [name, read] of Object.entries(options.gauges)) {
+		// A gauge enters itself into its registry.
+		// eslint-disable-next-line no-new -- nothing else needs the object
+		new Gauge({
+			name: `quillford_${name}`,
+			help: name.replaceAll('_', ' '),
+			registers: [registry],
+			collect() {
+				this.set(read());
+			},
+		});
+	}
+
+	let linesLeft = linesPerSecond;
+	let refilledAt = 0;
+	let answered = 0;
+
+	const isWorthLine = (record: DeliveryRecord): boolean => {
+		if (record.result !== 'answered' || record.status >= 500) {
+			return linesLeft > 0;
+		}
+
+		answered += 1;
+		// The last half of the lines is kept for requests that failed.
+		return answered % answeredSample === 0 && linesLeft > linesPerSecond / 2;
+	};
+
+	const line = (record: DeliveryRecord) => {
+		const {exchange} = record;
+		const facts = {
+			requestId: exchange.requestId,
+			route: exchange.route.name,
+			service: exchange.service,
+			result: record.result,
+			status: record.status,
+			outcome: record.outcome,
+			reason: record.reason,
+			steps: record.steps.join(' | '),
+			origin: exchange.hop?.origin,
+			firstByteMs: rounded(record.firstByteMs),
+			waitedMs: rounded(record.waitedMs),
+			totalMs: rounded(record.totalMs),
+			...options.inputs(),
+		};
+		if (record.result === 'answered') {
+			logger.info(facts, 'request answered');
+		} else {
+			logger.warn(facts, 'request failed');
+		}
+	};
+
+	return {
+		record(record) {
+			const {route} = record.exchange;
+			requests.inc({
+				route: route.name,
+				result: record.result,
+				status: record.status,
+			});
+			if (record.firstByteMs !== undefined) {
+				firstByte.observe({route: route.name}, record.firstByteMs);
+			}
+
+			if (record.waitedMs > 0) {
+				waited.observe({route: route.name}, record.waitedMs);
+			}
+
+			if (isWorthLine(record)) {
+				linesLeft -= 1;
+				line(record);
+			} else if (record.result !== 'answered') {
+				droppedLines.inc();
+			}
+		},
+		rejected(requestId, reason, status) {
+			rejections.inc({status});
+			if (linesLeft > 0) {
+				linesLeft -= 1;
+				logger.warn(
+					{requestId, reason, status, ...options.inputs()},
+					'request rejected',
+				);
+			} else {
+				droppedLines.inc();
+			}
+		},
+		tick(now) {
+			if (now - refilledAt >= secondMs) {
+				refilledAt = now;
+				linesLeft = linesPerSecond;
+			}
+		},
+		metrics: async () => registry.metrics(),
+	};
+};
+
+const rounded = (milliseconds: number | undefined): number | undefined =>
+	milliseconds === undefined ? undefined : Math.round(milliseconds);
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,636 @@
+import {randomBytes} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {createBackendFleet, createUpstreamClient} from '../backends/index.ts';
+import {answerTable} from '../errors/index.ts';
+import type {Logger} from '../logging/index.ts';
+import {
+	createMesh,
+	createPeerQuestions,
+	startPeerListener,
+	type PeerListener,
+} from '../mesh/index.ts';
+import type {Member} from '../membership/index.ts';
+import {
+	createRegistryFollower,
+	createRegistryMirror,
+	type MirrorChange,
+	type RegistrySource,
+} from '../registry/index.ts';
+import {createWindowRetryBudget} from '../retries/index.ts';
+import type {CallerLimits} from '../routes/index.ts';
+import {createRandom, type Address} from '../shared/index.ts';
+import {createUpstreamChooser} from './choose-upstream.ts';
+import {createDeliveries} from './delivery.ts';
+import type {AnswerSink} from './exchange.ts';
+import {
+	createResponseSink,
+	readBody,
+	startFrontListener,
+	toRead,
+	type FrontListener,
+	type ReadRequest,
+} from './front-listener.ts';
+import {createGatewayObserver} from './gateway-observer.ts';
+import {encodeHopResult} from './hop.ts';
+import {
+	readExchange,
+	readForwarded,
+	type ReadContext,
+} from './read-exchange.ts';
+import {createServerProbes} from './server-probes.ts';
+import type {WireHeaders} from './wire-headers.ts';
+
+/**
+What a gateway needs to know at its start.
+*/
+export type GatewayOptions = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	/**
+	All availability zones and their regions.
+	*/
+	readonly zones: Readonly<Record<string, string>>;
+	readonly callerAddress: Address;
+	/**
+	Where other nodes reach it: UDP for heartbeats, TCP for calls.
+	*/
+	readonly peerAddress: Address;
+	/**
+	A second address for the first contact of other nodes.
+	*/
+	readonly contactAddress: Address | undefined;
+	/**
+	Contact addresses of other nodes; may change.
+	*/
+	readonly seeds: () => readonly Address[];
+	readonly registry: RegistrySource;
+	readonly headers: WireHeaders;
+	readonly bounds: GatewayBounds;
+	readonly logger: Logger;
+};
+
+/**
+Bounds that hold over all nodes, as the deployment states them.
+*/
+export type GatewayBounds = {
+	readonly retryRatio: number;
+	readonly retryWindowMs: number;
+	readonly retrySlack: number;
+	readonly coldOverrun: number;
+	readonly coldSlack: number;
+};
+
+/**
+A running gateway.
+*/
+export type Gateway = {
+	start(): Promise<void>;
+	/**
+	Takes no new callers and resolves once requests have ended, or after `timeoutMs`.
+	*/
+	drain(timeoutMs: number): Promise<boolean>;
+	stop(): Promise<void>;
+	isReady(): boolean;
+	/**
+	Caller addresses for a caller in a region, nearest first.
+	*/
+	entryAddresses(region: string, availabilityZone: string): readonly Address[];
+	metrics(): Promise<string>;
+	/**
+	The seeds have changed.
+	*/
+	reload(): void;
+};
+
+// Bounds on callers before the first configuration is known; no request is served until then.
+const initialLimits: CallerLimits = {
+	maximumHeaderBytes: 65_536,
+	maximumBodyBytes: 16_777_216,
+	headerTimeoutMs: 10_000,
+	idleTimeoutMs: 60_000,
+};
+
+/**
+Milliseconds between two ticks.
+*/
+export const gatewayTickMs = 50;
+
+/**
+How often a node without others asks its seeds, in milliseconds, and how often it does later.
+*/
+export const joinIntervalMs = 500;
+
+/**
+How often a node that knows others asks a seed, in milliseconds, so that groups that started
+apart find each other.
+*/
+export const rejoinIntervalMs = 4000;
+
+/**
+How long a node that hears of no other one waits before it takes itself for the only one, in
+milliseconds.
+*/
+export const solitudeMs = 2500;
+
+/**
+Routes confirmed within this time are taken as complete, in milliseconds.
+*/
+export const freshRoutesMs = 3000;
+
+/**
+How often the load of the own zone is stated, in milliseconds.
+*/
+export const loadIntervalMs = 500;
+
+/**
+Part of the connections of a backend server that all nodes together use.
+*/
+export const connectionPart = 0.8;
+
+// Connections to a backend server that states no bound.
+const unboundedConnections = 128;
+const firstTokenUnknown = 0;
+const seedRange = 2 ** 31;
+
+/**
+Builds a gateway; nothing runs before `start`.
+*/
+export const createGateway = (options: GatewayOptions): Gateway => {
+	const {logger, headers, zones} = options;
+	const clock = () => performance.now();
+	const startedAt = clock();
+	const ownRegion = zones[options.availabilityZone] ?? '';
+	const regions = [...new Set(Object.values(zones))];
+	const random = createRandom(randomBytes(4).readUInt32LE() % seedRange);
+	const regionOf = (zone: string) => zones[zone] ?? '';
+
+	const mirror = createRegistryMirror();
+	const client = createUpstreamClient();
+	const questions = createPeerQuestions();
+	const mesh = createMesh({
+		...options,
+		regionOf,
+		revision: mirror.revision,
+		onRevision(revision, from) {
+			follower.heard(revision, from);
+		},
+		clock,
+		wallClock: () => Date.now(),
+		logger,
+	});
+	const inOwnRegion = (members: readonly Member[]) =>
+		members.filter(
+			({availabilityZone}) => regionOf(availabilityZone) === ownRegion,
+		);
+	const fleet = createBackendFleet({
+		self: options.id,
+		nodesEverHeard: () => [
+			options.id,
+			...inOwnRegion(mesh.others()).map(({id}) => id),
+		],
+		nodesServing: () => 1 + mesh.usableIn(ownRegion).length,
+		service: (name) => mirror.routes()?.service(name),
+		coldOverrun: options.bounds.coldOverrun,
+		coldSlack: options.bounds.coldSlack,
+		mayUseCold: (now) =>
+			mesh.lastHeard() !== undefined || now - startedAt > solitudeMs,
+	});
+	const budget = createWindowRetryBudget({
+		ratio: options.bounds.retryRatio,
+		windowMs: options.bounds.retryWindowMs,
+		slack: options.bounds.retrySlack,
+	});
+
+	const syncFleet = () => {
+		const usable = [...mirror.servers()].filter(
+			([, {server}]) =>
+				!server.isLeaving &&
+				regionOf(server.availabilityZone) === ownRegion &&
+				!mirror.isEvacuated(server.availabilityZone),
+		);
+		const before = new Set(fleet.ids());
+		fleet.sync(new Map(usable), clock());
+		for (const [id] of usable) {
+			before.delete(id);
+		}
+
+		for (const gone of before) {
+			client.forget(`server ${gone}`);
+		}
+	};
+
+	const noteChange = (change: MirrorChange) => {
+		switch (change.kind) {
+			case 'routes': {
+				const limits = mirror.routes()?.document.limits;
+				if (limits) {
+					front?.limit(limits);
+				}
+
+				logger.info({version: change.version}, 'routes in force');
+				return;
+			}
+
+			case 'server': {
+				logger.info(
+					{server: change.id, isUsable: change.isUsable},
+					'backend server changed',
+				);
+				return;
+			}
+
+			case 'evacuation': {
+				const {availabilityZone, isActive} = change;
+				logger.info({availabilityZone, isActive}, 'evacuation changed');
+			}
+		}
+	};
+
+	// Servers of a zone that is taken back may have turned cold meanwhile.
+	const distrustTakenBack = (changes: readonly MirrorChange[]) => {
+		const zonesBack = new Set(
+			changes.flatMap((change) =>
+				change.kind === 'evacuation' && !change.isActive
+					? [change.availabilityZone]
+					: [],
+			),
+		);
+		if (zonesBack.size > 0) {
+			const ids = fleet
+				.ids()
+				.filter((id) =>
+					zonesBack.has(fleet.server(id)?.availabilityZone ?? ''),
+				);
+			fleet.distrust(ids, clock());
+		}
+	};
+
+	const follower = createRegistryFollower({
+		mirror,
+		registry: options.registry,
+		askPeer: async (peer, after) => questions.registryAfter(peer, after),
+		pickPeer() {
+			const near = mesh.usableIn(ownRegion);
+			const peers =
+				near.length > 0 && random.below(2) === 0 ? near : mesh.usable();
+			return peers.length === 0
+				? undefined
+				: peers[random.below(peers.length)]!.peerAddress;
+		},
+		clock,
+		logger,
+		onChanges(changes) {
+			for (const change of changes) {
+				noteChange(change);
+			}
+
+			syncFleet();
+			distrustTakenBack(changes);
+			mesh.announce();
+		},
+	});
+
+	const loadIn = (region: string, service: string) => {
+		let load = 0;
+		let slots = 0;
+		for (const {server} of mirror.servers().values()) {
+			if (
+				server.service === service &&
+				!server.isLeaving &&
+				regionOf(server.availabilityZone) === region &&
+				!mirror.isEvacuated(server.availabilityZone)
+			) {
+				slots += server.slots;
+			}
+		}
+
+		for (const [zone, zoneRegion] of Object.entries(zones)) {
+			if (zoneRegion === region) {
+				load = Math.max(load, mesh.loadIn(zone, service, clock())?.load ?? 0);
+			}
+		}
+
+		return {load, slots};
+	};
+
+	const unreachable = new Map<string, number>();
+	const isReachable = ({id}: Member) => (unreachable.get(id) ?? 0) < clock();
+	const choose = createUpstreamChooser({
+		ownRegion,
+		fleet,
+		membersIn: (region) =>
+			mesh.usableIn(region).filter((each) => isReachable(each)),
+		regions,
+		loadIn,
+		random,
+	});
+	const inputs = () => ({
+		routesVersion: mirror.routes()?.document.version ?? 0,
+		registryRevision: mirror.revision(),
+		registryAgeMs: Math.round(
+			clock() - (follower.confirmedAt() ?? Number.NEGATIVE_INFINITY),
+		),
+	});
+	const deliveries = createDeliveries({
+		self: options.id,
+		clock,
+		headers,
+		fleet,
+		client,
+		choose,
+		budget,
+		nodes: () => 1 + mesh.others().length,
+		connectionsTo(service) {
+			const maximum =
+				mirror.routes()?.service(service)?.maximumConnections ?? 0;
+			return maximum === 0
+				? unboundedConnections
+				: Math.max(
+						2,
+						Math.floor(
+							(maximum * connectionPart) /
+								(1 + inOwnRegion(mesh.others()).length),
+						),
+					);
+		},
+		routesVersion: () => mirror.routes()?.document.version ?? 0,
+		onPeerFailure({id}) {
+			unreachable.set(id, clock() + peerPauseMs);
+		},
+		onServerFailure(server, reason) {
+			if (fleet.suspect(server, clock())) {
+				logger.warn({server, reason}, 'backend server suspected');
+			}
+		},
+		onRecord(record) {
+			observer.record(record);
+		},
+	});
+	const observer = createGatewayObserver({
+		logger,
+		inputs,
+		gauges: {
+			requests_under_way: deliveries.count,
+			requests_waiting: deliveries.waiting,
+			registry_revision: mirror.revision,
+			routes_version: () => mirror.routes()?.document.version ?? 0,
+			nodes_usable: () => mesh.usable().length,
+			backend_servers: () => fleet.ids().length,
+			upstream_connections_opened: client.connectionsOpened,
+		},
+	});
+	const probes = createServerProbes({
+		client,
+		fleet,
+		headers,
+		clock,
+		logger,
+		healthPath: (service) =>
+			mirror.routes()?.service(service)?.healthPath ?? '/',
+	});
+
+	let front: FrontListener | undefined;
+	let peers: PeerListener | undefined;
+	let timer: NodeJS.Timeout | undefined;
+	let isLeaving = false;
+	let nextJoinAt = 0;
+	let nextLoadAt = 0;
+
+	const readContext = (): ReadContext => ({
+		names: headers,
+		routes: mirror.routes(),
+		areRoutesFresh:
+			clock() - (follower.confirmedAt() ?? Number.NEGATIVE_INFINITY) <
+			freshRoutesMs,
+		now: clock(),
+	});
+
+	const take = (
+		request: ReadRequest,
+		sink: AnswerSink,
+		read: typeof readExchange,
+	): (() => void) => {
+		const exchange = read(request, readContext());
+		if (exchange.isErr) {
+			sink.refuse(exchange.error, []);
+			observer.rejected(
+				request.header(headers.requestId) ?? '',
+				exchange.error.message,
+				answerTable[exchange.error.kind].status,
+			);
+			return () => undefined;
+		}
+
+		return deliveries.deliver(exchange.value, sink).callerLeft;
+	};
+
+	const takeForwarded = (
+		request: IncomingMessage,
+		response: ServerResponse,
+	) => {
+		readBody(request, Number.MAX_SAFE_INTEGER, (body) => {
+			if (body === 'too-large') {
+				return;
+			}
+
+			const callerLeft = take(
+				toRead(request, body),
+				createHopSink(response),
+				readForwarded,
+			);
+			response.once('close', () => {
+				if (!response.writableFinished) {
+					callerLeft();
+				}
+			});
+		});
+	};
+
+	const joinOthers = async () => {
+		const seeds = options
+			.seeds()
+			.filter(
+				(seed) =>
+					seed !== options.contactAddress && seed !== options.peerAddress,
+			);
+		const isAlone = mesh.lastHeard() === undefined;
+		const asked = isAlone
+			? seeds
+			: seeds.slice(random.below(Math.max(1, seeds.length))).slice(0, 1);
+		await Promise.all(
+			asked.map(async (seed) => {
+				const members = await questions.members(seed);
+				if (members) {
+					mesh.join(members);
+				}
+			}),
+		);
+	};
+
+	const stateLoad = (now: number) => {
+		const services = Object.fromEntries(
+			(mirror.routes()?.document.services ?? []).map(({name}) => [
+				name,
+				{
+					...fleet.loadOf(name),
+					firstTokenMs: firstTokenUnknown,
+					costPerThousandTokens: 0,
+				},
+			]),
+		);
+		mesh.stateLoad(services, now);
+	};
+
+	const tick = () => {
+		const now = clock();
+		mesh.tick(now);
+		follower.tick(now);
+		for (const server of fleet.tick(now)) {
+			logger.warn({server}, 'backend server silent');
+			deliveries.serverSilent(server);
+		}
+
+		probes.tick(now);
+		deliveries.tick(now);
+		observer.tick(now);
+		if (now >= nextJoinAt) {
+			nextJoinAt =
+				now +
+				(mesh.lastHeard() === undefined ? joinIntervalMs : rejoinIntervalMs);
+			void joinOthers();
+		}
+
+		if (now >= nextLoadAt) {
+			nextLoadAt = now + loadIntervalMs;
+			stateLoad(now);
+		}
+	};
+
+	const idle = async (timeoutMs: number): Promise<boolean> => {
+		const until = clock() + timeoutMs;
+		while (deliveries.count() > 0 && clock() < until) {
+			await new Promise((resolve) => {
+				setTimeout(resolve, gatewayTickMs);
+			});
+		}
+
+		return deliveries.count() === 0;
+	};
+
+	return {
+		async start() {
+			await mesh.start();
+			peers = await startPeerListener({
+				addresses: [
+					options.peerAddress,
+					...(options.contactAddress === undefined
+						? []
+						: [options.contactAddress]),
+				],
+				members: () => [mesh.self(), ...mesh.others()],
+				registryAfter: (revision) =>
+					mirror.revision() === 0
+						? {kind: 'unavailable', reason: 'nothing known yet'}
+						: mirror.answerFor(revision, clock()),
+				onForwarded: takeForwarded,
+			});
+			front = await startFrontListener({
+				address: options.callerAddress,
+				limits: initialLimits,
+				isLeaving: () => isLeaving,
+				onRequest: (request, sink) => take(request, sink, readExchange),
+				onUnreadable(reason) {
+					observer.rejected('', `unreadable: ${reason}`, 400);
+				},
+			});
+			timer = setInterval(tick, gatewayTickMs);
+			follower.start();
+			void joinOthers();
+			logger.info({node: options.id, ownRegion}, 'gateway started');
+		},
+		async drain(timeoutMs) {
+			isLeaving = true;
+			mesh.leave();
+			logger.info({inFlight: deliveries.count()}, 'leaving');
+			const settled = clock() + settleMs;
+			await new Promise((resolve) => {
+				setTimeout(resolve, Math.min(settleMs, timeoutMs));
+			});
+			front?.finish();
+			return idle(timeoutMs - (settled - clock()) - settleMs);
+		},
+		async stop() {
+			clearInterval(timer);
+			await Promise.all([
+				follower.stop(),
+				mesh.stop(),
+				front?.close(),
+				peers?.close(),
+				questions.close(),
+				client.close(),
+			]);
+		},
+		isReady: () => !isLeaving && mirror.routes() !== undefined,
+		entryAddresses(region, availabilityZone) {
+			const self = mesh.self();
+			const all = [self, ...mesh.usable()].filter(
+				({status}) => status === 'alive',
+			);
+			const near = all.filter(
+				(member) => regionOf(member.availabilityZone) === region,
+			);
+			const chosen = near.length > 0 ? near : all;
+			return chosen
+				.toSorted(
+					(left, right) =>
+						Number(right.availabilityZone === availabilityZone) -
+						Number(left.availabilityZone === availabilityZone),
+				)
+				.map(({callerAddress}) => callerAddress);
+		},
+		metrics: observer.metrics,
+		reload() {
+			nextJoinAt = 0;
+		},
+	};
+};
+
+// How long a node that could not be reached is sent nothing, in milliseconds.
+const peerPauseMs = 1500;
+
+// How long a leaving node goes on taking connections, in milliseconds: callers keep what the
+// directory told them for some seconds.
+const settleMs = 3500;
+
+const createHopSink = (response: ServerResponse): AnswerSink => {
+	const sink = createResponseSink(response, () => false);
+	return {
+		...sink,
+		begin(status, headers, server) {
+			const result = {
+				kind: 'answered',
+				tried: server === '' ? [] : [server],
+			} as const;
+			sink.begin(status, [...headers, ...encodeHopResult(result)], server);
+		},
+		refuse({outcome, message}, tried) {
+			if (response.headersSent || response.destroyed) {
+				response.destroy();
+				return;
+			}
+
+			response.writeHead(503, [
+				...encodeHopResult({
+					kind: 'refused',
+					outcome,
+					reason: message,
+					tried,
+				}),
+				'content-length',
+				'0',
+			]);
+			response.end();
+		},
+	};
+};
--- /dev/null
+++ b/src/gateway/hop.ts
@@ -0,0 +1,139 @@
+import type {Outcome} from '../errors/index.ts';
+import type {Hop} from './exchange.ts';
+
+/**
+Headers between two nodes about a forwarded request; never sent to callers or backend servers.
+*/
+export const hopHeaders = {
+	origin: 'quillford-hop-origin',
+	/**
+	Version of the routes by which the origin sent it.
+	*/
+	version: 'quillford-hop-version',
+	route: 'quillford-hop-route',
+	service: 'quillford-hop-service',
+	remainingMs: 'quillford-hop-remaining-ms',
+	excluded: 'quillford-hop-excluded',
+	/**
+	In answers: whether they are a backend server's or a refusal of the node.
+	*/
+	result: 'quillford-hop-result',
+	outcome: 'quillford-hop-outcome',
+	reason: 'quillford-hop-reason',
+	/**
+	In answers: the backend servers that the request was sent to.
+	*/
+	tried: 'quillford-hop-tried',
+} as const;
+
+/**
+All names of hop headers.
+*/
+export const hopHeaderNames: ReadonlySet<string> = new Set(
+	Object.values(hopHeaders),
+);
+
+/**
+What a node says with the answer to a forwarded request.
+*/
+export type HopResult =
+	| {readonly kind: 'answered'; readonly tried: readonly string[]}
+	| {
+			readonly kind: 'refused';
+			readonly outcome: Outcome;
+			readonly reason: string;
+			readonly tried: readonly string[];
+	  };
+
+/**
+What a node says of a request that it forwards.
+*/
+export type HopCall = {
+	readonly origin: string;
+	readonly version: number;
+	readonly route: string;
+	readonly service: string;
+	readonly remainingMs: number;
+	readonly excluded: readonly string[];
+};
+
+type HeaderReader = (name: string) => string | undefined;
+
+/**
+The headers of a forwarded request.
+*/
+export const encodeHopCall = (call: HopCall): readonly string[] => [
+	hopHeaders.origin,
+	call.origin,
+	hopHeaders.version,
+	String(call.version),
+	hopHeaders.route,
+	call.route,
+	hopHeaders.service,
+	call.service,
+	hopHeaders.remainingMs,
+	String(Math.max(1, Math.round(call.remainingMs))),
+	hopHeaders.excluded,
+	call.excluded.join(','),
+];
+
+/**
+Reads the headers of a forwarded request; undefined for anything else.
+*/
+export const decodeHopCall = (
+	header: HeaderReader,
+): (HopCall & Hop) | undefined => {
+	const origin = header(hopHeaders.origin);
+	const service = header(hopHeaders.service);
+	if (origin === undefined || service === undefined) {
+		return undefined;
+	}
+
+	return {
+		origin,
+		service,
+		version: Number(header(hopHeaders.version) ?? 0),
+		route: header(hopHeaders.route) ?? '',
+		remainingMs: Number(header(hopHeaders.remainingMs) ?? 0),
+		excluded: splitList(header(hopHeaders.excluded)),
+	};
+};
+
+/**
+The headers of an answer to a forwarded request.
+*/
+export const encodeHopResult = (result: HopResult): readonly string[] => [
+	hopHeaders.result,
+	result.kind,
+	hopHeaders.tried,
+	result.tried.join(','),
+	...(result.kind === 'refused'
+		? [
+				hopHeaders.outcome,
+				result.outcome,
+				hopHeaders.reason,
+				result.reason.replaceAll(/[^\x20-\x7E]/gv, ' '),
+			]
+		: []),
+];
+
+/**
+Reads what a node says with an answer. An answer without a result proves nothing about the request.
+*/
+export const decodeHopResult = (header: HeaderReader): HopResult => {
+	const tried = splitList(header(hopHeaders.tried));
+	if (header(hopHeaders.result) === 'answered') {
+		return {kind: 'answered', tried};
+	}
+
+	const outcome = header(hopHeaders.outcome);
+	return {
+		kind: 'refused',
+		outcome: outcome === 'not-run' || outcome === 'ran' ? outcome : 'unknown',
+		reason: header(hopHeaders.reason) ?? 'the node gave no result',
+		tried,
+	};
+};
+
+const splitList = (text: string | undefined): readonly string[] =>
+	(text ?? '').split(',').filter((part) => part !== '');
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,2 @@
+export * from './gateway.ts';
+export * from './wire-headers.ts';
--- /dev/null
+++ b/src/gateway/read-exchange.ts
@@ -0,0 +1,165 @@
+import {createGatewayError, type GatewayError} from '../errors/index.ts';
+import {
+	parsePromptParts,
+	pickService,
+	type Prompt,
+	type RouteTable,
+} from '../routes/index.ts';
+import {Result} from 'true-myth';
+import type {Exchange} from './exchange.ts';
+import type {ReadRequest} from './front-listener.ts';
+import {decodeHopCall, hopHeaderNames, type HopCall} from './hop.ts';
+import {
+	forwardableHeaders,
+	lastEventIdHeader,
+	type WireHeaders,
+} from './wire-headers.ts';
+
+/**
+What requests are read with.
+*/
+export type ReadContext = {
+	readonly names: WireHeaders;
+	readonly routes: RouteTable | undefined;
+	/**
+	Whether the routes were confirmed lately, so that a path without a route has none.
+	*/
+	readonly areRoutesFresh: boolean;
+	readonly now: number;
+};
+
+/**
+Reads the request of a caller.
+*/
+export const readExchange = (
+	request: ReadRequest,
+	context: ReadContext,
+): Result<Exchange, GatewayError> => {
+	const {names, routes} = context;
+	const requestId = request.header(names.requestId);
+	if (requestId === undefined || requestId === '') {
+		return refuse(
+			'bad-request',
+			`The request has no id; send one in ${names.requestId}`,
+		);
+	}
+
+	if (!routes) {
+		return refuse('not-ready', 'This node has no routes yet; try another one');
+	}
+
+	const route = routes.match(request.host, request.target);
+	if (!route) {
+		return context.areRoutesFresh
+			? refuse('unknown-path', 'No route has this host and path')
+			: refuse(
+					'not-ready',
+					'This node cannot tell whether the route exists; try another one',
+				);
+	}
+
+	const statedMs = Number(request.header(names.remainingMs) ?? route.timeoutMs);
+	const remainingMs =
+		Number.isFinite(statedMs) && statedMs > 0 ? statedMs : route.timeoutMs;
+	return Result.ok({
+		...common(request, names),
+		requestId,
+		route,
+		service: pickService(route, requestId),
+		receivedAt: context.now,
+		expiresAt: context.now + Math.min(route.timeoutMs, remainingMs),
+		callerDeadline: context.now + remainingMs,
+		hop: undefined,
+	});
+};
+
+/**
+Reads a request that another node forwards. Its route is that of the node whose routes are newer.
+*/
+export const readForwarded = (
+	request: ReadRequest,
+	context: ReadContext,
+): Result<Exchange, GatewayError> => {
+	const {names, routes} = context;
+	const call = decodeHopCall(request.header);
+	const requestId = request.header(names.requestId);
+	if (!call || requestId === undefined) {
+		return refuse('bad-request', 'This address is for nodes only');
+	}
+
+	if (!routes) {
+		return refuse('not-ready', 'This node has no routes yet');
+	}
+
+	const route = routes.match(request.host, request.target);
+	if (!route) {
+		return refuse('no-candidate', 'This node has no route for the request');
+	}
+
+	const isOwnNewer = routes.document.version > call.version;
+	return Result.ok({
+		...common(request, names),
+		requestId,
+		route,
+		service: isOwnNewer ? pickService(route, requestId) : call.service,
+		receivedAt: context.now,
+		...forwardedTimes(call, context.now),
+		hop: {origin: call.origin, excluded: call.excluded},
+	});
+};
+
+const forwardedTimes = ({remainingMs}: HopCall, now: number) => ({
+	expiresAt: now + remainingMs,
+	callerDeadline: now + remainingMs,
+});
+
+const common = (request: ReadRequest, names: WireHeaders) => ({
+	method: request.method,
+	target: request.target,
+	headers: forwardableHeaders(request.rawHeaders, leftOut(names)),
+	body: request.body,
+	prompt: readPrompt(request, names),
+	lastEventId: request.header(lastEventIdHeader),
+});
+
+const leftOutOf = new WeakMap<WireHeaders, ReadonlySet<string>>();
+
+// What only this system sets, and what it sets anew for the next hop.
+const leftOut = (names: WireHeaders): ReadonlySet<string> => {
+	const known = leftOutOf.get(names);
+	if (known) {
+		return known;
+	}
+
+	const left = new Set([
+		...names.reserved,
+		...hopHeaderNames,
+		names.remainingMs,
+		names.expectedServer,
+		lastEventIdHeader,
+	]);
+	leftOutOf.set(names, left);
+	return left;
+};
+
+const readPrompt = (
+	request: ReadRequest,
+	names: WireHeaders,
+): Prompt | undefined => {
+	const usage = request.header(names.tokenUsage);
+	if (usage === undefined) {
+		return undefined;
+	}
+
+	const [tokensIn = 0, tokensOut = 0] = usage.split(',').map(Number);
+	return {
+		parts: parsePromptParts(request.header(names.promptParts) ?? ''),
+		tokensIn: Number.isFinite(tokensIn) ? tokensIn : 0,
+		tokensOut: Number.isFinite(tokensOut) ? tokensOut : 0,
+	};
+};
+
+const refuse = (
+	...[kind, message]: [Parameters<typeof createGatewayError>[0], string]
+): Result<Exchange, GatewayError> =>
+	Result.err(createGatewayError(kind, message));
--- /dev/null
+++ b/src/gateway/server-probes.ts
@@ -0,0 +1,90 @@
+import type {BackendFleet, UpstreamClient} from '../backends/index.ts';
+import type {Logger} from '../logging/index.ts';
+import type {WireHeaders} from './wire-headers.ts';
+
+/**
+Asks backend servers for their health when there is reason to doubt it.
+*/
+export type ServerProbes = {tick(now: number): void};
+
+/**
+What probes are made with.
+*/
+export type ServerProbesOptions = {
+	readonly client: UpstreamClient;
+	readonly fleet: BackendFleet;
+	readonly headers: WireHeaders;
+	readonly clock: () => number;
+	readonly logger: Logger;
+	readonly healthPath: (service: string) => string;
+};
+
+/**
+How long a health check may take, in milliseconds. It waits for a slot like any request.
+*/
+export const probeTimeoutMs = 900;
+
+/**
+Builds the probes of one node.
+*/
+export const createServerProbes = (
+	options: ServerProbesOptions,
+): ServerProbes => {
+	const {client, fleet, headers, clock, logger} = options;
+
+	const probe = (id: string) => {
+		const server = fleet.server(id);
+		if (!server) {
+			return;
+		}
+
+		// A key of its own: connections from before the fault may be dead without a word.
+		const key = `probe ${id}`;
+		const call = client.call(
+			{
+				key,
+				address: server.address,
+				maximumConnections: 1,
+				method: 'GET',
+				target: options.healthPath(server.service),
+				headers: ['host', server.address, headers.expectedServer, id],
+				body: undefined,
+			},
+			{
+				onHead({status, header}) {
+					const isSound = status === 200 && header(headers.serverId) === id;
+					const coldMs = Number(header(headers.coldMs) ?? 0);
+					if (isSound) {
+						logger.info({server: id, coldMs}, 'backend server healthy');
+						client.forget(`server ${id}`);
+					}
+
+					fleet.probed(id, isSound ? coldMs : undefined, clock());
+				},
+				onData: () => true,
+				onEnd() {
+					finish();
+				},
+				onFailure() {
+					finish();
+				},
+			},
+		);
+		const timer = setTimeout(() => {
+			call.abort();
+			finish();
+		}, probeTimeoutMs);
+		const finish = () => {
+			clearTimeout(timer);
+			client.forget(key);
+		};
+	};
+
+	return {
+		tick(now) {
+			for (const id of fleet.dueProbes(now)) {
+				probe(id);
+			}
+		},
+	};
+};
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -1,5 +1,6 @@
 // eslint-disable-next-line import-x/no-unassigned-import, import-x/order -- it must run before roarr is loaded
 import './enable-roarr.ts';
+import {createWriteStream} from 'node:fs';
 import process from 'node:process';
 import {logLevels, ROARR, Roarr} from 'roarr';
 
@@ -42,20 +43,70 @@
 	level === 'silent' ? silent : logLevels[level];
 
 /**
-Directs all log lines to standard error, one JSON object a line, from a level upwards.
+Where log lines go.
 */
-export const startLogging = (level: LogLevel): void => {
+export type LogOutput = 'standard-error' | 'standard-output';
+
+/**
+Bytes that wait to be written at the most; lines beyond are dropped and counted, for a reader that
+does not keep up must not hold the process up.
+*/
+export const maximumLogBacklog = 262_144;
+
+let dropped = 0;
+
+/**
+Log lines dropped since the start because their reader did not keep up.
+*/
+export const droppedLogLines = (): number => dropped;
+
+/**
+Directs all log lines to an output, one JSON object a line, from a level upwards.
+*/
+export const startLogging = (
+	level: LogLevel,
+	output: LogOutput = 'standard-error',
+): void => {
 	const lowest = threshold(level);
+	const write =
+		output === 'standard-error' ? writeAtOnce : createBoundedWriter();
 	ROARR.write = (line) => {
-		const {context} = JSON.parse(line) as {
-			readonly context: {readonly logLevel: number};
-		};
-		if (context.logLevel >= lowest) {
-			process.stderr.write(`${line}\n`);
+		if (levelOf(line) >= lowest) {
+			write(`${line}\n`);
 		}
 	};
 };
 
+const writeAtOnce = (line: string) => {
+	process.stderr.write(line);
+};
+
+const standardOutput = 1;
+
+// Writing to a pipe by way of `process.stdout` blocks while the pipe is full; a file stream on the
+// same descriptor does not.
+const createBoundedWriter = (): ((line: string) => void) => {
+	const stream = createWriteStream('', {
+		fd: standardOutput,
+		autoClose: false,
+		highWaterMark: maximumLogBacklog,
+	});
+	stream.on('error', () => undefined);
+	return (line) => {
+		if (stream.writableLength > maximumLogBacklog) {
+			dropped += 1;
+		} else {
+			stream.write(line);
+		}
+	};
+};
+
+// Reading the one number is much cheaper than parsing the whole line.
+const levelOf = (line: string): number => {
+	const match = /"logLevel":(?<level>\d+)/v.exec(line);
+	return match?.groups ? Number(match.groups.level) : silent;
+};
+
 /**
 Builds a logger for one part of the system.
 */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -179,6 +179,13 @@
 	// A word against this very process is answered with a higher revision; a word about an
 	// earlier process at this address needs no answer, for the incarnation already wins.
 	const refute = (member: Member): readonly MembershipAction[] => {
+		// Only an earlier process under this id can have a later start: the time of day went back in
+		// between. This process is the living one, so it takes a start after that.
+		if (member.incarnation > self.incarnation) {
+			self = {...self, incarnation: member.incarnation + 1};
+			return [];
+		}
+
 		const isAgainst = member.status === 'suspect' || member.status === 'dead';
 		if (
 			isAgainst &&
--- /dev/null
+++ b/src/mesh/index.ts
@@ -0,0 +1,3 @@
+export * from './mesh.ts';
+export * from './peer-listener.ts';
+export * from './peer-questions.ts';
--- /dev/null
+++ b/src/mesh/mesh.ts
@@ -0,0 +1,216 @@
+import {randomBytes} from 'node:crypto';
+import {
+	createDigestTable,
+	type DigestTable,
+	type ZoneServiceSummary,
+} from '../digests/index.ts';
+import type {Logger} from '../logging/index.ts';
+import {
+	createMembership,
+	type Member,
+	type MembershipParameters,
+} from '../membership/index.ts';
+import {createMembershipController} from '../node/membership-controller.ts';
+import {createHeartbeatCodec, createSealer} from '../peers/index.ts';
+import {createRandom, rendezvousOrder, type Address} from '../shared/index.ts';
+
+/**
+What a mesh is built from.
+*/
+export type MeshOptions = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly peerAddress: Address;
+	readonly callerAddress: Address;
+	readonly regionOf: (availabilityZone: string) => string;
+	/**
+	Revision of the registry that this node has; travels with every heartbeat.
+	*/
+	readonly revision: () => number;
+	readonly onRevision: (revision: number, from: Address) => void;
+	readonly clock: () => number;
+	/**
+	Milliseconds since the epoch; may jump.
+	*/
+	readonly wallClock: () => number;
+	readonly logger: Logger;
+};
+
+/**
+A node's view of the other nodes, kept by heartbeats.
+*/
+export type Mesh = {
+	start(): Promise<void>;
+	stop(): Promise<void>;
+	tick(now: number): void;
+	/**
+	Takes in what another node knows.
+	*/
+	join(members: readonly Member[]): void;
+	/**
+	Tells some nodes at once, because there is news.
+	*/
+	announce(): void;
+	leave(): void;
+	self(): Member;
+	/**
+	All nodes ever heard of but this one.
+	*/
+	others(): readonly Member[];
+	/**
+	Other nodes of a region that can be given work.
+	*/
+	usableIn(region: string): readonly Member[];
+	usable(): readonly Member[];
+	/**
+	States the load of a zone's services, if this node is the one of its zone to do so.
+	*/
+	stateLoad(
+		services: Readonly<Record<string, ZoneServiceSummary>>,
+		now: number,
+	): void;
+	/**
+	The latest load of a service in a zone.
+	*/
+	loadIn(
+		availabilityZone: string,
+		service: string,
+		now: number,
+	): ZoneServiceSummary | undefined;
+	lastHeard(): number | undefined;
+};
+
+/**
+Periods of the failure detector among these nodes. They are shorter than the defaults: a directory
+may name a dead node for some seconds only.
+*/
+export const meshParameters: MembershipParameters = {
+	probeInterval: 400,
+	acknowledgeTimeout: 300,
+	suspicionTimeout: 1500,
+	indirectProbes: 2,
+	crossZoneEvery: 3,
+	forgetDeadAfter: 7_200_000,
+	maximumUpdates: 6,
+};
+
+/**
+Loads older than this are not used, in milliseconds.
+*/
+export const loadRetentionMs = 5000;
+
+const seedRange = 2 ** 31;
+
+// The platform gives nodes no shared secret; the seal guards against stray datagrams only.
+const sealKey = 'quillford-mesh';
+
+/**
+Builds a mesh; nothing is sent before `start`.
+*/
+export const createMesh = (options: MeshOptions): Mesh => {
+	const {clock} = options;
+	const random = createRandom(randomBytes(4).readUInt32LE() % seedRange);
+	const codec = createHeartbeatCodec(createSealer(sealKey));
+	const membership = createMembership({
+		self: {
+			id: options.id,
+			availabilityZone: options.availabilityZone,
+			peerAddress: options.peerAddress,
+			callerAddress: options.callerAddress,
+			incarnation: options.wallClock(),
+			revision: 0,
+			status: 'alive',
+		},
+		random,
+		parameters: meshParameters,
+	});
+	const digests: DigestTable = createDigestTable({
+		node: options.id,
+		availabilityZone: options.availabilityZone,
+		incarnation: () => membership.self().incarnation,
+		sizeOf: codec.sizeOf,
+		retention: {'zone-summary': loadRetentionMs},
+	});
+	const controller = createMembershipController(
+		{
+			membership,
+			digests,
+			clock,
+			logger: options.logger,
+			settings: {peerAddress: options.peerAddress},
+			configuration: {
+				stamp: () => ({version: options.revision(), digest: ''}),
+			},
+		},
+		codec,
+		(address) => address,
+		{
+			onDigests: () => undefined,
+			onStamp({version}, from) {
+				options.onRevision(version, from);
+			},
+			onChanged: () => undefined,
+		},
+	);
+
+	const isSpeaker = (): boolean => {
+		const self = membership.self();
+		const inZone = [self, ...membership.members()].filter(
+			({availabilityZone, status}) =>
+				status === 'alive' && availabilityZone === self.availabilityZone,
+		);
+		const [first] = rendezvousOrder(
+			self.availabilityZone,
+			inZone,
+			({id}) => id,
+		);
+		return first?.id === self.id;
+	};
+
+	const usable = () =>
+		membership.members().filter(({status}) => status === 'alive');
+
+	return {
+		async start() {
+			await controller.start?.();
+		},
+		async stop() {
+			await controller.stop?.();
+		},
+		tick(now) {
+			controller.tick?.(now);
+		},
+		join(members) {
+			controller.handle({kind: 'state', members});
+		},
+		announce() {
+			controller.handle({kind: 'announce'});
+		},
+		leave() {
+			controller.handle({kind: 'leave'});
+		},
+		self: membership.self,
+		others: membership.members,
+		usable,
+		usableIn: (region) =>
+			usable().filter(
+				({availabilityZone}) => options.regionOf(availabilityZone) === region,
+			),
+		stateLoad(services, now) {
+			if (isSpeaker()) {
+				const {availabilityZone} = options;
+				digests.put(
+					{kind: 'zone-summary', availabilityZone, services},
+					'everywhere',
+					now,
+				);
+			}
+		},
+		loadIn: (availabilityZone, service, now) =>
+			digests
+				.values('zone-summary', now)
+				.find(({value}) => value.availabilityZone === availabilityZone)?.value
+				.services[service],
+		lastHeard: membership.lastHeard,
+	};
+};
--- /dev/null
+++ b/src/mesh/peer-listener.ts
@@ -0,0 +1,124 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {pack} from 'msgpackr';
+import type {Member} from '../membership/index.ts';
+import type {RegistryAnswer} from '../registry/index.ts';
+import {splitAddress, type Address} from '../shared/index.ts';
+
+/**
+Paths of the calls between nodes.
+*/
+export const peerPaths = {
+	members: '/quillford/members',
+	registry: '/quillford/registry',
+} as const;
+
+/**
+Answers other nodes.
+*/
+export type PeerListener = {close(): Promise<void>};
+
+/**
+What a listener for other nodes is built from.
+*/
+export type PeerListenerOptions = {
+	/**
+	Where it listens; seeds may name another address than the one between nodes.
+	*/
+	readonly addresses: readonly Address[];
+	readonly members: () => readonly Member[];
+	readonly registryAfter: (revision: number) => RegistryAnswer;
+	/**
+	Takes any other request: those that nodes forward.
+	*/
+	readonly onForwarded: (
+		request: IncomingMessage,
+		response: ServerResponse,
+	) => void;
+};
+
+const notFound = 404;
+
+/**
+Starts listening at all addresses.
+*/
+export const startPeerListener = async (
+	options: PeerListenerOptions,
+): Promise<PeerListener> => {
+	const answer = (request: IncomingMessage, response: ServerResponse) => {
+		const target = request.url ?? '';
+		if (target === peerPaths.members) {
+			sendPacked(response, options.members());
+			return;
+		}
+
+		if (target.startsWith(`${peerPaths.registry}?`)) {
+			const after = Number(
+				new URLSearchParams(target.slice(target.indexOf('?'))).get('after'),
+			);
+			sendPacked(response, options.registryAfter(after));
+			return;
+		}
+
+		if (target.startsWith('/quillford/')) {
+			response.writeHead(notFound).end();
+			return;
+		}
+
+		options.onForwarded(request, response);
+	};
+
+	const servers = await Promise.all(
+		options.addresses.map(async (address) => listen(address, answer)),
+	);
+	return {
+		async close() {
+			await Promise.all(servers.map(async (server) => closeServer(server)));
+		},
+	};
+};
+
+/**
+Starts an HTTP server at an address.
+*/
+export const listen = async (
+	address: Address,
+	answer: (request: IncomingMessage, response: ServerResponse) => void,
+): Promise<Server> => {
+	const server = createServer(
+		{keepAliveTimeout: idleMs, noDelay: true},
+		answer,
+	);
+	const {host, port} = splitAddress(address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, backlog, resolve);
+	});
+	return server;
+};
+
+/**
+Closes a server and its connections.
+*/
+export const closeServer = async (server: Server): Promise<void> =>
+	new Promise((resolve) => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeAllConnections();
+	});
+
+// How long connections between nodes rest, in milliseconds.
+const idleMs = 10_000;
+// New connections that may wait to be taken; a full queue costs a caller seconds.
+const backlog = 1024;
+
+const sendPacked = (response: ServerResponse, value: unknown) => {
+	const body = Buffer.from(pack(value));
+	response.writeHead(200, {'content-length': body.length}).end(body);
+};
--- a/src/node/create-node.ts
+++ b/src/node/create-node.ts
@@ -115,7 +115,7 @@
 	const digests = createDigestTable({
 		node: settings.nodeId,
 		availabilityZone: settings.availabilityZone,
-		incarnation,
+		incarnation: () => membership.self().incarnation,
 		sizeOf: codec.sizeOf,
 	});
 	const fleet = createFleet();
--- a/src/node/membership-controller.ts
+++ b/src/node/membership-controller.ts
@@ -16,6 +16,17 @@
 import type {ConfigurationStamp} from '../configuration/index.ts';
 import type {NodeContext} from './node-context.ts';
 
+/**
+The parts of a node that heartbeats need.
+*/
+export type HeartbeatContext = Pick<
+	NodeContext,
+	'membership' | 'digests' | 'clock' | 'logger'
+> & {
+	readonly settings: Pick<NodeContext['settings'], 'peerAddress'>;
+	readonly configuration: Pick<NodeContext['configuration'], 'stamp'>;
+};
+
 /**
 Carries heartbeats, and soft state with them.
 */
@@ -45,7 +56,7 @@
 Builds the controller.
 */
 export const createMembershipController = (
-	context: NodeContext,
+	context: HeartbeatContext,
 	codec: HeartbeatCodec,
 	translate: (address: Address) => Address,
 	listeners: MembershipListeners,
--- /dev/null
+++ b/src/registry/registry-entry.ts
@@ -0,0 +1,85 @@
+import type {RouteDocument} from '../routes/index.ts';
+import type {Address} from '../shared/index.ts';
+
+/**
+A backend server as it registers itself.
+*/
+export type RegisteredServer = {
+	/**
+	Names one start of the server; a restart has another id.
+	*/
+	readonly id: string;
+	readonly service: string;
+	readonly address: Address;
+	readonly availabilityZone: string;
+	readonly slots: number;
+	readonly isLeaving: boolean;
+	/**
+	How much longer it is cold, in milliseconds from when the entry was read.
+	*/
+	readonly coldMs: number;
+};
+
+/**
+What one key of the registry holds.
+*/
+export type RegistryValue =
+	| {readonly kind: 'server'; readonly server: RegisteredServer}
+	| {readonly kind: 'routes'; readonly document: RouteDocument}
+	/**
+	No request may go to the backend servers of the zone.
+	*/
+	| {readonly kind: 'evacuation'; readonly availabilityZone: string};
+
+/**
+One key at one revision; without a value it was removed.
+*/
+export type RegistryItem = {
+	readonly key: string;
+	readonly revision: number;
+	readonly value: RegistryValue | undefined;
+	/**
+	Of a removal: the registry had been away shortly before, so the entry may only have lapsed.
+	Told by the node that read the removal, for others cannot know.
+	*/
+	readonly mayHaveLapsed?: boolean;
+};
+
+/**
+The whole registry at a revision.
+*/
+export type RegistrySnapshot = {
+	readonly revision: number;
+	readonly items: readonly RegistryItem[];
+};
+
+/**
+What a registry answers to the question for changes.
+*/
+export type RegistryAnswer =
+	| {
+			readonly kind: 'changes';
+			readonly revision: number;
+			readonly items: readonly RegistryItem[];
+	  }
+	| ({readonly kind: 'snapshot'} & RegistrySnapshot)
+	/**
+	The history before the revision is gone; a snapshot is needed.
+	*/
+	| {readonly kind: 'history-lost'}
+	| {readonly kind: 'unavailable'; readonly reason: string};
+
+/**
+Where the registry is read: the outside store, or another node.
+*/
+export type RegistrySource = {
+	/**
+	Everything, or why it cannot be had.
+	*/
+	snapshot(): Promise<RegistryAnswer>;
+	/**
+	What came after a revision; held up to `waitMs` milliseconds while there is nothing.
+	*/
+	changes(after: number, waitMs: number): Promise<RegistryAnswer>;
+	close(): Promise<void>;
+};
--- /dev/null
+++ b/src/registry/registry-follower.ts
@@ -0,0 +1,204 @@
+import type {Logger} from '../logging/index.ts';
+import type {Address} from '../shared/index.ts';
+import type {RegistryAnswer, RegistrySource} from './registry-entry.ts';
+import type {
+	AnswerOrigin,
+	MirrorChange,
+	RegistryMirror,
+} from './registry-mirror.ts';
+
+/**
+Keeps a node's copy of the registry up to date, from the registry itself and from other nodes.
+*/
+export type RegistryFollower = {
+	start(): void;
+	stop(): Promise<void>;
+	/**
+	Says which revision another node has; a node that is behind asks it.
+	*/
+	heard(revision: number, from: Address): void;
+	tick(now: number): void;
+	/**
+	When the copy was last confirmed by the registry, or by a node that had it confirmed.
+	*/
+	confirmedAt(): number | undefined;
+};
+
+/**
+What a follower is built from.
+*/
+export type RegistryFollowerOptions = {
+	readonly mirror: RegistryMirror;
+	readonly registry: RegistrySource;
+	/**
+	Asks another node for what came after a revision.
+	*/
+	readonly askPeer: (peer: Address, after: number) => Promise<RegistryAnswer>;
+	/**
+	Another node to ask while the registry does not answer.
+	*/
+	readonly pickPeer: () => Address | undefined;
+	readonly clock: () => number;
+	readonly logger: Logger;
+	readonly onChanges: (changes: readonly MirrorChange[]) => void;
+};
+
+/**
+How long a question for changes is held, in milliseconds. A registry that falls silent is noticed
+that much later at the worst, well within the three seconds for a leaving backend server.
+*/
+export const watchWaitMs = 1500;
+
+/**
+Pause between two answers, in milliseconds, so that a burst of changes costs one call.
+*/
+export const watchPauseMs = 250;
+
+/**
+Pause after a refusal or a failure, in milliseconds.
+*/
+export const retryPauseMs = 400;
+
+/**
+How long a node that hears of a later revision waits for its own watch, in milliseconds.
+*/
+export const behindPatienceMs = 120;
+
+/**
+Builds a follower; nothing is asked before `start`.
+*/
+export const createRegistryFollower = (
+	options: RegistryFollowerOptions,
+): RegistryFollower => {
+	const {mirror, registry, clock, logger} = options;
+	let isRunning = false;
+	let needsSnapshot = true;
+	let isInTouch: boolean | undefined;
+	let confirmedAt: number | undefined;
+	let isAskingPeer = false;
+	let behindTimer: NodeJS.Timeout | undefined;
+
+	const take = (answer: RegistryAnswer, origin: AnswerOrigin): boolean => {
+		switch (answer.kind) {
+			case 'changes':
+			case 'snapshot': {
+				const changes = mirror.apply(answer, clock(), origin);
+				if (changes.length > 0) {
+					options.onChanges(changes);
+				}
+
+				return true;
+			}
+
+			case 'history-lost': {
+				logger.warn(
+					{revision: mirror.revision(), origin},
+					'registry history is gone; reading everything anew',
+				);
+				needsSnapshot = true;
+				return true;
+			}
+
+			case 'unavailable': {
+				return false;
+			}
+		}
+	};
+
+	const noteContact = (isNow: boolean, reason: string) => {
+		if (isInTouch === isNow) {
+			return;
+		}
+
+		isInTouch = isNow;
+		const facts = {revision: mirror.revision(), reason};
+		if (isNow) {
+			logger.info(facts, 'registry answers');
+		} else {
+			logger.warn(facts, 'registry does not answer; asking other nodes');
+		}
+	};
+
+	const askPeer = async (peer: Address) => {
+		if (isAskingPeer) {
+			return;
+		}
+
+		isAskingPeer = true;
+		const answer = await options.askPeer(peer, mirror.revision());
+		isAskingPeer = false;
+		if (isRunning && take(answer, 'peer')) {
+			needsSnapshot &&= mirror.revision() === 0;
+		}
+	};
+
+	const askRegistry = async (): Promise<number> => {
+		const isFull = needsSnapshot || mirror.revision() === 0;
+		const askedAt = clock();
+		const answer = isFull
+			? await registry.snapshot()
+			: await registry.changes(mirror.revision(), watchWaitMs);
+		if (!isRunning) {
+			return 0;
+		}
+
+		if (take(answer, 'registry')) {
+			needsSnapshot = answer.kind === 'history-lost';
+			confirmedAt = askedAt;
+			noteContact(true, answer.kind);
+			return watchPauseMs;
+		}
+
+		mirror.sourceFailed(clock());
+		noteContact(
+			false,
+			answer.kind === 'unavailable' ? answer.reason : answer.kind,
+		);
+		const peer = options.pickPeer();
+		if (peer !== undefined) {
+			await askPeer(peer);
+		}
+
+		return retryPauseMs;
+	};
+
+	const run = async () => {
+		while (isRunning) {
+			const pauseMs = await askRegistry();
+			await new Promise((resolve) => {
+				setTimeout(resolve, pauseMs);
+			});
+		}
+	};
+
+	return {
+		start() {
+			isRunning = true;
+			void run();
+		},
+		async stop() {
+			isRunning = false;
+			clearTimeout(behindTimer);
+			await registry.close();
+		},
+		heard(revision, from) {
+			if (revision <= mirror.revision() || behindTimer !== undefined) {
+				return;
+			}
+
+			behindTimer = setTimeout(() => {
+				behindTimer = undefined;
+				if (isRunning && revision > mirror.revision()) {
+					void askPeer(from);
+				}
+			}, behindPatienceMs);
+		},
+		tick(now) {
+			const changes = mirror.expire(now);
+			if (changes.length > 0) {
+				options.onChanges(changes);
+			}
+		},
+		confirmedAt: () => confirmedAt,
+	};
+};
--- /dev/null
+++ b/src/registry/registry-mirror.ts
@@ -0,0 +1,314 @@
+import {createRouteTable, type RouteTable} from '../routes/index.ts';
+import type {
+	RegisteredServer,
+	RegistryAnswer,
+	RegistryItem,
+	RegistrySnapshot,
+} from './registry-entry.ts';
+
+/**
+A backend server as this node knows it.
+*/
+export type KnownServer = {
+	readonly server: RegisteredServer;
+	/**
+	When it was first seen cold, plus how long it stays so, on this node's clock.
+	*/
+	readonly coldUntil: number;
+};
+
+/**
+What changed by taking in an answer.
+*/
+export type MirrorChange =
+	| {readonly kind: 'routes'; readonly version: number}
+	| {
+			readonly kind: 'server';
+			readonly id: string;
+			readonly isUsable: boolean;
+	  }
+	| {
+			readonly kind: 'evacuation';
+			readonly availabilityZone: string;
+			readonly isActive: boolean;
+	  };
+
+/**
+Who gave an answer.
+*/
+export type AnswerOrigin = 'registry' | 'peer';
+
+/**
+A node's copy of the registry.
+*/
+export type RegistryMirror = {
+	/**
+	Takes in what a source answered; what is older than what is known changes nothing.
+	*/
+	apply(
+		answer: Extract<RegistryAnswer, {kind: 'changes' | 'snapshot'}>,
+		now: number,
+		origin: AnswerOrigin,
+	): readonly MirrorChange[];
+	/**
+	Ends the grace of lapsed entries; called at each tick.
+	*/
+	expire(now: number): readonly MirrorChange[];
+	/**
+	States that the source failed, so that entries missing afterwards may have lapsed meanwhile.
+	*/
+	sourceFailed(now: number): void;
+	revision(): number;
+	routes(): RouteTable | undefined;
+	servers(): ReadonlyMap<string, KnownServer>;
+	isEvacuated(availabilityZone: string): boolean;
+	evacuatedZones(): readonly string[];
+	/**
+	For another node: the changes after a revision, or everything where they are not kept.
+	*/
+	answerFor(after: number, now: number): RegistryAnswer;
+	snapshot(now: number): RegistrySnapshot;
+};
+
+/**
+How long a backend server stays in use when its entry went missing while the registry was away, in
+milliseconds. Its entry is back about two seconds after the registry is, if it lives.
+*/
+export const lapseGraceMs = 2200;
+
+/**
+For how long after a failure of the registry a missing entry may be a lapsed one, in milliseconds.
+*/
+export const lapseWindowMs = 3000;
+
+/**
+Changes kept for other nodes that are a little behind.
+*/
+export const keptChanges = 400;
+
+/**
+Builds an empty copy.
+*/
+export const createRegistryMirror = (): RegistryMirror => {
+	const rows = new Map<string, RegistryItem>();
+	const removedAt = new Map<string, number>();
+	const known = new Map<string, KnownServer>();
+	const lapsed = new Map<string, number>();
+	const evacuated = new Set<string>();
+	let history: readonly RegistryItem[] = [];
+	let historyFrom = 0;
+	let revision = 0;
+	let table: RouteTable | undefined;
+	let failedAt = Number.NEGATIVE_INFINITY;
+
+	const hasFailedLately = (now: number) => now - failedAt <= lapseWindowMs;
+
+	const takeItem = (
+		read: RegistryItem,
+		now: number,
+		origin: AnswerOrigin,
+	): readonly MirrorChange[] => {
+		const item =
+			origin === 'registry' && read.value === undefined
+				? {...read, mayHaveLapsed: hasFailedLately(now)}
+				: read;
+		const current = rows.get(item.key);
+		const floor = Math.max(
+			current?.revision ?? 0,
+			removedAt.get(item.key) ?? 0,
+		);
+		if (item.revision <= floor) {
+			return [];
+		}
+
+		history = [...history, item].slice(-keptChanges);
+		if (history.length === keptChanges) {
+			historyFrom = Math.max(historyFrom, history[0]!.revision);
+		}
+
+		if (item.value === undefined) {
+			rows.delete(item.key);
+			removedAt.set(item.key, item.revision);
+			return current ? removed(current, item.mayHaveLapsed ?? false, now) : [];
+		}
+
+		rows.set(item.key, item);
+		return changed(item, now);
+	};
+
+	const changed = (
+		{value}: RegistryItem,
+		now: number,
+	): readonly MirrorChange[] => {
+		switch (value?.kind) {
+			case 'server': {
+				return takeServer(value.server, now);
+			}
+
+			case 'routes': {
+				// A version never goes back within one life of the process.
+				if (table && value.document.version <= table.document.version) {
+					return [];
+				}
+
+				table = createRouteTable(value.document);
+				return [{kind: 'routes', version: value.document.version}];
+			}
+
+			case 'evacuation': {
+				const {availabilityZone} = value;
+				evacuated.add(availabilityZone);
+				return [{kind: 'evacuation', availabilityZone, isActive: true}];
+			}
+
+			case undefined: {
+				return [];
+			}
+		}
+	};
+
+	const takeServer = (
+		server: RegisteredServer,
+		now: number,
+	): readonly MirrorChange[] => {
+		const before = known.get(server.id);
+		lapsed.delete(server.id);
+		known.set(server.id, {
+			server,
+			coldUntil: Math.max(before?.coldUntil ?? 0, now + server.coldMs),
+		});
+		return [{kind: 'server', id: server.id, isUsable: !server.isLeaving}];
+	};
+
+	const removed = (
+		{value}: RegistryItem,
+		mayHaveLapsed: boolean,
+		now: number,
+	): readonly MirrorChange[] => {
+		switch (value?.kind) {
+			case 'server': {
+				return removeServer(value.server, mayHaveLapsed, now);
+			}
+
+			case 'evacuation': {
+				const {availabilityZone} = value;
+				evacuated.delete(availabilityZone);
+				return [{kind: 'evacuation', availabilityZone, isActive: false}];
+			}
+
+			case 'routes':
+			case undefined: {
+				return [];
+			}
+		}
+	};
+
+	const removeServer = (
+		{id, isLeaving}: RegisteredServer,
+		mayHaveLapsed: boolean,
+		now: number,
+	): readonly MirrorChange[] => {
+		if (mayHaveLapsed && !isLeaving) {
+			lapsed.set(id, now + lapseGraceMs);
+			return [];
+		}
+
+		known.delete(id);
+		return [{kind: 'server', id, isUsable: false}];
+	};
+
+	// What a snapshot does not name has been removed at the latest by its revision.
+	const removeMissing = (
+		snapshot: RegistrySnapshot,
+		now: number,
+	): readonly MirrorChange[] => {
+		const named = new Set(snapshot.items.map(({key}) => key));
+		return [...rows.values()]
+			.filter((row) => !named.has(row.key) && row.revision <= snapshot.revision)
+			.flatMap(({key}) =>
+				takeItem(
+					{
+						key,
+						revision: snapshot.revision,
+						value: undefined,
+						mayHaveLapsed: hasFailedLately(now),
+					},
+					now,
+					'peer',
+				),
+			);
+	};
+
+	const isAhead = (row: RegistryItem, after: number) => row.revision > after;
+
+	// The remaining cold time shrinks while the entry is kept.
+	const outgoing = (item: RegistryItem, now: number): RegistryItem => {
+		if (item.value?.kind !== 'server') {
+			return item;
+		}
+
+		const {server} = item.value;
+		const coldUntil = known.get(server.id)?.coldUntil ?? 0;
+		return {
+			...item,
+			value: {
+				kind: 'server',
+				server: {...server, coldMs: Math.max(0, coldUntil - now)},
+			},
+		};
+	};
+
+	const snapshot = (now: number): RegistrySnapshot => ({
+		revision,
+		items: [...rows.values()].map((item) => outgoing(item, now)),
+	});
+
+	return {
+		apply(answer, now, origin) {
+			if (answer.kind === 'snapshot' && answer.revision < revision) {
+				return [];
+			}
+
+			const changes = answer.items.flatMap((item) =>
+				takeItem(item, now, origin),
+			);
+			if (answer.kind === 'snapshot') {
+				changes.push(...removeMissing(answer, now));
+				// Changes between the last known revision and the snapshot were never seen one by one.
+				historyFrom = Math.max(historyFrom, answer.revision);
+			}
+
+			revision = Math.max(revision, answer.revision);
+			return changes;
+		},
+		expire(now) {
+			return [...lapsed]
+				.filter(([, until]) => until <= now)
+				.map(([id]) => {
+					lapsed.delete(id);
+					known.delete(id);
+					return {kind: 'server', id, isUsable: false} as const;
+				});
+		},
+		sourceFailed(now) {
+			failedAt = now;
+		},
+		revision: () => revision,
+		routes: () => table,
+		servers: () => known,
+		isEvacuated: (availabilityZone) => evacuated.has(availabilityZone),
+		evacuatedZones: () => [...evacuated],
+		answerFor(after, now) {
+			return after >= historyFrom && after > 0
+				? {
+						kind: 'changes',
+						revision,
+						items: history
+							.filter((item) => isAhead(item, after))
+							.map((item) => outgoing(item, now)),
+					}
+				: {kind: 'snapshot', ...snapshot(now)};
+		},
+		snapshot,
+	};
+};
--- a/src/retries/index.ts
+++ b/src/retries/index.ts
@@ -1,2 +1,3 @@
 export * from './retry-budget.ts';
 export * from './decide-retry.ts';
+export * from './window-retry-budget.ts';
--- /dev/null
+++ b/src/routes/index.ts
@@ -0,0 +1,3 @@
+export * from './route.ts';
+export * from './route-table.ts';
+export * from './prompt-prefix.ts';
--- /dev/null
+++ b/src/routes/route-table.ts
@@ -0,0 +1,94 @@
+import {keyedWeight} from '../shared/index.ts';
+import type {Route, RouteDocument, Service} from './route.ts';
+
+/**
+Routes ready for lookup.
+*/
+export type RouteTable = {
+	readonly document: RouteDocument;
+	/**
+	Finds the route with the longest prefix of the path among those of the host.
+	*/
+	match(host: string, path: string): Route | undefined;
+	service(name: string): Service | undefined;
+};
+
+/**
+Builds the table of a document.
+*/
+export const createRouteTable = (document: RouteDocument): RouteTable => {
+	const byHost = new Map<string, Map<string, Route>>();
+	for (const route of document.routes) {
+		const routes = byHost.get(route.host) ?? new Map<string, Route>();
+		routes.set(route.pathPrefix, route);
+		byHost.set(route.host, routes);
+	}
+
+	const services = new Map(
+		document.services.map((service) => [service.name, service]),
+	);
+
+	return {
+		document,
+		match(host, path) {
+			const routes = byHost.get(hostName(host));
+			return routes && longestPrefix(routes, pathOnly(path));
+		},
+		service: (name) => services.get(name),
+	};
+};
+
+/**
+Picks the service of a request; the same request always gets the same one.
+*/
+export const pickService = (route: Route, requestId: string): string => {
+	const {services} = route;
+	if (services.length === 1) {
+		return services[0]!.service;
+	}
+
+	const total = services.reduce((sum, {weight}) => sum + weight, 0);
+	const draw =
+		(keyedWeight(requestId)(route.name) / hashRange) * Math.max(total, 1);
+	let reached = 0;
+	for (const {service, weight} of services) {
+		reached += weight;
+		if (draw < reached) {
+			return service;
+		}
+	}
+
+	return services.at(-1)!.service;
+};
+
+const hashRange = 2 ** 32;
+
+// A prefix ends with a slash, so only the cuts behind slashes can be keys: the cost depends on
+// the depth of the path and not on the number of routes.
+const longestPrefix = (
+	routes: ReadonlyMap<string, Route>,
+	path: string,
+): Route | undefined => {
+	for (
+		let end = path.lastIndexOf('/');
+		end !== -1;
+		end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)
+	) {
+		const found = routes.get(path.slice(0, end + 1));
+		if (found) {
+			return found;
+		}
+	}
+
+	return undefined;
+};
+
+const hostName = (host: string): string => {
+	const colon = host.lastIndexOf(':');
+	return (colon === -1 ? host : host.slice(0, colon)).toLowerCase();
+};
+
+const pathOnly = (target: string): string => {
+	const query = target.indexOf('?');
+	return query === -1 ? target : target.slice(0, query);
+};
--- a/tests/digests/digest-table.test.ts
+++ b/tests/digests/digest-table.test.ts
@@ -4,7 +4,12 @@
 import {createDigestTable, type DigestEntry} from '../../src/digests/index.ts';
 
 const create = (node: string, availabilityZone = 'a', incarnation = 1) =>
-	createDigestTable({node, availabilityZone, incarnation, sizeOf: () => 100});
+	createDigestTable({
+		node,
+		availabilityZone,
+		incarnation: () => incarnation,
+		sizeOf: () => 100,
+	});
 
 const loads = (running: number) =>
 	({
--- a/tools/build.ts
+++ b/tools/build.ts
@@ -1,4 +1,5 @@
-// Builds dist/quillford: one executable with the runtime in it.
+// Builds FOLDER/quillford, dist/quillford where no folder is named: one executable with the runtime
+// in it.
 import {execFileSync} from 'node:child_process';
 import {
 	chmodSync,
@@ -11,13 +12,14 @@
 import process from 'node:process';
 import {bundle} from './bundle.ts';
 
-const output = 'dist/quillford';
-const script = 'dist/quillford.cjs';
-const blob = 'dist/quillford.blob';
-const seaConfiguration = 'dist/sea.json';
+const folder = process.argv[2] ?? 'dist';
+const output = `${folder}/quillford`;
+const script = `${folder}/quillford.cjs`;
+const blob = `${folder}/quillford.blob`;
+const seaConfiguration = `${folder}/sea.json`;
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-mkdirSync('dist', {recursive: true});
+mkdirSync(folder, {recursive: true});
 await bundle(script);
 writeFileSync(
 	seaConfiguration,
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -22,7 +22,7 @@
 	plugins: Plugin[] = [],
 ): Promise<void> => {
 	await build({
-		entryPoints: ['src/main.ts'],
+		entryPoints: ['main.ts'],
 		outfile: output,
 		bundle: true,
 		platform: 'node',
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 const config = [
 	{
-		ignores: ['dist/**'],
+		ignores: ['dist/**', 'target/**'],
 	},
 	{
 		prettier: true,
