--- a/src/gateway/choose-upstream.ts
+++ b/src/gateway/choose-upstream.ts
@@ -1,5 +1,11 @@
-import type {BackendFleet, Placement, ServiceLoad} from '../backends/index.ts';
+import type {
+	BackendFleet,
+	LocalChoice,
+	Placement,
+	ServiceLoad,
+} from '../backends/index.ts';
 import type {Member} from '../membership/index.ts';
+import {isRegionAllowed} from '../routes/index.ts';
 import type {Random} from '../shared/index.ts';
 import type {Exchange} from './exchange.ts';
 
@@ -37,6 +43,13 @@
 	Load and room of a service in another region, as far as known.
 	*/
 	readonly loadIn: (region: string, service: string) => ServiceLoad;
+	/**
+	The region of the backend server by which a shared prompt part is placed.
+	*/
+	readonly promptRegion: (
+		exchange: Exchange,
+		part: string,
+	) => string | undefined;
 	readonly random: Random;
 };
 
@@ -78,58 +91,76 @@
 ): UpstreamChooser => {
 	const {ownRegion, fleet} = options;
 
-	const isAllowed = ({route}: Exchange, region: string) =>
-		route.homeRegions.length === 0 || route.homeRegions.includes(region);
-
-	const remoteFor = (
+	const remoteIn = (
+		region: string,
 		exchange: Exchange,
 		tried: Tried,
-	):
-		| {
-				readonly region: string;
-				readonly member: Member;
-				readonly cost: number;
-		  }
-		| undefined => {
-		let best: ReturnType<typeof remoteFor>;
-		for (const region of options.regions) {
-			if (
-				region === ownRegion ||
-				!isAllowed(exchange, region) ||
-				tried.regions.has(region)
-			) {
-				continue;
-			}
+	): Remote | undefined => {
+		const isOpen =
+			region !== ownRegion &&
+			isRegionAllowed(exchange.route, region) &&
+			!tried.regions.has(region);
+		if (!isOpen) {
+			return undefined;
+		}
 
-			const {load, slots} = options.loadIn(region, exchange.service);
-			const members = options
-				.membersIn(region)
-				.filter(({id}) => !tried.members.has(id));
-			if (slots === 0 || members.length === 0) {
-				continue;
-			}
+		const {load, slots} = options.loadIn(region, exchange.service);
+		const members = options
+			.membersIn(region)
+			.filter(({id}) => !tried.members.has(id));
+		return slots === 0 || members.length === 0
+			? undefined
+			: {
+					region,
+					member: members[options.random.below(members.length)]!,
+					cost: load / slots,
+				};
+	};
 
-			const cost = load / slots;
-			if (!best || cost < best.cost) {
-				const member = members[options.random.below(members.length)]!;
-				best = {region, member, cost};
+	const leastLoaded = (
+		exchange: Exchange,
+		tried: Tried,
+	): Remote | undefined => {
+		let best: Remote | undefined;
+		for (const region of options.regions) {
+			const remote = remoteIn(region, exchange, tried);
+			if (remote && (!best || remote.cost < best.cost)) {
+				best = remote;
 			}
 		}
 
 		return best;
 	};
 
+	// Reading a long prompt again costs far more than the way to where it is kept.
+	const homeOfPrompt = (
+		exchange: Exchange,
+		tried: Tried,
+		{sharedPart}: Placement,
+	): Remote | undefined => {
+		const region = sharedPart && options.promptRegion(exchange, sharedPart.id);
+		const remote =
+			region === undefined ? undefined : remoteIn(region, exchange, tried);
+		return remote && remote.cost < fullestRemote ? remote : undefined;
+	};
+
 	return (exchange, tried, placement, now) => {
-		const isLocalAllowed = isAllowed(exchange, ownRegion);
-		const local = isLocalAllowed
+		// A request that came from another node is never sent on: that rules out loops.
+		const home = exchange.hop
+			? undefined
+			: homeOfPrompt(exchange, tried, placement);
+		if (home) {
+			return toPeer(home);
+		}
+
+		const local: LocalChoice = isRegionAllowed(exchange.route, ownRegion)
 			? fleet.choose(placement, now)
-			: ({kind: 'none'} as const);
+			: {kind: 'none'};
 		if (local.kind === 'server' && local.cost <= comfortableCost) {
 			return local;
 		}
 
-		// A request that came from another node is never sent on: that rules out loops.
-		const remote = exchange.hop ? undefined : remoteFor(exchange, tried);
+		const remote = exchange.hop ? undefined : leastLoaded(exchange, tried);
 		if (!remote) {
 			return local;
 		}
@@ -138,8 +169,21 @@
 			local.kind === 'none' ||
 			(remote.cost < fullestRemote &&
 				(local.kind === 'full' || remote.cost + distanceCost < local.cost));
-		return isRemoteBetter
-			? {kind: 'peer', member: remote.member, region: remote.region}
-			: local;
+		return isRemoteBetter ? toPeer(remote) : local;
 	};
 };
+
+type Remote = {
+	readonly region: string;
+	readonly member: Member;
+	/**
+	Its load by its room.
+	*/
+	readonly cost: number;
+};
+
+const toPeer = ({member, region}: Remote): UpstreamChoice => ({
+	kind: 'peer',
+	member,
+	region,
+});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,7 +18,7 @@
 	type RegistrySource,
 } from '../registry/index.ts';
 import {createWindowRetryBudget} from '../retries/index.ts';
-import type {CallerLimits} from '../routes/index.ts';
+import {isRegionAllowed, type CallerLimits} from '../routes/index.ts';
 import {createRandom, type Address} from '../shared/index.ts';
 import {createUpstreamChooser} from './choose-upstream.ts';
 import {createDeliveries} from './delivery.ts';
@@ -39,6 +39,8 @@
 	type ReadContext,
 } from './read-exchange.ts';
 import {createServerProbes} from './server-probes.ts';
+import {createPlacementView} from './placement-view.ts';
+import {findPromptHome} from './prompt-home.ts';
 import type {WireHeaders} from './wire-headers.ts';
 
 /**
@@ -285,26 +287,17 @@
 				noteChange(change);
 			}
 
+			placement.refresh();
 			syncFleet();
 			distrustTakenBack(changes);
 			mesh.announce();
 		},
 	});
 
+	const placement = createPlacementView({mirror, regions, regionOf});
 	const loadIn = (region: string, service: string) => {
 		let load = 0;
-		let slots = 0;
-		for (const {server} of mirror.servers().values()) {
-			if (
-				server.service === service &&
-				!server.isLeaving &&
-				regionOf(server.availabilityZone) === region &&
-				!mirror.isEvacuated(server.availabilityZone)
-			) {
-				slots += server.slots;
-			}
-		}
-
+		const slots = placement.slotsIn(region, service);
 		for (const [zone, zoneRegion] of Object.entries(zones)) {
 			if (zoneRegion === region) {
 				load = Math.max(load, mesh.loadIn(zone, service, clock())?.load ?? 0);
@@ -323,6 +316,12 @@
 			mesh.usableIn(region).filter((each) => isReachable(each)),
 		regions,
 		loadIn,
+		promptRegion({route, service}, part) {
+			const holders = placement
+				.holders(service)
+				.filter(({region}) => isRegionAllowed(route, region));
+			return findPromptHome(part, holders, placement.weights(route))?.region;
+		},
 		random,
 	});
 	const inputs = () => ({
--- a/src/routes/route.ts
+++ b/src/routes/route.ts
@@ -147,3 +147,9 @@
 		}
 	}
 };
+
+/**
+Whether a region may serve the route.
+*/
+export const isRegionAllowed = (route: Route, region: string): boolean =>
+	route.homeRegions.length === 0 || route.homeRegions.includes(region);
