--- a/main.ts
+++ b/main.ts
@@ -1,6 +1,5 @@
 /**
 The entry of the one binary: the product's commands, and the node of the users' platform.
-@module
 */
 import process from 'node:process';
 
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -109,11 +109,12 @@
 	/**
 	Takes it that servers may have turned cold; they are asked before they get their full share.
 	*/
-	distrust(ids: readonly string[], now: number): void;
+	distrust(ids: readonly string[]): void;
 	/**
 	A connection to the server could not be had, or its silence was noticed.
 	*/
-	suspect(id: string, now: number): boolean;
+	suspect(id: string, now: number): void;
+	isSuspect(id: string): boolean;
 	loadOf(service: string): ServiceLoad;
 	ids(): readonly string[];
 };
@@ -198,7 +199,7 @@
 		failureRate: 0,
 		isSuspect: false,
 		isDistrusted: false,
-		probedAt: Number.NEGATIVE_INFINITY,
+		probedAt: -Infinity,
 		coldSentAt: [],
 		memory: createPromptMemory(
 			options.service(known.server.service)?.engine?.memoryTokens ?? 0,
@@ -281,12 +282,15 @@
 	};
 
 	const candidatesFor = (placement: Placement): readonly State[] =>
-		[...states.values()].filter(
-			({known: {server}, isSuspect}) =>
-				server.service === placement.service &&
-				!isSuspect &&
-				!placement.excluded.has(server.id),
-		);
+		states
+			.values()
+			.filter(
+				({known: {server}, isSuspect}) =>
+					server.service === placement.service &&
+					!isSuspect &&
+					!placement.excluded.has(server.id),
+			)
+			.toArray();
 
 	const choose = (placement: Placement, now: number): LocalChoice => {
 		const candidates = candidatesFor(placement);
@@ -315,10 +319,12 @@
 	};
 
 	const noteEnd = (state: State, how: BackendAttemptEnd) => {
-		if (how === 'answered' || how === 'failed') {
-			const outcome = how === 'failed' ? 1 : 0;
-			state.failureRate += (outcome - state.failureRate) * failureWeight;
+		if (!(how === 'answered' || how === 'failed')) {
+			return;
 		}
+
+		const outcome = how === 'failed' ? 1 : 0;
+		state.failureRate += (outcome - state.failureRate) * failureWeight;
 	};
 
 	const begin = (
@@ -386,15 +392,14 @@
 		return now - Math.max(oldest, state.lastHeardAt) > silenceMs;
 	};
 
-	const suspect = (id: string, now: number): boolean => {
+	const suspect = (id: string, now: number) => {
 		const state = states.get(id);
-		if (!state || state.isSuspect) {
-			return false;
+		if (!state) {
+			return;
 		}
 
 		state.isSuspect = true;
 		state.probedAt = now;
-		return true;
 	};
 
 	return {
@@ -418,10 +423,14 @@
 		begin,
 		server: (id) => states.get(id)?.known.server,
 		tick(now) {
-			return [...states]
+			const silent = [...states]
 				.filter(([, state]) => !state.isSuspect && isSilent(state, now))
-				.map(([id]) => id)
-				.filter((id) => suspect(id, now));
+				.map(([id]) => id);
+			for (const id of silent) {
+				suspect(id, now);
+			}
+
+			return silent;
 		},
 		dueProbes(now) {
 			const due = [...states].filter(
@@ -458,19 +467,22 @@
 			}
 		},
 		suspect,
+		isSuspect: (id) => states.get(id)?.isSuspect ?? false,
 		loadOf(service) {
 			let load = 0;
 			let slots = 0;
 			for (const state of states.values()) {
 				const {server} = state.known;
-				if (server.service === service && !state.isSuspect) {
-					load += state.inFlight * options.nodesServing();
-					slots += server.slots;
+				if (server.service !== service || state.isSuspect) {
+					continue;
 				}
+
+				load += state.inFlight * options.nodesServing();
+				slots += server.slots;
 			}
 
 			return {load, slots};
 		},
-		ids: () => [...states.keys()],
+		ids: () => states.keys().toArray(),
 	};
 };
--- a/src/backends/prompt-memory.ts
+++ b/src/backends/prompt-memory.ts
@@ -31,8 +31,12 @@
 			drop(id);
 			parts.set(id, tokens);
 			kept += tokens;
-			while (kept > engineTokens * keptPart && parts.size > 0) {
-				drop(parts.keys().next().value!);
+			for (const [oldest] of parts) {
+				if (kept <= engineTokens * keptPart) {
+					return;
+				}
+
+				drop(oldest);
 			}
 		},
 	};
--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -158,7 +158,7 @@
 			try {
 				poolFor(call).dispatch(
 					{
-						method: call.method as Dispatcher.HttpMethod,
+						method: call.method,
 						path: call.target,
 						headers: call.headers as string[],
 						body: call.body ?? null,
@@ -166,7 +166,10 @@
 					state.handler,
 				);
 			} catch (error) {
-				state.fail(error as Error);
+				// Later, so that whoever calls holds the call before it hears of its failure.
+				queueMicrotask(() => {
+					state.fail(error as Error);
+				});
 			}
 
 			return state.open;
@@ -178,7 +181,7 @@
 		},
 		connectionsOpened: () => opened,
 		async close() {
-			const all = [...pools.values()];
+			const all = pools.values().toArray();
 			pools.clear();
 			await Promise.all(all.map(async (pool) => pool.destroy()));
 		},
@@ -231,10 +234,12 @@
 			}
 		},
 		onResponseEnd() {
-			if (!isOver) {
-				isOver = true;
-				listener.onEnd();
+			if (isOver) {
+				return;
 			}
+
+			isOver = true;
+			listener.onEnd();
 		},
 		onResponseError(_controller, error) {
 			fail(error);
@@ -243,10 +248,12 @@
 
 	const open: OpenCall = {
 		abort() {
-			if (!isOver) {
-				isOver = true;
-				controller?.abort(aborted);
+			if (isOver) {
+				return;
 			}
+
+			isOver = true;
+			controller?.abort(aborted);
 		},
 		resume() {
 			if (!isOver) {
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -118,7 +118,7 @@
 export const connectionsToPeer = 256;
 
 type Current = {
-	readonly open: () => OpenCall | undefined;
+	readonly open: () => OpenCall;
 	readonly attempt: BackendAttempt | undefined;
 	readonly server: string | undefined;
 	readonly member: Member | undefined;
@@ -217,14 +217,20 @@
 	};
 
 	const leaveLine = (run: Run) => {
-		if (run.waiting) {
-			line.leave(run.waiting);
-			run.waitedMs += clock() - run.waiting.since;
-			run.waiting = undefined;
+		if (!run.waiting) {
+			return;
 		}
+
+		line.leave(run.waiting);
+		run.waitedMs += clock() - run.waiting.since;
+		run.waiting = undefined;
 	};
 
-	const endCurrent = (run: Run, how: BackendAttemptEnd, mustAbort: boolean) => {
+	const endCurrent = (
+		run: Run,
+		how: BackendAttemptEnd,
+		shouldAbort: boolean,
+	) => {
 		const {current} = run;
 		run.current = undefined;
 		if (!current) {
@@ -232,8 +238,8 @@
 		}
 
 		current.attempt?.end(how, clock());
-		if (mustAbort) {
-			current.open()?.abort();
+		if (shouldAbort) {
+			current.open().abort();
 		}
 
 		line.pump();
@@ -266,9 +272,9 @@
 		);
 	};
 
-	const advance = (run: Run): boolean => {
+	const advance = (run: Run): 'under-way' | 'no-room' => {
 		if (run.isOver) {
-			return true;
+			return 'under-way';
 		}
 
 		const now = clock();
@@ -282,24 +288,24 @@
 			case 'server': {
 				leaveLine(run);
 				callServer(run, choice.id);
-				return true;
+				return 'under-way';
 			}
 
 			case 'peer': {
 				leaveLine(run);
 				callPeer(run, choice.member, choice.region);
-				return true;
+				return 'under-way';
 			}
 
 			case 'full':
 			case 'none': {
-				return false;
+				return 'no-room';
 			}
 		}
 	};
 
 	const advanceOrWait = (run: Run) => {
-		if (advance(run)) {
+		if (advance(run) === 'under-way') {
 			return;
 		}
 
@@ -311,14 +317,14 @@
 			until: run.hasBegun
 				? now + route.targetLatencyMs
 				: Math.max(now, receivedAt + route.targetLatencyMs * waitingPart),
-			attempt: () => advance(run),
+			attempt: () => advance(run) === 'under-way',
 			giveUp() {
 				run.steps.push('gave-up-waiting');
 				giveUp(run, 'No backend server has room');
 			},
 		};
 		run.waiting = waiting;
-		line.join(waiting);
+		line.add(waiting);
 	};
 
 	const giveUp = (run: Run, reason: string) => {
@@ -404,10 +410,9 @@
 		},
 	) => {
 		const {exchange} = run;
-		let open: OpenCall | undefined;
 		const current: Current = {...via, open: () => open};
 		run.current = current;
-		open = options.client.call(
+		const open = options.client.call(
 			{
 				...call,
 				method: exchange.method,
@@ -442,7 +447,7 @@
 				}
 
 				if (isStream) {
-					return passEvents(run, current, chunk);
+					return isReadyForMore(run, current, chunk);
 				}
 
 				chunks.push(chunk);
@@ -459,7 +464,7 @@
 				return true;
 			},
 			onEnd() {
-				if (!isCurrent() || !head) {
+				if (!head || !isCurrent()) {
 					return;
 				}
 
@@ -483,11 +488,11 @@
 		wasSent: boolean,
 		reason: string,
 	) => {
-		if (current.member && !wasSent) {
+		if (!wasSent && current.member) {
 			options.onPeerFailure(current.member);
 		}
 
-		if (current.server !== undefined && !wasSent) {
+		if (!wasSent && current.server !== undefined) {
 			options.onServerFailure(current.server, reason);
 		}
 
@@ -582,7 +587,11 @@
 	const answerHeaders = (head: UpstreamHead) =>
 		forwardableHeaders(head.rawHeaders, hopHeaderNames);
 
-	const passEvents = (run: Run, current: Current, chunk: Buffer): boolean => {
+	const isReadyForMore = (
+		run: Run,
+		current: Current,
+		chunk: Buffer,
+	): boolean => {
 		current.attempt?.started(clock());
 		const passed = run.relay ? run.relay.push(chunk) : chunk;
 		if (passed === undefined) {
@@ -600,7 +609,7 @@
 		}
 
 		run.sink.onDrain(() => {
-			current.open()?.resume();
+			current.open().resume();
 		});
 		return false;
 	};
@@ -661,7 +670,7 @@
 		const isRetryable = run.hasBegun
 			? run.exchange.route.isResumable && run.isRepeatable
 			: run.isRepeatable || fault.outcome === 'not-run';
-		if (!isRetryable || !hasAttemptLeft(run) || !payForRetry(run, fault)) {
+		if (!isRetryable || !hasAttemptLeft(run) || !isRetryPaid(run, fault)) {
 			giveUp(run, fault.reason);
 			return;
 		}
@@ -669,7 +678,7 @@
 		advanceOrWait(run);
 	};
 
-	const payForRetry = ({exchange}: Run, {reachedServer}: Fault): boolean =>
+	const isRetryPaid = ({exchange}: Run, {reachedServer}: Fault): boolean =>
 		!reachedServer ||
 		options.budget.take(exchange.service, options.nodes(), clock());
 
@@ -679,8 +688,8 @@
 		}
 
 		const {current} = run;
-		const mayRun = current !== undefined;
-		if (mayRun) {
+		const isMayRun = current !== undefined;
+		if (isMayRun) {
 			run.outcome = run.outcome === 'ran' ? 'ran' : 'unknown';
 		}
 
--- a/src/gateway/event-relay.ts
+++ b/src/gateway/event-relay.ts
@@ -24,6 +24,7 @@
 };
 
 const lineFeed = 10;
+const carriageReturn = 13;
 // An event that does not end within this many bytes is no event of an engine.
 const maximumEventBytes = 1_048_576;
 
@@ -81,11 +82,9 @@
 			}
 
 			rest = bytes.subarray(start);
-			if (rest.length > maximumEventBytes) {
-				return undefined;
-			}
-
-			return passed.length === 1 ? passed[0] : Buffer.concat(passed);
+			return rest.length > maximumEventBytes
+				? undefined
+				: Buffer.concat(passed);
 		},
 		restart() {
 			rest = Buffer.alloc(0);
@@ -102,7 +101,7 @@
 		index !== -1;
 		index = bytes.indexOf(lineFeed, index + 1)
 	) {
-		const next = bytes[index + 1] === 13 ? index + 2 : index + 1;
+		const next = index + (bytes[index + 1] === carriageReturn ? 2 : 1);
 		if (bytes[next] === lineFeed) {
 			return next + 1;
 		}
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -92,8 +92,8 @@
 		// A gauge enters itself into its registry.
 		// eslint-disable-next-line no-new -- nothing else needs the object
 		new Gauge({
-			name: `quillford_${name}`,
-			help: name.replaceAll('_', ' '),
+			name: `quillford_${snakeCase(name)}`,
+			help: snakeCase(name).replaceAll('_', ' '),
 			registers: [registry],
 			collect() {
 				this.set(read());
@@ -175,10 +175,12 @@
 			}
 		},
 		tick(now) {
-			if (now - refilledAt >= secondMs) {
-				refilledAt = now;
-				linesLeft = linesPerSecond;
+			if (!(now - refilledAt >= secondMs)) {
+				return;
 			}
+
+			refilledAt = now;
+			linesLeft = linesPerSecond;
 		},
 		metrics: async () => registry.metrics(),
 	};
@@ -186,3 +188,6 @@
 
 const rounded = (milliseconds: number | undefined): number | undefined =>
 	milliseconds === undefined ? undefined : Math.round(milliseconds);
+
+const snakeCase = (name: string): string =>
+	name.replaceAll(/[A-Z]/gv, (letter) => `_${letter.toLowerCase()}`);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -258,14 +258,14 @@
 					: [],
 			),
 		);
-		if (zonesBack.size > 0) {
-			const ids = fleet
-				.ids()
-				.filter((id) =>
-					zonesBack.has(fleet.server(id)?.availabilityZone ?? ''),
-				);
-			fleet.distrust(ids, clock());
+		if (zonesBack.size === 0) {
+			return;
 		}
+
+		const ids = fleet
+			.ids()
+			.filter((id) => zonesBack.has(fleet.server(id)?.availabilityZone ?? ''));
+		fleet.distrust(ids);
 	};
 
 	const follower = createRegistryFollower({
@@ -327,9 +327,7 @@
 	const inputs = () => ({
 		routesVersion: mirror.routes()?.document.version ?? 0,
 		registryRevision: mirror.revision(),
-		registryAgeMs: Math.round(
-			clock() - (follower.confirmedAt() ?? Number.NEGATIVE_INFINITY),
-		),
+		registryAgeMs: Math.round(clock() - (follower.confirmedAt() ?? -Infinity)),
 	});
 	const deliveries = createDeliveries({
 		self: options.id,
@@ -358,9 +356,12 @@
 			unreachable.set(id, clock() + peerPauseMs);
 		},
 		onServerFailure(server, reason) {
-			if (fleet.suspect(server, clock())) {
-				logger.warn({server, reason}, 'backend server suspected');
+			if (fleet.isSuspect(server)) {
+				return;
 			}
+
+			fleet.suspect(server, clock());
+			logger.warn({server, reason}, 'backend server suspected');
 		},
 		onRecord(record) {
 			observer.record(record);
@@ -370,13 +371,13 @@
 		logger,
 		inputs,
 		gauges: {
-			requests_under_way: deliveries.count,
-			requests_waiting: deliveries.waiting,
-			registry_revision: mirror.revision,
-			routes_version: () => mirror.routes()?.document.version ?? 0,
-			nodes_usable: () => mesh.usable().length,
-			backend_servers: () => fleet.ids().length,
-			upstream_connections_opened: client.connectionsOpened,
+			requestsUnderWay: deliveries.count,
+			requestsWaiting: deliveries.waiting,
+			registryRevision: mirror.revision,
+			routesVersion: () => mirror.routes()?.document.version ?? 0,
+			nodesUsable: () => mesh.usable().length,
+			backendServers: () => fleet.ids().length,
+			upstreamConnectionsOpened: client.connectionsOpened,
 		},
 	});
 	const probes = createServerProbes({
@@ -400,8 +401,7 @@
 		names: headers,
 		routes: mirror.routes(),
 		areRoutesFresh:
-			clock() - (follower.confirmedAt() ?? Number.NEGATIVE_INFINITY) <
-			freshRoutesMs,
+			clock() - (follower.confirmedAt() ?? -Infinity) < freshRoutesMs,
 		now: clock(),
 	});
 
@@ -461,7 +461,7 @@
 			asked.map(async (seed) => {
 				const members = await questions.members(seed);
 				if (members) {
-					mesh.join(members);
+					mesh.learn(members);
 				}
 			}),
 		);
@@ -500,13 +500,15 @@
 			void joinOthers();
 		}
 
-		if (now >= nextLoadAt) {
-			nextLoadAt = now + loadIntervalMs;
-			stateLoad(now);
+		if (!(now >= nextLoadAt)) {
+			return;
 		}
+
+		nextLoadAt = now + loadIntervalMs;
+		stateLoad(now);
 	};
 
-	const idle = async (timeoutMs: number): Promise<boolean> => {
+	const isIdleWithin = async (timeoutMs: number): Promise<boolean> => {
 		const until = clock() + timeoutMs;
 		while (deliveries.count() > 0 && clock() < until) {
 			await new Promise((resolve) => {
@@ -557,7 +559,7 @@
 				setTimeout(resolve, Math.min(settleMs, timeoutMs));
 			});
 			front?.finish();
-			return idle(timeoutMs - (settled - clock()) - settleMs);
+			return isIdleWithin(timeoutMs - (settled - clock()) - settleMs);
 		},
 		async stop() {
 			clearInterval(timer);
--- a/src/gateway/hop.ts
+++ b/src/gateway/hop.ts
@@ -112,7 +112,7 @@
 				hopHeaders.outcome,
 				result.outcome,
 				hopHeaders.reason,
-				result.reason.replaceAll(/[^\x20-\x7E]/gv, ' '),
+				result.reason.replaceAll(/[^\u{20}-\u{7E}]/gv, ' '),
 			]
 		: []),
 ];
--- a/src/gateway/judge-head.ts
+++ b/src/gateway/judge-head.ts
@@ -59,7 +59,7 @@
 			return fault('ran', 'The success has no valid signature', 'failed');
 		}
 
-		return route.kind === 'streaming' ? {kind: 'stream'} : {kind: 'whole'};
+		return {kind: route.kind === 'streaming' ? 'stream' : 'whole'};
 	}
 
 	// A failure is the answer of the server, unless another one may do better.
--- a/src/gateway/read-exchange.ts
+++ b/src/gateway/read-exchange.ts
@@ -1,3 +1,4 @@
+import {Result} from 'true-myth';
 import {createGatewayError, type GatewayError} from '../errors/index.ts';
 import {
 	parsePromptParts,
@@ -5,7 +6,6 @@
 	type Prompt,
 	type RouteTable,
 } from '../routes/index.ts';
-import {Result} from 'true-myth';
 import type {Exchange} from './exchange.ts';
 import type {ReadRequest} from './front-listener.ts';
 import {decodeHopCall, hopHeaderNames, type HopCall} from './hop.ts';
--- a/src/gateway/waiting-requests.ts
+++ b/src/gateway/waiting-requests.ts
@@ -22,7 +22,7 @@
 Requests in the order of their urgency, and then of their arrival.
 */
 export type WaitingRequests = {
-	join(request: WaitingRequest): void;
+	add(request: WaitingRequest): void;
 	leave(request: WaitingRequest): void;
 	/**
 	Sends those for which there is room.
@@ -47,7 +47,7 @@
 	};
 
 	return {
-		join(request) {
+		add(request) {
 			line = [...line, request].toSorted((left, right) =>
 				left.priority === right.priority
 					? left.since - right.since
@@ -71,7 +71,8 @@
 			isPumping = false;
 		},
 		expire(now) {
-			for (const request of line.filter(({until}) => until <= now)) {
+			const expired = line.filter(({until}) => until <= now);
+			for (const request of expired) {
 				leave(request);
 				request.giveUp();
 			}
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -49,7 +49,7 @@
 	/**
 	Takes in what another node knows.
 	*/
-	join(members: readonly Member[]): void;
+	learn(members: readonly Member[]): void;
 	/**
 	Tells some nodes at once, because there is news.
 	*/
@@ -183,7 +183,7 @@
 		tick(now) {
 			controller.tick?.(now);
 		},
-		join(members) {
+		learn(members) {
 			controller.handle({kind: 'state', members});
 		},
 		announce() {
@@ -200,14 +200,16 @@
 				({availabilityZone}) => options.regionOf(availabilityZone) === region,
 			),
 		stateLoad(services, now) {
-			if (isSpeaker()) {
-				const {availabilityZone} = options;
-				digests.put(
-					{kind: 'zone-summary', availabilityZone, services},
-					'everywhere',
-					now,
-				);
+			if (!isSpeaker()) {
+				return;
 			}
+
+			const {availabilityZone} = options;
+			digests.put(
+				{kind: 'zone-summary', availabilityZone, services},
+				'everywhere',
+				now,
+			);
 		},
 		loadIn: (availabilityZone, service, now) =>
 			digests
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,3 +1,3 @@
-export * from './registry-entry.ts';
+export type * from './registry-entry.ts';
 export * from './registry-mirror.ts';
 export * from './registry-follower.ts';
--- a/src/registry/registry-entry.ts
+++ b/src/registry/registry-entry.ts
@@ -42,7 +42,7 @@
 	Of a removal: the registry had been away shortly before, so the entry may only have lapsed.
 	Told by the node that read the removal, for others cannot know.
 	*/
-	readonly mayHaveLapsed?: boolean;
+	readonly canBeLapse?: boolean;
 };
 
 /**
--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -72,13 +72,17 @@
 ): RegistryFollower => {
 	const {mirror, registry, clock, logger} = options;
 	let isRunning = false;
-	let needsSnapshot = true;
+	let isNeedsSnapshot = true;
 	let isInTouch: boolean | undefined;
 	let confirmedAt: number | undefined;
 	let isAskingPeer = false;
 	let behindTimer: NodeJS.Timeout | undefined;
+	let pause: NodeJS.Timeout | undefined;
 
-	const take = (answer: RegistryAnswer, origin: AnswerOrigin): boolean => {
+	const take = (
+		answer: RegistryAnswer,
+		origin: AnswerOrigin,
+	): 'taken' | 'unavailable' => {
 		switch (answer.kind) {
 			case 'changes':
 			case 'snapshot': {
@@ -87,7 +91,7 @@
 					options.onChanges(changes);
 				}
 
-				return true;
+				return 'taken';
 			}
 
 			case 'history-lost': {
@@ -95,12 +99,12 @@
 					{revision: mirror.revision(), origin},
 					'registry history is gone; reading everything anew',
 				);
-				needsSnapshot = true;
-				return true;
+				isNeedsSnapshot = true;
+				return 'taken';
 			}
 
 			case 'unavailable': {
-				return false;
+				return 'unavailable';
 			}
 		}
 	};
@@ -127,13 +131,13 @@
 		isAskingPeer = true;
 		const answer = await options.askPeer(peer, mirror.revision());
 		isAskingPeer = false;
-		if (isRunning && take(answer, 'peer')) {
-			needsSnapshot &&= mirror.revision() === 0;
+		if (isRunning && take(answer, 'peer') === 'taken') {
+			isNeedsSnapshot &&= mirror.revision() === 0;
 		}
 	};
 
 	const askRegistry = async (): Promise<number> => {
-		const isFull = needsSnapshot || mirror.revision() === 0;
+		const isFull = isNeedsSnapshot || mirror.revision() === 0;
 		const askedAt = clock();
 		const answer = isFull
 			? await registry.snapshot()
@@ -142,8 +146,8 @@
 			return 0;
 		}
 
-		if (take(answer, 'registry')) {
-			needsSnapshot = answer.kind === 'history-lost';
+		if (take(answer, 'registry') === 'taken') {
+			isNeedsSnapshot = answer.kind === 'history-lost';
 			confirmedAt = askedAt;
 			noteContact(true, answer.kind);
 			return watchPauseMs;
@@ -163,11 +167,11 @@
 	};
 
 	const run = async () => {
-		while (isRunning) {
-			const pauseMs = await askRegistry();
-			await new Promise((resolve) => {
-				setTimeout(resolve, pauseMs);
-			});
+		const pauseMs = await askRegistry();
+		if (isRunning) {
+			pause = setTimeout(() => {
+				void run();
+			}, pauseMs);
 		}
 	};
 
@@ -179,10 +183,11 @@
 		async stop() {
 			isRunning = false;
 			clearTimeout(behindTimer);
+			clearTimeout(pause);
 			await registry.close();
 		},
 		heard(revision, from) {
-			if (revision <= mirror.revision() || behindTimer !== undefined) {
+			if (behindTimer !== undefined || revision <= mirror.revision()) {
 				return;
 			}
 
--- a/src/registry/registry-mirror.ts
+++ b/src/registry/registry-mirror.ts
@@ -99,7 +99,7 @@
 	let historyFrom = 0;
 	let revision = 0;
 	let table: RouteTable | undefined;
-	let failedAt = Number.NEGATIVE_INFINITY;
+	let failedAt = -Infinity;
 
 	const hasFailedLately = (now: number) => now - failedAt <= lapseWindowMs;
 
@@ -110,7 +110,7 @@
 	): readonly MirrorChange[] => {
 		const item =
 			origin === 'registry' && read.value === undefined
-				? {...read, mayHaveLapsed: hasFailedLately(now)}
+				? {...read, canBeLapse: hasFailedLately(now)}
 				: read;
 		const current = rows.get(item.key);
 		const floor = Math.max(
@@ -129,7 +129,7 @@
 		if (item.value === undefined) {
 			rows.delete(item.key);
 			removedAt.set(item.key, item.revision);
-			return current ? removed(current, item.mayHaveLapsed ?? false, now) : [];
+			return current ? removed(current, item.canBeLapse ?? false, now) : [];
 		}
 
 		rows.set(item.key, item);
@@ -182,12 +182,12 @@
 
 	const removed = (
 		{value}: RegistryItem,
-		mayHaveLapsed: boolean,
+		canBeLapse: boolean,
 		now: number,
 	): readonly MirrorChange[] => {
 		switch (value?.kind) {
 			case 'server': {
-				return removeServer(value.server, mayHaveLapsed, now);
+				return removeServer(value.server, canBeLapse, now);
 			}
 
 			case 'evacuation': {
@@ -205,10 +205,10 @@
 
 	const removeServer = (
 		{id, isLeaving}: RegisteredServer,
-		mayHaveLapsed: boolean,
+		canBeLapse: boolean,
 		now: number,
 	): readonly MirrorChange[] => {
-		if (mayHaveLapsed && !isLeaving) {
+		if (canBeLapse && !isLeaving) {
 			lapsed.set(id, now + lapseGraceMs);
 			return [];
 		}
@@ -223,7 +223,8 @@
 		now: number,
 	): readonly MirrorChange[] => {
 		const named = new Set(snapshot.items.map(({key}) => key));
-		return [...rows.values()]
+		return rows
+			.values()
 			.filter((row) => !named.has(row.key) && row.revision <= snapshot.revision)
 			.flatMap(({key}) =>
 				takeItem(
@@ -231,12 +232,13 @@
 						key,
 						revision: snapshot.revision,
 						value: undefined,
-						mayHaveLapsed: hasFailedLately(now),
+						canBeLapse: hasFailedLately(now),
 					},
 					now,
 					'peer',
 				),
-			);
+			)
+			.toArray();
 	};
 
 	const isAhead = (row: RegistryItem, after: number) => row.revision > after;
@@ -260,7 +262,10 @@
 
 	const snapshot = (now: number): RegistrySnapshot => ({
 		revision,
-		items: [...rows.values()].map((item) => outgoing(item, now)),
+		items: rows
+			.values()
+			.map((item) => outgoing(item, now))
+			.toArray(),
 	});
 
 	return {
--- a/src/routes/prompt-prefix.ts
+++ b/src/routes/prompt-prefix.ts
@@ -26,7 +26,7 @@
 	text
 		.split(',')
 		.map((part) => {
-			const [id = '', tokens = ''] = part.trim().split(':');
+			const [id = '', tokens = ''] = part.trim().split(':', 2);
 			return {id, tokens: Number(tokens)};
 		})
 		.filter(({id, tokens}) => id !== '' && Number.isFinite(tokens));
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 const config = [
 	{
-		ignores: ['dist/**', 'target/**'],
+		ignores: ['dist/**', 'target/**', 'journal/**'],
 	},
 	{
 		prettier: true,
@@ -84,6 +84,16 @@
 		files: ['package.json'],
 		rules: {'package-json/dependency-version-range': 'off'},
 	},
+	{
+		// The adapter writes the platform's own field names.
+		files: ['platform/*.ts'],
+		rules: {'@typescript-eslint/naming-convention': 'off'},
+	},
+	{
+		// The entry ends the process: what a leaving node still holds open must not keep it.
+		files: ['main.ts'],
+		rules: {'unicorn/no-process-exit': 'off'},
+	},
 	{
 		files: ['src/command-line/*.ts'],
 		rules: {'new-cap': 'off'},
