--- a/src/gateway/judge-head.ts
+++ b/src/gateway/judge-head.ts
@@ -55,11 +55,9 @@
 		const isSound =
 			header(names.signature) !== undefined &&
 			header('content-encoding') === undefined;
-		if (!isSound) {
-			return fault('ran', 'The success has no valid signature', 'failed');
-		}
-
-		return {kind: route.kind === 'streaming' ? 'stream' : 'whole'};
+		return isSound
+			? {kind: route.kind === 'streaming' ? 'stream' : 'whole'}
+			: fault('ran', 'The success has no valid signature', 'failed');
 	}
 
 	// A failure is the answer of the server, unless another one may do better.
--- /dev/null
+++ b/tests/backends/cold-limit.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+	coldShare,
+	isWithinColdShare,
+	maximumColdSenders,
+} from '../../src/backends/index.ts';
+
+const bound = {requestsPerSecond: 9.7, overrun: 1.5, slack: 3};
+const whole = bound.requestsPerSecond * bound.overrun + bound.slack;
+
+const nodesOf = (count: number) =>
+	Array.from({length: count}, (_, index) => `node-${index}`);
+
+test('the shares of all nodes together stay within the bound, however many there are', () => {
+	fc.assert(
+		fc.property(fc.integer({min: 1, max: 60}), fc.uuid(), (count, server) => {
+			const nodes = nodesOf(count);
+			const sum = nodes.reduce(
+				(total, node) => total + coldShare(bound, server, node, nodes),
+				0,
+			);
+			assert.ok(sum > 0);
+			assert.ok(sum <= whole);
+		}),
+	);
+});
+
+test('a node that one other has not heard of yet does not break the bound', () => {
+	fc.assert(
+		fc.property(fc.integer({min: 2, max: 20}), fc.uuid(), (count, server) => {
+			const all = nodesOf(count + 1);
+			const others = all.slice(0, count);
+			const sum =
+				coldShare(bound, server, all[count]!, all) +
+				others.reduce(
+					(total, node) => total + coldShare(bound, server, node, others),
+					0,
+				);
+			assert.ok(sum <= whole, `${sum} of ${whole}`);
+		}),
+	);
+});
+
+test('only a few nodes send to one cold server', () => {
+	const nodes = nodesOf(40);
+	const senders = nodes.filter(
+		(node) => coldShare(bound, 'server', node, nodes) > 0,
+	);
+	assert.equal(senders.length, maximumColdSenders);
+});
+
+test('a share counts the requests of any second, wherever it lies', () => {
+	assert.ok(isWithinColdShare([0, 100], 3, 900));
+	assert.ok(!isWithinColdShare([0, 100, 200], 3, 900));
+	assert.ok(isWithinColdShare([0, 100, 200], 3, 1200));
+});
--- /dev/null
+++ b/tests/gateway/delivery.test.ts
@@ -0,0 +1,311 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {
+	createBackendFleet,
+	type OpenCall,
+	type UpstreamCall,
+	type UpstreamListener,
+} from '../../src/backends/index.ts';
+import type {GatewayError} from '../../src/errors/index.ts';
+import {createDeliveries} from '../../src/gateway/delivery.ts';
+import type {
+	AnswerSink,
+	DeliveryRecord,
+	Exchange,
+} from '../../src/gateway/exchange.ts';
+import {createWindowRetryBudget} from '../../src/retries/index.ts';
+import type {Route} from '../../src/routes/index.ts';
+import {exchangeOf, names, routeOf, serviceOf} from './fixtures.ts';
+
+type Sent = {
+	readonly call: UpstreamCall;
+	readonly listener: UpstreamListener;
+	isAborted: boolean;
+};
+
+// A gateway of one region with backend servers that the test plays itself.
+const setUp = (servers: readonly string[], slack = 1000) => {
+	let now = 0;
+	const clock = () => now;
+	const sent: Sent[] = [];
+	const records: DeliveryRecord[] = [];
+	const fleet = createBackendFleet({
+		self: 'node-1',
+		nodesEverHeard: () => ['node-1'],
+		nodesServing: () => 1,
+		service: () => serviceOf(),
+		coldOverrun: 1,
+		coldSlack: 0,
+		mayUseCold: () => true,
+	});
+	fleet.sync(
+		new Map(
+			servers.map((id) => [
+				id,
+				{
+					coldUntil: 0,
+					server: {
+						id,
+						service: 'engine',
+						address: '10.0.0.1:80',
+						availabilityZone: 'zone-a',
+						slots: 1,
+						isLeaving: false,
+						coldMs: 0,
+					},
+				},
+			]),
+		),
+		now,
+	);
+	const deliveries = createDeliveries({
+		self: 'node-1',
+		clock,
+		headers: names,
+		fleet,
+		client: {
+			call(call, listener): OpenCall {
+				const entry: Sent = {call, listener, isAborted: false};
+				sent.push(entry);
+				return {
+					abort() {
+						entry.isAborted = true;
+					},
+					resume: () => undefined,
+				};
+			},
+			forget: () => undefined,
+			connectionsOpened: () => 0,
+			close: async () => undefined,
+		},
+		choose: (exchange, _tried, placement) => fleet.choose(placement, now),
+		budget: createWindowRetryBudget({ratio: 0, windowMs: 10_000, slack}),
+		nodes: () => 1,
+		connectionsTo: () => 10,
+		routesVersion: () => 1,
+		onPeerFailure: () => undefined,
+		onServerFailure: () => undefined,
+		onRecord(record) {
+			records.push(record);
+		},
+	});
+	return {
+		deliveries,
+		sent,
+		records,
+		pass(milliseconds: number) {
+			now += milliseconds;
+			deliveries.tick(now);
+		},
+	};
+};
+
+const createSink = () => {
+	const seen = {
+		status: 0,
+		text: '',
+		isEnded: false,
+		isBroken: false,
+		error: undefined as GatewayError | undefined,
+	};
+	const sink: AnswerSink = {
+		begin(status) {
+			seen.status = status;
+		},
+		write(chunk) {
+			seen.text += chunk.toString();
+			return true;
+		},
+		end(chunk) {
+			seen.text += chunk?.toString() ?? '';
+			seen.isEnded = true;
+		},
+		breakOff() {
+			seen.isBroken = true;
+		},
+		refuse(error) {
+			seen.error = error;
+		},
+		onDrain: () => undefined,
+	};
+	return {sink, seen};
+};
+
+const exchangeFor = (
+	route: Partial<Route>,
+	change: Partial<Exchange> = {},
+): Exchange => exchangeOf({route: routeOf(route), ...change});
+
+const answer = (
+	{listener}: Sent,
+	status: number,
+	headers: Readonly<Record<string, string>> = {},
+) => {
+	const all: Readonly<Record<string, string>> = {
+		'x-test-id': 'request-1',
+		...headers,
+	};
+	listener.onHead({
+		status,
+		header: (name) => all[name],
+		rawHeaders: Object.entries(all).flat(),
+	});
+};
+
+const signed = {'x-test-signature': 's'};
+
+test('a whole answer is passed on with its status', () => {
+	const {deliveries, sent, records} = setUp(['a']);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({}), sink);
+	answer(sent[0]!, 200, signed);
+	sent[0]!.listener.onData(Buffer.from('hello'));
+	assert.equal(seen.status, 0);
+	sent[0]!.listener.onEnd();
+	assert.deepEqual(
+		[seen.status, seen.text, seen.isEnded],
+		[200, 'hello', true],
+	);
+	assert.equal(records[0]?.result, 'answered');
+	assert.equal(deliveries.count(), 0);
+});
+
+test('a request that must not be repeated is never sent again once a byte has left', () => {
+	const {deliveries, sent} = setUp(['a', 'b']);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({kind: 'non-idempotent'}), sink);
+	sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	assert.equal(sent.length, 1);
+	assert.equal(seen.error?.kind, 'attempt-failed');
+	assert.equal(seen.error.outcome, 'unknown');
+});
+
+test('what is proved not to have run goes to another server, also if it must not be repeated', () => {
+	const {deliveries, sent} = setUp(['a', 'b']);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({kind: 'non-idempotent'}), sink);
+	answer(sent[0]!, 503, {'x-test-not-run': '1'});
+	assert.equal(sent.length, 2);
+	assert.notEqual(sent[0]!.call.key, sent[1]!.call.key);
+	answer(sent[1]!, 503, {'x-test-not-run': '1'});
+	assert.equal(seen.error?.outcome, 'not-run');
+	assert.ok((seen.error.retryAfterSeconds ?? 0) > 0);
+});
+
+test('no request goes to more servers than its route allows', () => {
+	const {deliveries, sent} = setUp(['a', 'b', 'c']);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({maximumAttempts: 2}), sink);
+	sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	sent[1]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	assert.equal(sent.length, 2);
+	assert.equal(seen.error?.kind, 'attempt-failed');
+});
+
+test('without a budget nothing is sent twice', () => {
+	const {deliveries, sent} = setUp(['a', 'b'], 0);
+	const {sink} = createSink();
+	deliveries.deliver(exchangeFor({}), sink);
+	sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	assert.equal(sent.length, 1);
+});
+
+test('a refusal after an attempt that may have run never says that it did not run', () => {
+	const {deliveries, sent} = setUp(['a', 'b']);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({}), sink);
+	sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	answer(sent[1]!, 503, {'x-test-not-run': '1'});
+	assert.equal(seen.error?.outcome, 'unknown');
+	assert.equal(seen.error.kind, 'attempt-failed');
+});
+
+test('a request waits for room, goes on when there is some, and is refused in time', () => {
+	const {deliveries, sent, pass} = setUp(['a']);
+	const first = createSink();
+	const second = createSink();
+	const third = createSink();
+	for (const {sink} of [first, second]) {
+		deliveries.deliver(exchangeFor({}), sink);
+	}
+
+	deliveries.deliver(exchangeFor({}), third.sink);
+	assert.equal(sent.length, 2);
+	answer(sent[0]!, 200, signed);
+	sent[0]!.listener.onEnd();
+	assert.equal(sent.length, 3);
+	const fourth = createSink();
+	deliveries.deliver(exchangeFor({}), fourth.sink);
+	pass(100);
+	assert.equal(fourth.seen.error?.kind, 'overloaded');
+	assert.equal(fourth.seen.error.outcome, 'not-run');
+});
+
+test('a stream that breaks is continued after its last whole event, if it may be resumed', () => {
+	const {deliveries, sent} = setUp(['a', 'b']);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({kind: 'streaming', isResumable: true}), sink);
+	answer(sent[0]!, 200, signed);
+	sent[0]!.listener.onData(Buffer.from('id: 1\ndata: x\n\nid: 2\nda'));
+	sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	const {headers} = sent[1]!.call;
+	assert.equal(headers[headers.indexOf('last-event-id') + 1], '1');
+	answer(sent[1]!, 200, signed);
+	sent[1]!.listener.onData(Buffer.from('id: 2\ndata: y\n\n'));
+	sent[1]!.listener.onEnd();
+	assert.equal(seen.text, 'id: 1\ndata: x\n\nid: 2\ndata: y\n\n');
+	assert.ok(seen.isEnded);
+});
+
+test('a stream that breaks and may not be resumed is broken off, never ended', () => {
+	const {deliveries, sent} = setUp(['a', 'b']);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({kind: 'streaming'}), sink);
+	answer(sent[0]!, 200, signed);
+	sent[0]!.listener.onData(Buffer.from('id: 1\ndata: x\n\n'));
+	sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	assert.equal(sent.length, 1);
+	assert.ok(seen.isBroken);
+	assert.ok(!seen.isEnded);
+});
+
+test('a caller that leaves stops its stream, and a request that waits is not sent any more', () => {
+	const {deliveries, sent} = setUp(['a']);
+	const streams = [createSink(), createSink(), createSink()];
+	const handles = streams.map(({sink}) =>
+		deliveries.deliver(exchangeFor({kind: 'streaming'}), sink),
+	);
+	handles[2]!.callerLeft();
+	handles[0]!.callerLeft();
+	assert.ok(sent[0]!.isAborted);
+	assert.equal(sent.length, 2);
+});
+
+test('requests at a server that fell silent go to another one, if they may be repeated', () => {
+	const {deliveries, sent} = setUp(['a', 'b']);
+	const repeatable = createSink();
+	const single = createSink();
+	deliveries.deliver(exchangeFor({}), repeatable.sink);
+	const silent = sent[0]!.call.key.replace('server ', '');
+	deliveries.serverSilent(silent);
+	assert.equal(sent.length, 2);
+	assert.ok(sent[0]!.isAborted);
+	deliveries.deliver(exchangeFor({kind: 'non-idempotent'}), single.sink);
+	const at = sent[2]!.call.key.replace('server ', '');
+	deliveries.serverSilent(at);
+	assert.ok(!sent[2]!.isAborted);
+});
+
+test('the remaining time that a server is told shrinks, and reserved headers are set here only', () => {
+	const {deliveries, sent, pass} = setUp(['a', 'b']);
+	const {sink} = createSink();
+	deliveries.deliver(exchangeFor({}), sink);
+	pass(1000);
+	sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	const told = sent.map(({call: {headers}}) =>
+		Number(headers[headers.indexOf('x-test-remaining') + 1]),
+	);
+	assert.deepEqual(told, [4000, 3000]);
+	assert.ok(sent[1]!.call.headers.includes('x-test-expected'));
+});
--- /dev/null
+++ b/tests/gateway/event-relay.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {createEventRelay} from '../../src/gateway/event-relay.ts';
+
+const eventsFrom = (first: number, last: number, end = '\n') =>
+	Array.from(
+		{length: last - first + 1},
+		(_, index) =>
+			`id: ${first + index}${end}data: piece ${first + index}${end}${end}`,
+	).join('');
+
+test('a stream continued at any byte of the first one arrives whole and in order', () => {
+	const whole = Buffer.from(eventsFrom(1, 12));
+	fc.assert(
+		fc.property(
+			fc.integer({min: 0, max: whole.length}),
+			fc.integer({min: 1, max: 40}),
+			(cut, chunk) => {
+				const relay = createEventRelay(undefined);
+				let text = '';
+				for (let start = 0; start < cut; start += chunk) {
+					const passed = relay.push(
+						whole.subarray(start, Math.min(cut, start + chunk)),
+					);
+					assert.ok(passed);
+					text += passed.toString();
+				}
+
+				const next = Number(relay.lastEventId() ?? 0) + 1;
+				relay.restart();
+				text += relay.push(Buffer.from(eventsFrom(next, 12)))!.toString();
+				assert.equal(text, whole.toString());
+			},
+		),
+	);
+});
+
+test('events that the receiver has are left out, and a missing one ends the stream', () => {
+	const relay = createEventRelay('3');
+	assert.equal(
+		relay.push(Buffer.from(eventsFrom(2, 4)))?.toString(),
+		eventsFrom(4, 4),
+	);
+	assert.equal(relay.push(Buffer.from(eventsFrom(6, 6))), undefined);
+});
+
+test('lines may end with a carriage return', () => {
+	const relay = createEventRelay(undefined);
+	const text = eventsFrom(1, 2, '\r\n');
+	assert.equal(relay.push(Buffer.from(text))?.toString(), text);
+	assert.ok(!relay.hasRest());
+});
+
+test('half an event is not passed on', () => {
+	const relay = createEventRelay(undefined);
+	assert.equal(relay.push(Buffer.from('id: 1\ndata: ha'))?.length, 0);
+	assert.ok(relay.hasRest());
+});
--- /dev/null
+++ b/tests/gateway/fixtures.ts
@@ -0,0 +1,77 @@
+import type {Exchange} from '../../src/gateway/exchange.ts';
+import type {WireHeaders} from '../../src/gateway/index.ts';
+import type {Route, RouteDocument, Service} from '../../src/routes/index.ts';
+
+/**
+Header names of a made-up deployment.
+*/
+export const names: WireHeaders = {
+	requestId: 'x-test-id',
+	remainingMs: 'x-test-remaining',
+	signature: 'x-test-signature',
+	expectedServer: 'x-test-expected',
+	notRun: 'x-test-not-run',
+	promptParts: 'x-test-parts',
+	tokenUsage: 'x-test-tokens',
+	coldMs: 'x-test-cold',
+	serverId: 'x-test-server',
+	reserved: ['x-test-reserved'],
+};
+
+export const routeOf = (change: Partial<Route> = {}): Route => ({
+	name: 'route',
+	host: 'site.example',
+	pathPrefix: '/a/',
+	kind: 'idempotent',
+	services: [{service: 'engine', weight: 1}],
+	timeoutMs: 4000,
+	targetLatencyMs: 400,
+	priority: 1,
+	maximumAttempts: 2,
+	isResumable: false,
+	isSticky: false,
+	homeRegions: [],
+	...change,
+});
+
+export const serviceOf = (change: Partial<Service> = {}): Service => ({
+	name: 'engine',
+	healthPath: '/health',
+	maximumConnections: 100,
+	coldRequestsPerSecond: 0,
+	coldMs: 0,
+	engine: undefined,
+	...change,
+});
+
+export const documentOf = (
+	change: Partial<RouteDocument> = {},
+): RouteDocument => ({
+	version: 1,
+	routes: [routeOf()],
+	services: [serviceOf()],
+	limits: {
+		maximumHeaderBytes: 16_384,
+		maximumBodyBytes: 1_048_576,
+		headerTimeoutMs: 3000,
+		idleTimeoutMs: 15_000,
+	},
+	...change,
+});
+
+export const exchangeOf = (change: Partial<Exchange> = {}): Exchange => ({
+	requestId: 'request-1',
+	method: 'POST',
+	target: '/a/b',
+	headers: ['x-test-id', 'request-1'],
+	body: undefined,
+	route: routeOf(),
+	service: 'engine',
+	prompt: undefined,
+	receivedAt: 0,
+	expiresAt: 4000,
+	callerDeadline: 4000,
+	lastEventId: undefined,
+	hop: undefined,
+	...change,
+});
--- /dev/null
+++ b/tests/gateway/hop.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+	decodeHopCall,
+	decodeHopResult,
+	encodeHopCall,
+	encodeHopResult,
+} from '../../src/gateway/hop.ts';
+
+const isPrintable = (text: string) =>
+	[...text].every((sign) => sign >= ' ' && sign <= '~');
+
+const reader = (headers: readonly string[]) => (name: string) => {
+	const index = headers.findIndex(
+		(text, position) => position % 2 === 0 && text === name,
+	);
+	return index === -1 ? undefined : headers[index + 1];
+};
+
+test('what a node says of a forwarded request arrives as it was said', () => {
+	const call = {
+		origin: 'node-1',
+		version: 7,
+		route: 'r',
+		service: 's',
+		remainingMs: 1200,
+		excluded: ['a', 'b'],
+	};
+	assert.deepEqual(decodeHopCall(reader(encodeHopCall(call))), call);
+	assert.equal(
+		decodeHopCall(() => undefined),
+		undefined,
+	);
+});
+
+test('an answer without a result never proves that a request did not run', () => {
+	const anything = fc.dictionary(fc.string(), fc.string());
+	fc.assert(
+		fc.property(anything, (headers) => {
+			const result = decodeHopResult((name) => headers[name]);
+			assert.strictEqual(result.kind, 'refused');
+			assert.equal(result.outcome, 'unknown');
+		}),
+	);
+});
+
+test('a reason with any signs can be sent in a header', () => {
+	fc.assert(
+		fc.property(fc.string({unit: 'binary'}), (reason) => {
+			const headers = encodeHopResult({
+				kind: 'refused',
+				outcome: 'not-run',
+				reason,
+				tried: ['x'],
+			});
+			const result = decodeHopResult(reader(headers));
+			assert.strictEqual(result.kind, 'refused');
+			assert.equal(result.outcome, 'not-run');
+			assert.ok(isPrintable(result.reason));
+		}),
+	);
+});
--- /dev/null
+++ b/tests/gateway/judge-head.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {judgeHead} from '../../src/gateway/judge-head.ts';
+import {exchangeOf, names, routeOf} from './fixtures.ts';
+
+const judge = (
+	status: number,
+	headers: Readonly<Record<string, string>>,
+	options: {
+		readonly canRetry?: boolean;
+		readonly hasBegun?: boolean;
+		readonly isStream?: boolean;
+	} = {},
+) => {
+	const all: Readonly<Record<string, string>> = {
+		'x-test-id': 'request-1',
+		...headers,
+	};
+	return judgeHead(
+		{status, header: (name) => all[name], rawHeaders: []},
+		exchangeOf({
+			route: routeOf({kind: options.isStream ? 'streaming' : 'idempotent'}),
+		}),
+		names,
+		{
+			canRetry: options.canRetry ?? false,
+			hasBegun: options.hasBegun ?? false,
+		},
+	);
+};
+
+const outcomeOf = (verdict: ReturnType<typeof judge>) =>
+	verdict.kind === 'fault' ? verdict.fault.outcome : verdict.kind;
+
+test('an answer that names another request proves nothing about this one', () => {
+	assert.equal(
+		outcomeOf(judge(200, {'x-test-id': 'other', 'x-test-signature': 's'})),
+		'unknown',
+	);
+	assert.equal(
+		outcomeOf(judge(503, {'x-test-id': 'other', 'x-test-not-run': '1'})),
+		'unknown',
+	);
+});
+
+test('only a stated refusal or a misdirected request proves that nothing ran', () => {
+	assert.equal(outcomeOf(judge(503, {'x-test-not-run': '1'})), 'not-run');
+	assert.equal(outcomeOf(judge(421, {})), 'not-run');
+	assert.equal(outcomeOf(judge(503, {})), 'whole');
+	assert.equal(outcomeOf(judge(503, {}, {canRetry: true})), 'ran');
+});
+
+test('a success without a signature, or with an encoding, is no success', () => {
+	assert.equal(outcomeOf(judge(200, {})), 'ran');
+	assert.equal(
+		outcomeOf(
+			judge(200, {'x-test-signature': 's', 'content-encoding': 'gzip'}),
+		),
+		'ran',
+	);
+	assert.equal(outcomeOf(judge(200, {'x-test-signature': 's'})), 'whole');
+	assert.equal(
+		outcomeOf(judge(200, {'x-test-signature': 's'}, {isStream: true})),
+		'stream',
+	);
+});
+
+test('a failure is passed on where no other server may be tried', () => {
+	assert.equal(outcomeOf(judge(500, {'x-test-signature': 's'})), 'whole');
+	assert.equal(
+		outcomeOf(judge(500, {'x-test-signature': 's'}, {canRetry: true})),
+		'ran',
+	);
+});
--- /dev/null
+++ b/tests/registry/registry-mirror.test.ts
@@ -0,0 +1,200 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+	createRegistryMirror,
+	lapseGraceMs,
+	type RegistryItem,
+	type RegistryValue,
+} from '../../src/registry/index.ts';
+import {documentOf} from '../gateway/fixtures.ts';
+
+const serverItem = (
+	id: string,
+	revision: number,
+	change: {readonly isLeaving?: boolean; readonly coldMs?: number} = {},
+): RegistryItem => ({
+	key: `servers/${id}`,
+	revision,
+	value: {
+		kind: 'server',
+		server: {
+			id,
+			service: 'engine',
+			address: '10.0.0.1:80',
+			availabilityZone: 'zone-a',
+			slots: 8,
+			isLeaving: false,
+			coldMs: 0,
+			...change,
+		},
+	},
+});
+
+const item = (
+	key: string,
+	revision: number,
+	value?: RegistryValue,
+): RegistryItem => ({key, revision, value});
+
+const changesOf = (revision: number, ...items: readonly RegistryItem[]) =>
+	({kind: 'changes', revision, items}) as const;
+
+const snapshotOf = (revision: number, ...items: readonly RegistryItem[]) =>
+	({kind: 'snapshot', revision, items}) as const;
+
+test('a version of the routes never goes back, whatever comes late, twice or out of order', () => {
+	const order = fc.array(
+		fc.record({
+			revision: fc.integer({min: 1, max: 50}),
+			version: fc.integer({min: 1, max: 20}),
+			isPeer: fc.boolean(),
+		}),
+	);
+	fc.assert(
+		fc.property(order, (steps) => {
+			const mirror = createRegistryMirror();
+			let highest = 0;
+			for (const {revision, version, isPeer} of steps) {
+				const document = documentOf({version});
+				mirror.apply(
+					changesOf(
+						revision,
+						item('op/config', revision, {kind: 'routes', document}),
+					),
+					0,
+					isPeer ? 'peer' : 'registry',
+				);
+				const inForce = mirror.routes()?.document.version ?? 0;
+				assert.ok(inForce >= highest);
+				highest = inForce;
+			}
+		}),
+	);
+});
+
+test('an older statement about a key changes nothing, also after its removal', () => {
+	const mirror = createRegistryMirror();
+	mirror.apply(changesOf(5, serverItem('s', 5)), 0, 'registry');
+	mirror.apply(changesOf(7, item('servers/s', 7)), 0, 'registry');
+	mirror.apply(changesOf(6, serverItem('s', 6)), 0, 'peer');
+	assert.equal(mirror.servers().size, 0);
+});
+
+test('an older snapshot is ignored, and a newer one removes what it does not name', () => {
+	const mirror = createRegistryMirror();
+	mirror.apply(
+		changesOf(9, serverItem('a', 8), serverItem('b', 9)),
+		0,
+		'registry',
+	);
+	mirror.apply(snapshotOf(4), 0, 'registry');
+	assert.equal(mirror.servers().size, 2);
+	mirror.apply(snapshotOf(12, serverItem('b', 9)), 0, 'registry');
+	assert.deepEqual([...mirror.servers().keys()], ['b']);
+});
+
+test('an entry that went missing while the registry was away is kept for its grace only', () => {
+	const mirror = createRegistryMirror();
+	mirror.apply(changesOf(1, serverItem('s', 1)), 0, 'registry');
+	mirror.sourceFailed(1000);
+	mirror.apply(changesOf(2, item('servers/s', 2)), 2000, 'registry');
+	assert.equal(mirror.servers().size, 1);
+	assert.deepEqual(mirror.expire(2000 + lapseGraceMs - 1), []);
+	assert.equal(mirror.expire(2000 + lapseGraceMs).length, 1);
+	assert.equal(mirror.servers().size, 0);
+});
+
+test('an entry that is back within its grace stays', () => {
+	const mirror = createRegistryMirror();
+	mirror.apply(changesOf(1, serverItem('s', 1)), 0, 'registry');
+	mirror.sourceFailed(1000);
+	mirror.apply(changesOf(2, item('servers/s', 2)), 2000, 'registry');
+	mirror.apply(changesOf(3, serverItem('s', 3)), 3000, 'registry');
+	assert.deepEqual(mirror.expire(10_000), []);
+	assert.equal(mirror.servers().size, 1);
+});
+
+test('a removal while the registry answers is taken at once, also by a node that it turns away', () => {
+	const reader = createRegistryMirror();
+	reader.apply(changesOf(1, serverItem('s', 1)), 0, 'registry');
+	reader.apply(changesOf(2, item('servers/s', 2)), 5000, 'registry');
+	const turnedAway = createRegistryMirror();
+	turnedAway.apply(changesOf(1, serverItem('s', 1)), 0, 'registry');
+	turnedAway.sourceFailed(4900);
+	const answer = reader.answerFor(1, 5000);
+	assert.strictEqual(answer.kind, 'changes');
+	turnedAway.apply(answer, 5000, 'peer');
+	assert.equal(turnedAway.servers().size, 0);
+});
+
+test('a leaving server that goes missing is gone, lapse or not', () => {
+	const mirror = createRegistryMirror();
+	mirror.apply(
+		changesOf(1, serverItem('s', 1, {isLeaving: true})),
+		0,
+		'registry',
+	);
+	mirror.sourceFailed(100);
+	mirror.apply(changesOf(2, item('servers/s', 2)), 200, 'registry');
+	assert.equal(mirror.servers().size, 0);
+});
+
+test('an evacuation holds until it is taken away', () => {
+	const mirror = createRegistryMirror();
+	const value = {kind: 'evacuation', availabilityZone: 'zone-a'} as const;
+	mirror.apply(
+		changesOf(3, item('op/evacuate/zone-a', 3, value)),
+		0,
+		'registry',
+	);
+	assert.ok(mirror.isEvacuated('zone-a'));
+	mirror.apply(changesOf(4, item('op/evacuate/zone-a', 4)), 0, 'peer');
+	assert.ok(!mirror.isEvacuated('zone-a'));
+});
+
+test('the remaining cold time shrinks on its way through other nodes', () => {
+	const mirror = createRegistryMirror();
+	mirror.apply(changesOf(1, serverItem('s', 1, {coldMs: 3000})), 0, 'registry');
+	const answer = mirror.snapshot(1000);
+	const [kept] = answer.items;
+	assert.strictEqual(kept?.value?.kind, 'server');
+	assert.equal(kept.value.server.coldMs, 2000);
+});
+
+test('nodes that pass changes on to each other in any way end with the same copy', () => {
+	const step = fc.record({
+		id: fc.constantFrom('a', 'b', 'c'),
+		isRemoval: fc.boolean(),
+		isPassedOn: fc.boolean(),
+	});
+	fc.assert(
+		fc.property(fc.array(step, {maxLength: 40}), (steps) => {
+			const first = createRegistryMirror();
+			const second = createRegistryMirror();
+			const pass = () => {
+				const answer = first.answerFor(second.revision(), 0);
+				if (answer.kind === 'changes' || answer.kind === 'snapshot') {
+					second.apply(answer, 0, 'peer');
+				}
+			};
+
+			for (const [index, {id, isRemoval, isPassedOn}] of steps.entries()) {
+				const revision = index + 1;
+				const changed = isRemoval
+					? item(`servers/${id}`, revision)
+					: serverItem(id, revision);
+				first.apply(changesOf(revision, changed), 0, 'registry');
+				if (isPassedOn) {
+					pass();
+				}
+			}
+
+			pass();
+			assert.deepEqual(
+				[...second.servers().keys()].toSorted(),
+				[...first.servers().keys()].toSorted(),
+			);
+		}),
+	);
+});
