--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -160,6 +160,10 @@
 // As much prompt as delays the requests behind it about as much as a full server does, in tokens.
 const promptTokensOfFull = 40_000;
 
+// Reading a shared part again takes its time from the other requests too, and is paid for, so it
+// counts for more than the same wait behind another prompt.
+const rereadFactor = 2;
+
 // Weight of one more outcome in a server's failure rate.
 const failureWeight = 0.1;
 // What a server that fails every request is worse by than a sound one.
@@ -245,7 +249,7 @@
 
 	const costOf = (state: State): number =>
 		(state.inFlight + 1) / roomOf(state) +
-		(state.pendingTokens * options.nodesServing()) / promptTokensOfFull +
+		state.pendingTokens / promptTokensOfFull +
 		state.failureRate * failureCost;
 
 	// The first server in the order of the part's hash is taken to hold it, for every node sends it
@@ -307,7 +311,8 @@
 
 			const cost =
 				costOf(state) +
-				missingTokens(state, state === first, placement) / promptTokensOfFull;
+				(missingTokens(state, state === first, placement) * rereadFactor) /
+					promptTokensOfFull;
 			if (!best || cost < best.cost) {
 				best = {state, cost};
 			}
--- a/src/gateway/choose-upstream.ts
+++ b/src/gateway/choose-upstream.ts
@@ -79,6 +79,9 @@
 const distanceCost = 0.7;
 // A region fuller than this is not sent more.
 const fullestRemote = 0.9;
+// A prompt goes to the region that holds it even when that is rather full: reading it anew would
+// load the own region by as much.
+const fullestHome = 1.3;
 // Below this cost the own region serves whatever the others hold.
 const comfortableCost = 1;
 
@@ -141,7 +144,7 @@
 		const region = sharedPart && options.promptRegion(exchange, sharedPart.id);
 		const remote =
 			region === undefined ? undefined : remoteIn(region, exchange, tried);
-		return remote && remote.cost < fullestRemote ? remote : undefined;
+		return remote && remote.cost < fullestHome ? remote : undefined;
 	};
 
 	return (exchange, tried, placement, now) => {
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -15,7 +15,7 @@
 	type Outcome,
 } from '../errors/index.ts';
 import type {Member} from '../membership/index.ts';
-import type {WindowRetryBudget} from '../retries/index.ts';
+import {createRetryYield, type WindowRetryBudget} from '../retries/index.ts';
 import {isRepeatable, placementPart} from '../routes/index.ts';
 import {judgeHead} from './judge-head.ts';
 import type {UpstreamChooser} from './choose-upstream.ts';
@@ -150,6 +150,10 @@
 	current: Current | undefined;
 	outcome: Outcome;
 	relay: EventRelay | undefined;
+	/**
+	Whether a backend server answered with a fault and the request was sent on.
+	*/
+	hasFaultAnswer: boolean;
 	hasBegun: boolean;
 	firstByteAt: number | undefined;
 	isOver: boolean;
@@ -179,6 +183,7 @@
 	const {clock, fleet, headers: names} = options;
 	const runs = new Set<Run>();
 	const line = createWaitingRequests();
+	const retryYield = createRetryYield();
 	const reserved = new Set([
 		...names.reserved,
 		...hopHeaderNames,
@@ -522,13 +527,17 @@
 			return 'dropped';
 		}
 
-		const canRetry = run.isRepeatable && hasAttemptLeft(run);
+		const canRetry =
+			run.isRepeatable &&
+			hasAttemptLeft(run) &&
+			(head.status < 500 || retryYield.isWorthwhile(run.exchange.route.name));
 		const verdict = judgeHead(head, run.exchange, names, {
 			canRetry,
 			hasBegun: run.hasBegun,
 		});
 		switch (verdict.kind) {
 			case 'whole': {
+				noteRetry(run, head.status);
 				current.attempt?.started(clock());
 				return 'whole';
 			}
@@ -539,12 +548,19 @@
 			}
 
 			case 'fault': {
+				run.hasFaultAnswer ||= head.status >= 500;
 				fail(run, {...verdict.fault, reachedServer: true});
 				return 'dropped';
 			}
 		}
 	};
 
+	const noteRetry = (run: Run, status: number) => {
+		if (run.hasFaultAnswer) {
+			retryYield.note(run.exchange.route.name, status < 500);
+		}
+	};
+
 	const refusedByPeer = (
 		run: Run,
 		current: Current,
@@ -745,6 +761,7 @@
 			current: undefined,
 			outcome: 'not-run',
 			relay: undefined,
+			hasFaultAnswer: false,
 			hasBegun: false,
 			firstByteAt: undefined,
 			isOver: false,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -135,6 +135,12 @@
 */
 export const solitudeMs = 2500;
 
+/**
+Nodes of a region that a node takes for granted until it had time to hear of the others. After a
+stop of all nodes each would otherwise send as much as the region can take.
+*/
+export const assumedNodes = 3;
+
 /**
 Routes confirmed within this time are taken as complete, in milliseconds.
 */
@@ -191,7 +197,11 @@
 			options.id,
 			...inOwnRegion(mesh.others()).map(({id}) => id),
 		],
-		nodesServing: () => 1 + mesh.usableIn(ownRegion).length,
+		nodesServing: () =>
+			Math.max(
+				1 + mesh.usableIn(ownRegion).length,
+				clock() - startedAt < solitudeMs ? assumedNodes : 1,
+			),
 		service: (name) => mirror.routes()?.service(name),
 		coldOverrun: options.bounds.coldOverrun,
 		coldSlack: options.bounds.coldSlack,
