--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -16,7 +16,7 @@
 } from '../errors/index.ts';
 import type {Member} from '../membership/index.ts';
 import {createRetryYield, type WindowRetryBudget} from '../retries/index.ts';
-import {isRepeatable, placementPart} from '../routes/index.ts';
+import {isRepeatable, placementPart, type Route} from '../routes/index.ts';
 import {judgeHead} from './judge-head.ts';
 import type {UpstreamChooser} from './choose-upstream.ts';
 import {createEventRelay, type EventRelay} from './event-relay.ts';
@@ -58,6 +58,10 @@
 	readonly connectionsTo: (service: string) => number;
 	readonly routesVersion: () => number;
 	/**
+	Whether the own region may serve a route.
+	*/
+	readonly isServedHere: (route: Route) => boolean;
+	/**
 	Says that a node could not be reached.
 	*/
 	readonly onPeerFailure: (member: Member) => void;
@@ -315,7 +319,12 @@
 		}
 
 		const now = clock();
-		const {route, receivedAt} = run.exchange;
+		const {route, receivedAt, hop} = run.exchange;
+		if (hop && !hop.canWait) {
+			giveUp(run, 'No backend server has room');
+			return;
+		}
+
 		const waiting: WaitingRequest = {
 			priority: route.priority,
 			since: now,
@@ -398,6 +407,7 @@
 						service: exchange.service,
 						remainingMs: exchange.expiresAt - clock(),
 						excluded: [...run.excluded],
+						canWait: !options.isServedHere(exchange.route),
 					}),
 				),
 			},
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -51,6 +51,10 @@
 	Backend servers that failed the request already.
 	*/
 	readonly excluded: readonly string[];
+	/**
+	Whether it may wait here for room.
+	*/
+	readonly canWait: boolean;
 };
 
 /**
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -362,6 +362,7 @@
 					);
 		},
 		routesVersion: () => mirror.routes()?.document.version ?? 0,
+		isServedHere: (route) => isRegionAllowed(route, ownRegion),
 		onPeerFailure({id}) {
 			unreachable.set(id, clock() + peerPauseMs);
 		},
--- a/src/gateway/hop.ts
+++ b/src/gateway/hop.ts
@@ -14,6 +14,7 @@
 	service: 'quillford-hop-service',
 	remainingMs: 'quillford-hop-remaining-ms',
 	excluded: 'quillford-hop-excluded',
+	wait: 'quillford-hop-wait',
 	/**
 	In answers: whether they are a backend server's or a refusal of the node.
 	*/
@@ -55,6 +56,10 @@
 	readonly service: string;
 	readonly remainingMs: number;
 	readonly excluded: readonly string[];
+	/**
+	Whether the receiver lets it wait for room; otherwise the origin may know a better place.
+	*/
+	readonly canWait: boolean;
 };
 
 type HeaderReader = (name: string) => string | undefined;
@@ -75,6 +80,8 @@
 	String(Math.max(1, Math.round(call.remainingMs))),
 	hopHeaders.excluded,
 	call.excluded.join(','),
+	hopHeaders.wait,
+	String(call.canWait),
 ];
 
 /**
@@ -96,6 +103,7 @@
 		route: header(hopHeaders.route) ?? '',
 		remainingMs: Number(header(hopHeaders.remainingMs) ?? 0),
 		excluded: splitList(header(hopHeaders.excluded)),
+		canWait: header(hopHeaders.wait) === 'true',
 	};
 };
 
--- a/src/gateway/read-exchange.ts
+++ b/src/gateway/read-exchange.ts
@@ -104,7 +104,11 @@
 		service: isOwnNewer ? pickService(route, requestId) : call.service,
 		receivedAt: context.now,
 		...forwardedTimes(call, context.now),
-		hop: {origin: call.origin, excluded: call.excluded},
+		hop: {
+			origin: call.origin,
+			excluded: call.excluded,
+			canWait: call.canWait,
+		},
 	});
 };
 
--- a/src/retries/retry-yield.ts
+++ b/src/retries/retry-yield.ts
@@ -24,7 +24,7 @@
 export const sampledRetries = 8;
 
 // What is taken as the share before anything was seen, and the weight of one more retry in it.
-const initialYield = 0.5;
+const initialYield = 0.3;
 const weight = 0.1;
 
 type Entry = {share: number; skipped: number};
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -84,6 +84,7 @@
 		nodes: () => 1,
 		connectionsTo: () => 10,
 		routesVersion: () => 1,
+		isServedHere: () => true,
 		onPeerFailure: () => undefined,
 		onServerFailure: () => undefined,
 		onRecord(record) {
--- a/tests/gateway/hop.test.ts
+++ b/tests/gateway/hop.test.ts
@@ -26,6 +26,7 @@
 		service: 's',
 		remainingMs: 1200,
 		excluded: ['a', 'b'],
+		canWait: true,
 	};
 	assert.deepEqual(decodeHopCall(reader(encodeHopCall(call))), call);
 	assert.equal(
