--- /dev/null
+++ b/tests/backends/backend-fleet.test.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	createBackendFleet,
+	probeIntervalMs,
+	silenceMs,
+	type BackendFleetOptions,
+	type Placement,
+} from '../../src/backends/index.ts';
+import {serviceOf} from '../gateway/fixtures.ts';
+
+const setUp = (
+	ids: readonly string[],
+	change: Partial<BackendFleetOptions> & {readonly coldUntil?: number} = {},
+) => {
+	const fleet = createBackendFleet({
+		self: 'node-1',
+		nodesEverHeard: () => ['node-1'],
+		nodesServing: () => 1,
+		service: () =>
+			serviceOf({
+				coldRequestsPerSecond: 4,
+				engine: {slots: 8, memoryTokens: 50_000},
+			}),
+		coldOverrun: 1,
+		coldSlack: 0,
+		mayUseCold: () => true,
+		...change,
+	});
+	fleet.sync(
+		new Map(
+			ids.map((id) => [
+				id,
+				{
+					coldUntil: change.coldUntil ?? 0,
+					server: {
+						id,
+						service: 'engine',
+						address: '10.0.0.1:80',
+						availabilityZone: 'zone-a',
+						slots: 8,
+						isLeaving: false,
+						coldMs: 0,
+					},
+				},
+			]),
+		),
+		0,
+	);
+	return fleet;
+};
+
+const placementOf = (change: Partial<Placement> = {}): Placement => ({
+	service: 'engine',
+	promptTokens: 0,
+	excluded: new Set<string>(),
+	...change,
+});
+
+const part = {id: 'part', tokens: 13_000};
+
+const idOf = (choice: ReturnType<ReturnType<typeof setUp>['choose']>) =>
+	choice.kind === 'server' ? choice.id : choice.kind;
+
+test('requests with the same shared part go to the same server', () => {
+	const fleet = setUp(['a', 'b', 'c']);
+	const placement = placementOf({sharedPart: part, promptTokens: 17_000});
+	const first = idOf(fleet.choose(placement, 0));
+	for (let index = 0; index < 3; index += 1) {
+		const attempt = fleet.begin(first, placement, 0);
+		attempt.started(1);
+		assert.equal(idOf(fleet.choose(placement, 1)), first);
+	}
+});
+
+test('a silent server is found by the requests it owes, and asked until it answers', () => {
+	const fleet = setUp(['a']);
+	fleet.begin('a', placementOf(), 0);
+	assert.deepEqual(fleet.tick(silenceMs), []);
+	assert.deepEqual(fleet.tick(silenceMs + 1), ['a']);
+	assert.equal(idOf(fleet.choose(placementOf(), silenceMs + 2)), 'none');
+	const probeAt = silenceMs + 1 + probeIntervalMs;
+	assert.deepEqual(fleet.dueProbes(probeAt - 1), []);
+	assert.deepEqual(fleet.dueProbes(probeAt), ['a']);
+	fleet.probed('a', undefined, probeAt);
+	assert.ok(fleet.isSuspect('a'));
+	fleet.probed('a', 0, probeAt + 1);
+	assert.ok(!fleet.isSuspect('a'));
+});
+
+test('a server that answers others is not silent', () => {
+	const fleet = setUp(['a']);
+	fleet.begin('a', placementOf(), 0);
+	const other = fleet.begin('a', placementOf(), 0);
+	other.heard(silenceMs);
+	assert.deepEqual(fleet.tick(silenceMs + 100), []);
+});
+
+test('a cold server gets its share of a second and no more', () => {
+	const fleet = setUp(['a'], {coldUntil: 10_000});
+	let sent = 0;
+	while (idOf(fleet.choose(placementOf(), 0)) === 'a') {
+		fleet.begin('a', placementOf(), 0).end('answered', 1);
+		sent += 1;
+	}
+
+	assert.equal(sent, 3);
+	assert.equal(idOf(fleet.choose(placementOf(), 2000)), 'a');
+	const early = setUp(['a'], {coldUntil: 10_000, mayUseCold: () => false});
+	assert.equal(idOf(early.choose(placementOf(), 0)), 'full');
+});
+
+test('a server that fails is used less than a sound one', () => {
+	const fleet = setUp(['a', 'b']);
+	for (let index = 0; index < 20; index += 1) {
+		fleet.begin('a', placementOf(), 0).end('failed', 1);
+	}
+
+	assert.equal(idOf(fleet.choose(placementOf(), 2)), 'b');
+});
+
+test('room is shared among the nodes that serve', () => {
+	const fleet = setUp(['a'], {nodesServing: () => 4});
+	let sent = 0;
+	while (idOf(fleet.choose(placementOf(), 0)) === 'a') {
+		fleet.begin('a', placementOf(), 0);
+		sent += 1;
+	}
+
+	assert.equal(sent, 3);
+});
+
+test('a server that is distrusted is cold until it was asked', () => {
+	const fleet = setUp(['a']);
+	fleet.distrust(['a']);
+	assert.deepEqual(fleet.dueProbes(0), ['a']);
+	fleet.probed('a', 0, 1);
+	assert.deepEqual(fleet.dueProbes(10_000), []);
+});
--- /dev/null
+++ b/tests/backends/upstream-client.test.ts
@@ -0,0 +1,191 @@
+import type {Buffer} from 'node:buffer';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {
+	createUpstreamClient,
+	type UpstreamCall,
+	type UpstreamHead,
+} from '../../src/backends/index.ts';
+
+type Seen = {
+	readonly head: UpstreamHead | undefined;
+	readonly body: string;
+	readonly end: 'ended' | 'failed';
+	readonly wasSent: boolean;
+};
+
+// A server that answers each request with bytes of the test's choice.
+const startServer = async (
+	context: TestContext,
+	answer: (socket: Socket, count: number) => void,
+): Promise<string> => {
+	let count = 0;
+	const sockets = new Set<Socket>();
+	const server = createServer((socket) => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			count += 1;
+			answer(socket, count);
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	context.after(() => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
+const callOf = (address: string): UpstreamCall => ({
+	key: address,
+	address,
+	maximumConnections: 1,
+	method: 'GET',
+	target: '/',
+	headers: ['host', 'x'],
+	body: undefined,
+});
+
+const ask = async (
+	client: ReturnType<typeof createUpstreamClient>,
+	address: string,
+): Promise<Seen> =>
+	new Promise((resolve) => {
+		let head: UpstreamHead | undefined;
+		let body = '';
+		client.call(callOf(address), {
+			onHead(given) {
+				head = given;
+			},
+			onData(chunk) {
+				body += chunk.toString();
+				return true;
+			},
+			onEnd() {
+				resolve({head, body, end: 'ended', wasSent: true});
+			},
+			onFailure({wasSent}) {
+				resolve({head, body, end: 'failed', wasSent});
+			},
+		});
+	});
+
+const setUp = (context: TestContext) => {
+	const client = createUpstreamClient();
+	context.after(async () => client.close());
+	return client;
+};
+
+test('an answer with a length is whole, and its headers are told', async (t) => {
+	const client = setUp(t);
+	const address = await startServer(t, (socket) => {
+		socket.write('HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\nhi');
+	});
+	const seen = await ask(client, address);
+	t.assert.deepEqual([seen.end, seen.body], ['ended', 'hi']);
+	t.assert.equal(seen.head?.header('x-a'), 'b');
+	t.assert.ok(seen.head.rawHeaders.includes('X-A'));
+});
+
+test('an answer without a length is whole when it ends, and not when it is reset', async (t) => {
+	const client = setUp(t);
+	const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+	const ended = await startServer(t, (socket) => {
+		socket.end(`${head}whole`);
+	});
+	const reset = await startServer(t, (socket) => {
+		socket.write(`${head}half`, () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 20);
+		});
+	});
+	t.assert.equal((await ask(client, ended)).end, 'ended');
+	t.assert.equal((await ask(client, reset)).end, 'failed');
+});
+
+test('an answer in chunks that ends without its last one is not whole', async (t) => {
+	const client = setUp(t);
+	const address = await startServer(t, (socket) => {
+		socket.end(
+			'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n',
+		);
+	});
+	t.assert.equal((await ask(client, address)).end, 'failed');
+});
+
+test('bytes that are no answer fail the call after it was sent', async (t) => {
+	const client = setUp(t);
+	const address = await startServer(t, (socket) => {
+		socket.end('nonsense\r\n\r\n');
+	});
+	const seen = await ask(client, address);
+	t.assert.deepEqual([seen.end, seen.wasSent], ['failed', true]);
+});
+
+test('a connection that cannot be had proves that nothing was sent', async (t) => {
+	const client = setUp(t);
+	const address = await startServer(t, () => undefined);
+	const [host] = address.split(':', 1);
+	const seen = await ask(client, `${host}:1`);
+	t.assert.deepEqual([seen.end, seen.wasSent], ['failed', false]);
+});
+
+test('a call that is aborted closes its connection and tells nothing more', async (t) => {
+	const client = setUp(t);
+	const closed = Promise.withResolvers<undefined>();
+	const address = await startServer(t, (socket) => {
+		socket.on('close', () => {
+			closed.resolve(undefined);
+		});
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf');
+	});
+	let told = 0;
+	const call = client.call(callOf(address), {
+		onHead() {
+			setImmediate(() => {
+				call.abort();
+			});
+		},
+		onData: () => true,
+		onEnd() {
+			told += 1;
+		},
+		onFailure() {
+			told += 1;
+		},
+	});
+	await closed.promise;
+	t.assert.equal(told, 0);
+});
+
+test('data waits while the receiver is slow', async (t) => {
+	const client = setUp(t);
+	const address = await startServer(t, (socket) => {
+		socket.write(
+			`HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n${'x'.repeat(200_000)}`,
+		);
+	});
+	let size = 0;
+	await new Promise<void>((resolve, reject) => {
+		const call = client.call(callOf(address), {
+			onHead: () => undefined,
+			onData(chunk: Buffer) {
+				size += chunk.length;
+				setImmediate(call.resume);
+				return false;
+			},
+			onEnd: resolve,
+			onFailure({reason}) {
+				reject(new Error(reason));
+			},
+		});
+	});
+	t.assert.equal(size, 200_000);
+});
--- /dev/null
+++ b/tests/gateway/choose-upstream.test.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	createBackendFleet,
+	type Placement,
+	type ServiceLoad,
+} from '../../src/backends/index.ts';
+import {createUpstreamChooser} from '../../src/gateway/choose-upstream.ts';
+import type {Exchange} from '../../src/gateway/exchange.ts';
+import type {Member} from '../../src/membership/index.ts';
+import {createRandom} from '../../src/shared/index.ts';
+import {exchangeOf, routeOf, serviceOf} from './fixtures.ts';
+
+const memberOf = (id: string, availabilityZone: string): Member => ({
+	id,
+	availabilityZone,
+	peerAddress: '10.0.0.1:1',
+	callerAddress: '10.0.0.1:2',
+	incarnation: 1,
+	revision: 0,
+	status: 'alive',
+});
+
+const setUp = (options: {
+	readonly localServers?: number;
+	readonly loads?: Readonly<Record<string, ServiceLoad>>;
+	readonly promptRegion?: string;
+	readonly members?: readonly string[];
+}) => {
+	const fleet = createBackendFleet({
+		self: 'self',
+		nodesEverHeard: () => ['self'],
+		nodesServing: () => 1,
+		service: () => serviceOf(),
+		coldOverrun: 1,
+		coldSlack: 0,
+		mayUseCold: () => true,
+	});
+	fleet.sync(
+		new Map(
+			Array.from({length: options.localServers ?? 1}, (_, index) => [
+				`local-${index}`,
+				{
+					coldUntil: 0,
+					server: {
+						id: `local-${index}`,
+						service: 'engine',
+						address: '10.0.0.1:80',
+						availabilityZone: 'home',
+						slots: 2,
+						isLeaving: false,
+						coldMs: 0,
+					},
+				},
+			]),
+		),
+		0,
+	);
+	const choose = createUpstreamChooser({
+		ownRegion: 'home',
+		fleet,
+		regions: ['home', 'near', 'far'],
+		membersIn: (region) =>
+			(options.members ?? ['near', 'far']).includes(region)
+				? [memberOf(`node-${region}`, region)]
+				: [],
+		loadIn: (region) => options.loads?.[region] ?? {load: 0, slots: 8},
+		promptRegion: () => options.promptRegion,
+		random: createRandom(1),
+	});
+	return {fleet, choose};
+};
+
+const placementOf = (change: Partial<Placement> = {}): Placement => ({
+	service: 'engine',
+	promptTokens: 0,
+	excluded: new Set<string>(),
+	...change,
+});
+
+const nothingTried = {
+	regions: new Set<string>(),
+	members: new Set<string>(),
+};
+
+const regionOf = (
+	chosen: ReturnType<ReturnType<typeof createUpstreamChooser>>,
+) => (chosen.kind === 'peer' ? chosen.region : chosen.kind);
+
+const forwarded: Partial<Exchange> = {
+	hop: {origin: 'other', excluded: [], canWait: false},
+};
+
+test('the own region serves while it has room', () => {
+	const {choose} = setUp({});
+	assert.equal(
+		regionOf(choose(exchangeOf(), nothingTried, placementOf(), 0)),
+		'server',
+	);
+});
+
+test('a route with homes never leaves them, at the origin nor at the receiver', () => {
+	const {choose} = setUp({promptRegion: 'far'});
+	const route = routeOf({homeRegions: ['near']});
+	const placement = placementOf({sharedPart: {id: 'p', tokens: 9000}});
+	assert.equal(
+		regionOf(choose(exchangeOf({route}), nothingTried, placement, 0)),
+		'near',
+	);
+	assert.equal(
+		regionOf(
+			choose(exchangeOf({route, ...forwarded}), nothingTried, placement, 0),
+		),
+		'none',
+	);
+});
+
+test('a forwarded request is never sent on, even without a server here', () => {
+	const {choose} = setUp({localServers: 0, promptRegion: 'near'});
+	const chosen = choose(
+		exchangeOf(forwarded),
+		nothingTried,
+		placementOf({sharedPart: {id: 'p', tokens: 9000}}),
+		0,
+	);
+	assert.equal(regionOf(chosen), 'none');
+});
+
+test('a prompt goes to the region that holds it, unless that is full or cut off', () => {
+	const placement = placementOf({sharedPart: {id: 'p', tokens: 9000}});
+	const place = (options: Parameters<typeof setUp>[0]) =>
+		regionOf(
+			setUp({promptRegion: 'far', ...options}).choose(
+				exchangeOf(),
+				nothingTried,
+				placement,
+				0,
+			),
+		);
+	assert.equal(place({}), 'far');
+	assert.equal(place({loads: {far: {load: 20, slots: 8}}}), 'server');
+	assert.equal(place({members: ['near']}), 'server');
+});
+
+test('a full region sends to the emptiest other one, and waits where all are full', () => {
+	const {choose, fleet} = setUp({
+		loads: {near: {load: 6, slots: 8}, far: {load: 1, slots: 8}},
+	});
+	for (let index = 0; index < 4; index += 1) {
+		fleet.begin('local-0', placementOf(), 0);
+	}
+
+	const exchange = exchangeOf();
+	assert.equal(
+		regionOf(choose(exchange, nothingTried, placementOf(), 0)),
+		'far',
+	);
+	const tried = {regions: new Set(['far', 'near']), members: new Set<string>()};
+	assert.equal(regionOf(choose(exchange, tried, placementOf(), 0)), 'full');
+});
--- a/tests/membership/membership.test.ts
+++ b/tests/membership/membership.test.ts
@@ -314,3 +314,27 @@
 	const left = zone.filter((member) => !holders.includes(member));
 	assert.equal(holdersAmong(left).length, nodesPerDuty);
 });
+
+test('a process that restarts after the time of day went back is not taken for its dead predecessor', () => {
+	const earlier: Member = {
+		id: 'restarted',
+		availabilityZone: 'zone-a',
+		peerAddress: '10.0.0.9:1',
+		callerAddress: '10.0.0.9:2',
+		incarnation: 5000,
+		revision: 3,
+		status: 'dead',
+	};
+	const restarted = createMembership({
+		self: {...earlier, incarnation: 2000, revision: 0, status: 'alive'},
+		random: createRandom(1),
+	});
+	const other = createMembership({
+		self: {...earlier, id: 'other', status: 'alive'},
+		random: createRandom(2),
+	});
+	other.handle({kind: 'state', members: [earlier]}, 0);
+	restarted.handle({kind: 'state', members: other.members()}, 0);
+	other.handle({kind: 'state', members: [restarted.self()]}, 0);
+	assert.equal(other.find('restarted')?.status, 'alive');
+});
