--- a/tests/backends/upstream-client.test.ts
+++ b/tests/backends/upstream-client.test.ts
@@ -88,9 +88,9 @@
 		socket.write('HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\nhi');
 	});
 	const seen = await ask(client, address);
-	t.assert.deepEqual([seen.end, seen.body], ['ended', 'hi']);
-	t.assert.equal(seen.head?.header('x-a'), 'b');
-	t.assert.ok(seen.head.rawHeaders.includes('X-A'));
+	t.assert.deepStrictEqual([seen.end, seen.body], ['ended', 'hi']);
+	t.assert.strictEqual(seen.head?.header('x-a'), 'b');
+	t.assert.strictEqual(seen.head?.rawHeaders.includes('X-A'), true);
 });
 
 test('an answer without a length is whole when it ends, and not when it is reset', async (t) => {
@@ -106,8 +106,8 @@
 			}, 20);
 		});
 	});
-	t.assert.equal((await ask(client, ended)).end, 'ended');
-	t.assert.equal((await ask(client, reset)).end, 'failed');
+	t.assert.strictEqual((await ask(client, ended)).end, 'ended');
+	t.assert.strictEqual((await ask(client, reset)).end, 'failed');
 });
 
 test('an answer in chunks that ends without its last one is not whole', async (t) => {
@@ -117,7 +117,7 @@
 			'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n',
 		);
 	});
-	t.assert.equal((await ask(client, address)).end, 'failed');
+	t.assert.strictEqual((await ask(client, address)).end, 'failed');
 });
 
 test('bytes that are no answer fail the call after it was sent', async (t) => {
@@ -126,7 +126,7 @@
 		socket.end('nonsense\r\n\r\n');
 	});
 	const seen = await ask(client, address);
-	t.assert.deepEqual([seen.end, seen.wasSent], ['failed', true]);
+	t.assert.deepStrictEqual([seen.end, seen.wasSent], ['failed', true]);
 });
 
 test('a connection that cannot be had proves that nothing was sent', async (t) => {
@@ -134,7 +134,7 @@
 	const address = await startServer(t, () => undefined);
 	const [host] = address.split(':', 1);
 	const seen = await ask(client, `${host}:1`);
-	t.assert.deepEqual([seen.end, seen.wasSent], ['failed', false]);
+	t.assert.deepStrictEqual([seen.end, seen.wasSent], ['failed', false]);
 });
 
 test('a call that is aborted closes its connection and tells nothing more', async (t) => {
@@ -162,7 +162,7 @@
 		},
 	});
 	await closed.promise;
-	t.assert.equal(told, 0);
+	t.assert.strictEqual(told, 0);
 });
 
 test('data waits while the receiver is slow', async (t) => {
@@ -187,5 +187,5 @@
 			},
 		});
 	});
-	t.assert.equal(size, 200_000);
+	t.assert.strictEqual(size, 200_000);
 });
