--- a/tests/backends/upstream-client.test.ts
+++ b/tests/backends/upstream-client.test.ts
@@ -82,7 +82,7 @@
 	return client;
 };
 
-test('an answer with a length is whole, and its headers are told', async (t) => {
+test('an answer with a length is whole, and its headers are told', async (t: TestContext) => {
 	const client = setUp(t);
 	const address = await startServer(t, (socket) => {
 		socket.write('HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\nhi');
@@ -93,7 +93,7 @@
 	t.assert.strictEqual(seen.head?.rawHeaders.includes('X-A'), true);
 });
 
-test('an answer without a length is whole when it ends, and not when it is reset', async (t) => {
+test('an answer without a length is whole when it ends, and not when it is reset', async (t: TestContext) => {
 	const client = setUp(t);
 	const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
 	const ended = await startServer(t, (socket) => {
@@ -110,7 +110,7 @@
 	t.assert.strictEqual((await ask(client, reset)).end, 'failed');
 });
 
-test('an answer in chunks that ends without its last one is not whole', async (t) => {
+test('an answer in chunks that ends without its last one is not whole', async (t: TestContext) => {
 	const client = setUp(t);
 	const address = await startServer(t, (socket) => {
 		socket.end(
@@ -120,7 +120,7 @@
 	t.assert.strictEqual((await ask(client, address)).end, 'failed');
 });
 
-test('bytes that are no answer fail the call after it was sent', async (t) => {
+test('bytes that are no answer fail the call after it was sent', async (t: TestContext) => {
 	const client = setUp(t);
 	const address = await startServer(t, (socket) => {
 		socket.end('nonsense\r\n\r\n');
@@ -129,7 +129,7 @@
 	t.assert.deepStrictEqual([seen.end, seen.wasSent], ['failed', true]);
 });
 
-test('a connection that cannot be had proves that nothing was sent', async (t) => {
+test('a connection that cannot be had proves that nothing was sent', async (t: TestContext) => {
 	const client = setUp(t);
 	const address = await startServer(t, () => undefined);
 	const [host] = address.split(':', 1);
@@ -137,7 +137,7 @@
 	t.assert.deepStrictEqual([seen.end, seen.wasSent], ['failed', false]);
 });
 
-test('a call that is aborted closes its connection and tells nothing more', async (t) => {
+test('a call that is aborted closes its connection and tells nothing more', async (t: TestContext) => {
 	const client = setUp(t);
 	const closed = Promise.withResolvers<undefined>();
 	const address = await startServer(t, (socket) => {
@@ -165,7 +165,7 @@
 	t.assert.strictEqual(told, 0);
 });
 
-test('data waits while the receiver is slow', async (t) => {
+test('data waits while the receiver is slow', async (t: TestContext) => {
 	const client = setUp(t);
 	const address = await startServer(t, (socket) => {
 		socket.write(
