Use what nodes share sparingly until a node has heard of the others, and prefer the own zone

Now slack is shared among eight nodes at the least, and cold servers wait for 2.5 s. Servers and nodes of another zone of the region are second choice.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -124,6 +124,7 @@
 */
 export type BackendFleetOptions = {
 	readonly self: string;
+	readonly availabilityZone: string;
 	/**
 	Ids of all nodes of the region that were ever heard of, this one included.
 	*/
@@ -164,6 +165,9 @@
 // counts for more than the same wait behind another prompt.
 const rereadFactor = 2;
 
+// What a server of another zone of the region is worse by: the bytes between zones are paid for.
+const otherZoneCost = 0.15;
+
 // Weight of one more outcome in a server's failure rate.
 const failureWeight = 0.1;
 // What a server that fails every request is worse by than a sound one.
@@ -248,6 +252,9 @@
 	};
 
 	const costOf = (state: State): number =>
+		(state.known.server.availabilityZone === options.availabilityZone
+			? 0
+			: otherZoneCost) +
 		(state.inFlight + 1) / roomOf(state) +
 		state.pendingTokens / promptTokensOfFull +
 		state.failureRate * failureCost;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,6 +31,7 @@
 	type FrontListener,
 	type ReadRequest,
 } from './front-listener.ts';
+import {entriesFor} from './entry-members.ts';
 import {createGatewayObserver} from './gateway-observer.ts';
 import {encodeHopResult} from './hop.ts';
 import {
@@ -130,10 +131,16 @@
 export const rejoinIntervalMs = 4000;
 
 /**
-How long a node that hears of no other one waits before it takes itself for the only one, in
-milliseconds.
+How long after its start a node has heard of the others, in milliseconds: a few heartbeats. What is
+shared among nodes is used sparingly until then, for after a stop of all nodes none knows another.
 */
-export const solitudeMs = 2500;
+export const settlingMs = 2500;
+
+/**
+The retry slack is shared among so many nodes at the least, so that nodes that cannot hear of each
+other do not each take all of it.
+*/
+export const minimumSharers = 8;
 
 /**
 Nodes of a region that a node takes for granted until it had time to hear of the others. After a
@@ -187,6 +194,7 @@
 		wallClock: () => Date.now(),
 		logger,
 	});
+	const hasSettled = () => clock() - startedAt > settlingMs;
 	const inOwnRegion = (members: readonly Member[]) =>
 		members.filter(
 			({availabilityZone}) => regionOf(availabilityZone) === ownRegion,
@@ -200,13 +208,13 @@
 		nodesServing: () =>
 			Math.max(
 				1 + mesh.usableIn(ownRegion).length,
-				clock() - startedAt < solitudeMs ? assumedNodes : 1,
+				hasSettled() ? 1 : assumedNodes,
 			),
 		service: (name) => mirror.routes()?.service(name),
 		coldOverrun: options.bounds.coldOverrun,
 		coldSlack: options.bounds.coldSlack,
-		mayUseCold: (now) =>
-			mesh.lastHeard() !== undefined || now - startedAt > solitudeMs,
+		availabilityZone: options.availabilityZone,
+		mayUseCold: () => hasSettled(),
 	});
 	const budget = createWindowRetryBudget({
 		ratio: options.bounds.retryRatio,
@@ -347,7 +355,7 @@
 		client,
 		choose,
 		budget,
-		nodes: () => 1 + mesh.others().length,
+		nodes: () => Math.max(1 + mesh.others().length, minimumSharers),
 		connectionsTo(service) {
 			const maximum =
 				mirror.routes()?.service(service)?.maximumConnections ?? 0;
@@ -589,17 +597,12 @@
 			const all = [self, ...mesh.usable()].filter(
 				({status}) => status === 'alive',
 			);
-			const near = all.filter(
-				(member) => regionOf(member.availabilityZone) === region,
-			);
-			const chosen = near.length > 0 ? near : all;
-			return chosen
-				.toSorted(
-					(left, right) =>
-						Number(right.availabilityZone === availabilityZone) -
-						Number(left.availabilityZone === availabilityZone),
-				)
-				.map(({callerAddress}) => callerAddress);
+			return entriesFor({
+				members: all,
+				regionOf,
+				region,
+				availabilityZone,
+			}).map(({callerAddress}) => callerAddress);
 		},
 		metrics: observer.metrics,
 		reload() {
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -15,6 +15,7 @@
 ) => {
 	const fleet = createBackendFleet({
 		self: 'node-1',
+		availabilityZone: 'zone-a',
 		nodesEverHeard: () => ['node-1'],
 		nodesServing: () => 1,
 		service: () =>
--- a/tests/gateway/choose-upstream.test.ts
+++ b/tests/gateway/choose-upstream.test.ts
@@ -29,6 +29,7 @@
 }) => {
 	const fleet = createBackendFleet({
 		self: 'self',
+		availabilityZone: 'home',
 		nodesEverHeard: () => ['self'],
 		nodesServing: () => 1,
 		service: () => serviceOf(),
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -32,6 +32,7 @@
 	const records: DeliveryRecord[] = [];
 	const fleet = createBackendFleet({
 		self: 'node-1',
+		availabilityZone: 'zone-a',
 		nodesEverHeard: () => ['node-1'],
 		nodesServing: () => 1,
 		service: () => serviceOf(),
--- /dev/null
+++ b/tests/gateway/entry-members.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {entriesFor} from '../../src/gateway/entry-members.ts';
+import type {Member} from '../../src/membership/index.ts';
+
+const memberOf = (id: string): Member => ({
+	id,
+	availabilityZone: id.slice(0, 2),
+	peerAddress: '10.0.0.1:1',
+	callerAddress: '10.0.0.1:2',
+	incarnation: 1,
+	revision: 0,
+	status: 'alive',
+});
+
+// Zones a1 and a2 are in region a.
+const idsFor = (ids: readonly string[], availabilityZone: string) =>
+	entriesFor({
+		members: ids.map((id) => memberOf(id)),
+		regionOf: (zone) => zone.slice(0, 1),
+		region: availabilityZone.slice(0, 1),
+		availabilityZone,
+	}).map(({id}) => id);
+
+test('a caller is told of its zone where that has two nodes, else of its region', () => {
+	assert.deepEqual(idsFor(['a1-1', 'a1-2', 'a2-1', 'b1-1'], 'a1'), [
+		'a1-1',
+		'a1-2',
+	]);
+	assert.deepEqual(idsFor(['a1-1', 'a2-1', 'b1-1'], 'a1'), ['a1-1', 'a2-1']);
+});
+
+test('one node of the own region is enough to name no other region', () => {
+	assert.deepEqual(idsFor(['a1-1', 'b1-1', 'b1-2'], 'a1'), ['a1-1']);
+	assert.deepEqual(idsFor(['b1-1', 'b1-2'], 'a1'), ['b1-1', 'b1-2']);
+});
