--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -110,8 +110,12 @@
 			return linesLeft > 0;
 		}
 
+		// The last half of the lines is kept for requests that failed or came late.
+		if (isLate(record)) {
+			return linesLeft > linesPerSecond / 4;
+		}
+
 		answered += 1;
-		// The last half of the lines is kept for requests that failed.
 		return answered % answeredSample === 0 && linesLeft > linesPerSecond / 2;
 	};
 
@@ -130,6 +134,7 @@
 			firstByteMs: rounded(record.firstByteMs),
 			waitedMs: rounded(record.waitedMs),
 			totalMs: rounded(record.totalMs),
+			targetMs: exchange.route.targetLatencyMs,
 			...options.inputs(),
 		};
 		if (record.result === 'answered') {
@@ -186,6 +191,10 @@
 	};
 };
 
+// Later than the route's users hope for.
+const isLate = ({exchange, firstByteMs}: DeliveryRecord): boolean =>
+	firstByteMs !== undefined && firstByteMs > exchange.route.targetLatencyMs;
+
 const rounded = (milliseconds: number | undefined): number | undefined =>
 	milliseconds === undefined ? undefined : Math.round(milliseconds);
 
--- /dev/null
+++ b/tests/gateway/gateway-observer.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {DeliveryRecord} from '../../src/gateway/exchange.ts';
+import {
+	answeredSample,
+	createGatewayObserver,
+	linesPerSecond,
+} from '../../src/gateway/gateway-observer.ts';
+import type {LogContext} from '../../src/logging/index.ts';
+import {exchangeOf} from './fixtures.ts';
+
+const setUp = () => {
+	const lines: Array<{readonly message: string; readonly facts: LogContext}> =
+		[];
+	const write = (facts: LogContext, message: string) => {
+		lines.push({facts, message});
+	};
+
+	const observer = createGatewayObserver({
+		logger: {debug: write, info: write, warn: write, error: write},
+		gauges: {someGauge: () => 7},
+		inputs: () => ({routesVersion: 3, registryAgeMs: 250}),
+	});
+	observer.tick(1000);
+	return {observer, lines};
+};
+
+const recordOf = (change: Partial<DeliveryRecord> = {}): DeliveryRecord => ({
+	exchange: exchangeOf(),
+	result: 'answered',
+	status: 200,
+	reason: '',
+	outcome: 'ran',
+	steps: ['server a'],
+	firstByteMs: 20,
+	totalMs: 40,
+	waitedMs: 0,
+	...change,
+});
+
+test('a failed or late request has a line with its id, steps and the age of what decided', () => {
+	const {observer, lines} = setUp();
+	observer.record(recordOf({result: 'refused', outcome: 'not-run'}));
+	observer.record(recordOf({firstByteMs: 900}));
+	assert.deepEqual(
+		lines.map(({facts}) => [
+			facts.requestId,
+			facts.steps,
+			facts.routesVersion,
+			facts.registryAgeMs,
+		]),
+		[
+			['request-1', 'server a', 3, 250],
+			['request-1', 'server a', 3, 250],
+		],
+	);
+});
+
+test('lines are bounded in each second, answered requests give way first, and the dropped are counted', async () => {
+	const {observer, lines} = setUp();
+	for (let index = 0; index < answeredSample * linesPerSecond; index += 1) {
+		observer.record(recordOf());
+	}
+
+	assert.equal(lines.length, linesPerSecond / 2);
+	for (let index = 0; index < linesPerSecond; index += 1) {
+		observer.record(recordOf({result: 'refused', outcome: 'not-run'}));
+	}
+
+	assert.equal(lines.length, linesPerSecond);
+	assert.match(
+		await observer.metrics(),
+		new RegExp(`quillford_log_lines_dropped_total ${linesPerSecond / 2}`, 'v'),
+	);
+	observer.tick(2000);
+	observer.record(recordOf({result: 'broken'}));
+	assert.equal(lines.length, linesPerSecond + 1);
+});
+
+test('figures are served as counters, histograms and gauges', async () => {
+	const {observer} = setUp();
+	observer.record(recordOf());
+	observer.rejected('request-2', 'no route', 404);
+	const text = await observer.metrics();
+	assert.match(
+		text,
+		/quillford_requests_total\{route="route",result="answered",status="200"\} 1/v,
+	);
+	assert.match(text, /quillford_rejected_total\{status="404"\} 1/v);
+	assert.match(
+		text,
+		/quillford_first_byte_milliseconds_bucket\{le="25",route="route"\} 1/v,
+	);
+	assert.match(text, /quillford_some_gauge 7/v);
+});
