Split fleet and membership by what their parts are, and take a circle out of the configuration's checks

Types of events, parameters and states have files of their own, as has what is known of one backend server; cross-check.ts and parse-configuration.ts share a type from a third file; a doc comment of decideRetry named a parameter that is gone.

--- a/src/configuration/configuration-store.ts
+++ b/src/configuration/configuration-store.ts
@@ -1,6 +1,6 @@
+import type {ConfigurationFault} from './configuration-fault.ts';
 import {
 	parseConfiguration,
-	type ConfigurationFault,
 	type ParsedConfiguration,
 } from './parse-configuration.ts';
 
--- a/src/configuration/cross-check.ts
+++ b/src/configuration/cross-check.ts
@@ -1,5 +1,5 @@
 import type {Configuration} from './configuration.ts';
-import type {ConfigurationFault} from './parse-configuration.ts';
+import type {ConfigurationFault} from './configuration-fault.ts';
 
 /**
 Checks what a schema cannot: that names are unique and that references have a target.
--- a/src/configuration/parse-configuration.ts
+++ b/src/configuration/parse-configuration.ts
@@ -6,21 +6,10 @@
 	configurationSchema,
 	maximumDocumentBytes,
 } from './configuration-schema.ts';
+import type {ConfigurationFault} from './configuration-fault.ts';
 import {crossCheck} from './cross-check.ts';
 import type {Configuration} from './configuration.ts';
 
-/**
-One fault of a document: where, what is wrong, and how to mend it.
-*/
-export type ConfigurationFault = {
-	/**
-	Path into the document, such as `policies.0.strategy`.
-	*/
-	readonly path: string;
-	readonly fault: string;
-	readonly remedy: string;
-};
-
 /**
 A document that passed every check.
 */
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,142 +1,20 @@
 import type {BackendServer} from '../configuration/index.ts';
 import {assertNever} from '../shared/index.ts';
 import type {BackendServerCandidate} from '../routing/index.ts';
-
-/**
-A load report of a backend server.
-*/
-export type LoadReport = {
-	readonly running: number;
-	readonly queued: number;
-	readonly slots: number;
-	/**
-	Names the engine process; a restart changes it.
-	*/
-	readonly incarnation: string;
-};
-
-/**
-How an attempt at a backend server ended.
-*/
-export type AttemptEnd =
-	'answered' | 'refused' | 'unreachable' | 'failed' | 'canceled';
-
-/**
-Something that changes what is known of the backend servers.
-*/
-export type FleetEvent =
-	| {
-			readonly kind: 'configured';
-			readonly backendServers: readonly BackendServer[];
-	  }
-	| {
-			readonly kind: 'load-reported';
-			readonly backendServer: string;
-			readonly report: LoadReport;
-			/**
-			When the report was true, by the clock of this node.
-			*/
-			readonly observedAt: number;
-	  }
-	| {
-			readonly kind: 'peer-in-flight';
-			readonly node: string;
-			readonly counts: Readonly<Record<string, number>>;
-	  }
-	| {readonly kind: 'peer-gone'; readonly node: string}
-	| {
-			readonly kind: 'leaving';
-			readonly backendServer: string;
-			readonly incarnation: string;
-	  }
-	| {readonly kind: 'attempt-started'; readonly backendServer: string}
-	| {
-			readonly kind: 'first-token';
-			readonly backendServer: string;
-			readonly elapsedMs: number;
-	  }
-	| {
-			readonly kind: 'attempt-ended';
-			readonly backendServer: string;
-			readonly end: AttemptEnd;
-	  }
-	| {readonly kind: 'woken'};
-
-/**
-What is known of one backend server, for operators.
-*/
-export type BackendServerState = {
-	readonly id: string;
-	readonly service: string;
-	readonly availabilityZone: string;
-	readonly address: string;
-	readonly isLeaving: boolean;
-	readonly isEjected: boolean;
-	readonly load: number;
-	readonly slots: number;
-	readonly inFlight: number;
-	readonly firstTokenMs: number;
-	readonly weight: number;
-	/**
-	Milliseconds since the latest load report; undefined before the first.
-	*/
-	readonly reportAgeMs: number | undefined;
-};
-
-/**
-Load and speed of several servers together.
-*/
-export type FleetCapacity = {
-	readonly load: number;
-	readonly slots: number;
-	/**
-	Mean over the servers, weighted by their slots, in milliseconds.
-	*/
-	readonly firstTokenMs: number;
-	/**
-	Median over the servers, which one slow server does not move.
-	*/
-	readonly typicalFirstTokenMs: number;
-	readonly costPerThousandTokens: number;
-};
-
-/**
-Bounds of the fleet's estimates, in milliseconds unless said otherwise.
-*/
-export type FleetParameters = {
-	/**
-	After this long a load report counts for about a third.
-	*/
-	readonly reportDecay: number;
-	readonly failuresToEject: number;
-	readonly ejection: number;
-	readonly maximumEjection: number;
-	readonly slowStart: number;
-	readonly firstTokenPrior: number;
-	/**
-	Share of slots beyond which this node sends nothing more to a server.
-	*/
-	readonly queueAllowance: number;
-
-	/**
-	How long sums over many servers are used again.
-	*/
-	readonly sumValidity: number;
-};
-
-/**
-Parameters in use unless a test states others.
-*/
-export const defaultFleetParameters: FleetParameters = {
-	reportDecay: 1000,
-	failuresToEject: 3,
-	ejection: 2000,
-	maximumEjection: 30_000,
-	slowStart: 10_000,
-	firstTokenPrior: 30,
-	queueAllowance: 0.5,
-	sumValidity: 20,
-};
+import type {AttemptEnd, FleetEvent} from './fleet-event.ts';
+import {
+	defaultFleetParameters,
+	type FleetParameters,
+} from './fleet-parameters.ts';
+import {
+	anyIncarnation,
+	estimateLoad,
+	isLeavingRow,
+	takeReport,
+	weightOf,
+	type Row,
+} from './fleet-row.ts';
+import type {BackendServerState, FleetCapacity} from './fleet-state.ts';
 
 /**
 What this node knows of the backend servers of its own zone.
@@ -169,26 +47,6 @@
 	isLeaving(backendServer: string): boolean;
 };
 
-type Row = {
-	readonly server: BackendServer;
-	report: LoadReport | undefined;
-	reportedAt: number;
-	/**
-	Own requests in flight when the report was true.
-	*/
-	inFlightAtReport: number;
-	inFlight: number;
-	readonly peers: Map<string, number>;
-	peerInFlight: number;
-	firstTokenMs: number;
-	failures: number;
-	ejections: number;
-	ejectedUntil: number;
-	availableSince: number;
-	incarnation: string | undefined;
-	readonly leavingIncarnations: Set<string>;
-};
-
 type Sum = {
 	readonly capacity: FleetCapacity;
 	readonly at: number;
@@ -196,12 +54,6 @@
 };
 
 const smoothing = 0.2;
-const lowestWeight = 0.05;
-
-/**
-Leaving word about whichever process is meant, used by a source that names none.
-*/
-export const anyIncarnation = '*';
 
 /**
 Builds a fleet without servers; `configured` brings them.
@@ -248,58 +100,6 @@
 		);
 	};
 
-	const takeReport = (
-		row: Row,
-		report: LoadReport,
-		observedAt: number,
-		now: number,
-	) => {
-		if (observedAt < row.reportedAt) {
-			return;
-		}
-
-		if (
-			row.incarnation !== undefined &&
-			row.incarnation !== report.incarnation
-		) {
-			// A new process starts with cold caches.
-			row.availableSince = now;
-			row.failures = 0;
-		}
-
-		row.incarnation = report.incarnation;
-		row.report = report;
-		row.reportedAt = observedAt;
-		row.inFlightAtReport = row.inFlight;
-	};
-
-	const estimateLoad = (row: Row, now: number): number => {
-		const known = row.inFlight + row.peerInFlight;
-		if (!row.report) {
-			return known;
-		}
-
-		const trust = Math.exp(
-			-Math.max(0, now - row.reportedAt) / parameters.reportDecay,
-		);
-		const sinceReport = Math.max(0, row.inFlight - row.inFlightAtReport);
-		return Math.max(
-			known,
-			(row.report.running + row.report.queued) * trust + sinceReport,
-		);
-	};
-
-	const weightOf = (row: Row, now: number): number =>
-		Math.min(
-			1,
-			Math.max(lowestWeight, (now - row.availableSince) / parameters.slowStart),
-		);
-
-	const isLeavingRow = (row: Row): boolean =>
-		row.leavingIncarnations.has(anyIncarnation) ||
-		(row.incarnation !== undefined &&
-			row.leavingIncarnations.has(row.incarnation));
-
 	const markLeaving = (row: Row, incarnation: string) => {
 		generation += 1;
 		row.leavingIncarnations.add(incarnation);
@@ -399,7 +199,7 @@
 				continue;
 			}
 
-			load += estimateLoad(row, now);
+			load += estimateLoad(row, parameters, now);
 			slots += row.server.slots;
 			weightedFirstToken += row.firstTokenMs * row.server.slots;
 			weightedCost += row.server.costPerThousandTokens * row.server.slots;
@@ -441,7 +241,7 @@
 			return undefined;
 		}
 
-		const load = estimateLoad(row, now);
+		const load = estimateLoad(row, parameters, now);
 		const {slots} = row.server;
 		if (load >= slots * (1 + parameters.queueAllowance)) {
 			return undefined;
@@ -453,7 +253,7 @@
 			slots,
 			expectedFirstTokenMs: row.firstTokenMs,
 			costPerThousandTokens: row.server.costPerThousandTokens,
-			weight: weightOf(row, now),
+			weight: weightOf(row, parameters, now),
 		};
 	};
 
@@ -527,11 +327,11 @@
 		address: row.server.address,
 		isLeaving: isLeavingRow(row),
 		isEjected: row.ejectedUntil > now,
-		load: estimateLoad(row, now),
+		load: estimateLoad(row, parameters, now),
 		slots: row.server.slots,
 		inFlight: row.inFlight,
 		firstTokenMs: row.firstTokenMs,
-		weight: weightOf(row, now),
+		weight: weightOf(row, parameters, now),
 		reportAgeMs: row.report ? now - row.reportedAt : undefined,
 	});
 
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,4 +1,6 @@
 export * from './member.ts';
+export type * from './membership-event.ts';
+export * from './membership-parameters.ts';
 export * from './membership.ts';
 export * from './entry-vms.ts';
 export * from './duty.ts';
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,97 +1,19 @@
 import {type Random, assertNever} from '../shared/index.ts';
 import {hasPrecedence, type Member} from './member.ts';
+import type {
+	MembershipAction,
+	MembershipEvent,
+	MembershipMessage,
+} from './membership-event.ts';
+import {
+	defaultMembershipParameters,
+	type MembershipParameters,
+} from './membership-parameters.ts';
 import {createProbeRound} from './probe-round.ts';
 
 // One probe in this many that leave the zone goes to a member taken for dead.
 const deadEvery = 3;
 
-/**
-A heartbeat message between nodes, without its piggybacked state.
-*/
-export type MembershipMessage =
-	| {
-			readonly kind: 'ping';
-			readonly sequence: number;
-			readonly from: Member;
-			readonly updates: readonly Member[];
-	  }
-	| {
-			readonly kind: 'acknowledge';
-			readonly sequence: number;
-			readonly from: Member;
-			readonly updates: readonly Member[];
-	  }
-	| {
-			readonly kind: 'ping-request';
-			readonly sequence: number;
-			readonly from: Member;
-			readonly target: string;
-			readonly updates: readonly Member[];
-	  };
-
-/**
-Something that happened, as membership takes it in.
-*/
-export type MembershipEvent =
-	| {readonly kind: 'tick'}
-	| {readonly kind: 'message'; readonly message: MembershipMessage}
-	| {readonly kind: 'vm-list'; readonly entryVms: readonly Member[]}
-	/**
-	The whole view of another node, asked for after a start or a pause.
-	*/
-	| {readonly kind: 'state'; readonly members: readonly Member[]}
-	/**
-	Word to be spread at once, such as a new configuration.
-	*/
-	| {readonly kind: 'announce'}
-	| {readonly kind: 'leave'};
-
-/**
-Something that membership wants done.
-*/
-export type MembershipAction =
-	| {
-			readonly kind: 'send';
-			readonly to: Member;
-			readonly message: MembershipMessage;
-	  }
-	| {readonly kind: 'changed'; readonly member: Member};
-
-/**
-Periods and bounds of the failure detector, in milliseconds unless said otherwise.
-*/
-export type MembershipParameters = {
-	readonly probeInterval: number;
-	readonly acknowledgeTimeout: number;
-	readonly suspicionTimeout: number;
-	/**
-	Other members asked to probe on this node's behalf.
-	*/
-	readonly indirectProbes: number;
-	/**
-	One probe in this many goes to another zone; it also finds members that came back.
-	*/
-	readonly crossZoneEvery: number;
-	readonly forgetDeadAfter: number;
-	/**
-	Most member statements in one message.
-	*/
-	readonly maximumUpdates: number;
-};
-
-/**
-Parameters that suit fleets from a few to some hundreds of nodes.
-*/
-export const defaultMembershipParameters: MembershipParameters = {
-	probeInterval: 700,
-	acknowledgeTimeout: 300,
-	suspicionTimeout: 2500,
-	indirectProbes: 2,
-	crossZoneEvery: 3,
-	forgetDeadAfter: 7_200_000,
-	maximumUpdates: 6,
-};
-
 /**
 What membership is built from.
 */
--- a/src/retries/decide-retry.ts
+++ b/src/retries/decide-retry.ts
@@ -62,8 +62,6 @@
 
 /**
  Decides about another attempt; only the node at which a request entered asks this.
- @param takeFromBudget called only where another attempt would be made.
- @param question
  */
 export const decideRetry = (question: RetryQuestion): RetryDecision => {
 	const {failure, isRepeatable, hasDelivered, isResumable} = question;
