--- /dev/null
+++ b/src/gateway/delivery-context.ts
@@ -0,0 +1,60 @@
+import type {BackendFleet, UpstreamClient} from '../backends/index.ts';
+import type {Member} from '../membership/index.ts';
+import type {RetryYield, WindowRetryBudget} from '../retries/index.ts';
+import type {Route} from '../routes/index.ts';
+import type {UpstreamChooser} from './choose-upstream.ts';
+import type {DeliveryRun} from './delivery-run.ts';
+import type {DeliveryRecord} from './exchange.ts';
+import type {WaitingRequests} from './waiting-requests.ts';
+import type {WireHeaders} from './wire-headers.ts';
+
+/**
+What deliveries are made with.
+*/
+export type DeliveryOptions = {
+	readonly self: string;
+	/**
+	Milliseconds that only rise.
+	*/
+	readonly clock: () => number;
+	readonly headers: WireHeaders;
+	readonly fleet: BackendFleet;
+	readonly client: UpstreamClient;
+	readonly choose: UpstreamChooser;
+	readonly budget: WindowRetryBudget;
+	/**
+	Nodes that share the retry budget, this one included.
+	*/
+	readonly nodes: () => number;
+	/**
+	Connections that this node may hold to one backend server of a service.
+	*/
+	readonly connectionsTo: (service: string) => number;
+	readonly routesVersion: () => number;
+	/**
+	Whether the own region may serve a route.
+	*/
+	readonly isServedHere: (route: Route) => boolean;
+	/**
+	Says that a node could not be reached.
+	*/
+	readonly onPeerFailure: (member: Member) => void;
+	/**
+	Says that a backend server could not be reached.
+	*/
+	readonly onServerFailure: (server: string, reason: string) => void;
+	readonly onRecord: (record: DeliveryRecord) => void;
+};
+
+/**
+What all requests under way share.
+*/
+export type DeliveryContext = DeliveryOptions & {
+	readonly runs: Set<DeliveryRun>;
+	readonly line: WaitingRequests;
+	readonly retryYield: RetryYield;
+	/**
+	Sends a request to the best place that it may still go to, or lets it wait for room.
+	*/
+	readonly sendOrWait: (run: DeliveryRun) => void;
+};
--- /dev/null
+++ b/src/gateway/delivery-run.ts
@@ -0,0 +1,157 @@
+import type {
+	BackendAttempt,
+	BackendAttemptEnd,
+	OpenCall,
+	Placement,
+} from '../backends/index.ts';
+import type {Outcome} from '../errors/index.ts';
+import type {Member} from '../membership/index.ts';
+import {isRepeatable, placementPart} from '../routes/index.ts';
+import type {EventRelay} from './event-relay.ts';
+import type {AnswerSink, Exchange} from './exchange.ts';
+import type {WaitingRequest} from './waiting-requests.ts';
+
+/**
+The call to a backend server or another node that a request waits for.
+*/
+export type CurrentCall = {
+	readonly open: () => OpenCall;
+	/**
+	Given with `server` for a call to a backend server.
+	*/
+	readonly attempt: BackendAttempt | undefined;
+	readonly server: string | undefined;
+	/**
+	Given with `region` for a call to another node.
+	*/
+	readonly member: Member | undefined;
+	/**
+	Region of the node that it was sent to.
+	*/
+	readonly region: string | undefined;
+};
+
+/**
+A request under way, from its delivery to its end.
+*/
+export type DeliveryRun = {
+	readonly exchange: Exchange;
+	readonly sink: AnswerSink;
+	readonly placement: Placement;
+	/**
+	Backend servers that are not to get it again, those that other nodes named included.
+	*/
+	readonly excluded: Set<string>;
+	/**
+	Backend servers that may have received it from here or by way of another node, in order.
+	*/
+	readonly tried: string[];
+	/**
+	Regions that had no room for it.
+	*/
+	readonly regions: Set<string>;
+	/**
+	Nodes that it was sent to.
+	*/
+	readonly members: Set<string>;
+	/**
+	What was tried, in order, for the record.
+	*/
+	readonly steps: string[];
+	readonly isRepeatable: boolean;
+	/**
+	Ends it when its time is over.
+	*/
+	timer: NodeJS.Timeout | undefined;
+	waiting: WaitingRequest | undefined;
+	/**
+	Milliseconds that it waited for room so far.
+	*/
+	waitedMs: number;
+	current: CurrentCall | undefined;
+	/**
+	The gravest outcome of its calls so far.
+	*/
+	outcome: Outcome;
+	/**
+	Given once a stream that may be taken up again has begun.
+	*/
+	relay: EventRelay | undefined;
+	/**
+	Whether a backend server answered with a fault and the request was sent on.
+	*/
+	hasFaultAnswer: boolean;
+	/**
+	Whether the head of a stream went to the caller.
+	*/
+	hasBegun: boolean;
+	firstByteAt: number | undefined;
+	isOver: boolean;
+	/**
+	Whether the caller left while the request is left to end.
+	*/
+	isDeserted: boolean;
+};
+
+/**
+Why a call brought no answer that can be passed on.
+*/
+export type CallFault = {
+	readonly outcome: Outcome;
+	readonly reason: string;
+	/**
+	Whether a backend server may have received the request.
+	*/
+	readonly reachedServer: boolean;
+	readonly end: BackendAttemptEnd;
+};
+
+/**
+Builds the run of a request that was sent nowhere yet.
+*/
+export const createDeliveryRun = (
+	exchange: Exchange,
+	sink: AnswerSink,
+): DeliveryRun => {
+	// The placement sees each server that is excluded later.
+	const excluded = new Set<string>(exchange.hop?.excluded);
+	return {
+		exchange,
+		sink,
+		excluded,
+		tried: [],
+		placement: {
+			service: exchange.service,
+			sharedPart: exchange.prompt && placementPart(exchange.prompt),
+			promptTokens: exchange.prompt?.tokensIn ?? 0,
+			excluded,
+		},
+		regions: new Set(),
+		members: new Set(),
+		steps: [],
+		isRepeatable: isRepeatable(exchange.route),
+		timer: undefined,
+		waiting: undefined,
+		waitedMs: 0,
+		current: undefined,
+		outcome: 'not-run',
+		relay: undefined,
+		hasFaultAnswer: false,
+		hasBegun: false,
+		firstByteAt: undefined,
+		isOver: false,
+		isDeserted: false,
+	};
+};
+
+/**
+Whether a request may be sent to one more backend server. A forwarded one may not: the node that
+sent it decides.
+*/
+export const hasAttemptLeft = (
+	{exchange, tried}: DeliveryRun,
+	now: number,
+): boolean =>
+	!exchange.hop &&
+	tried.length < exchange.route.maximumAttempts &&
+	now < exchange.expiresAt;
--- /dev/null
+++ b/src/gateway/end-run.ts
@@ -0,0 +1,152 @@
+import type {BackendAttemptEnd} from '../backends/index.ts';
+import {createGatewayError, type ErrorKind} from '../errors/index.ts';
+import type {DeliveryContext} from './delivery-context.ts';
+import type {DeliveryRun} from './delivery-run.ts';
+import type {DeliveryRecord} from './exchange.ts';
+
+/**
+Seconds after which a refused caller should come back at the least. A place in an engine becomes
+free many times in this time.
+*/
+export const shortestRetryAfterSeconds = 0.3;
+
+/**
+Requests of the line that one backend server takes in a second, by which refused callers are told
+when to come back.
+*/
+export const takenPerServerSecond = 10;
+
+/**
+States how a request ended.
+*/
+export const recordRun = (
+	{clock, onRecord}: DeliveryContext,
+	run: DeliveryRun,
+	result: DeliveryRecord['result'],
+	status: number,
+	reason: string,
+): void => {
+	const {exchange} = run;
+	onRecord({
+		exchange,
+		result,
+		status,
+		reason,
+		outcome: run.outcome,
+		steps: run.steps,
+		firstByteMs:
+			run.firstByteAt === undefined
+				? undefined
+				: run.firstByteAt - exchange.receivedAt,
+		totalMs: clock() - exchange.receivedAt,
+		waitedMs: run.waitedMs,
+	});
+};
+
+/**
+Takes a request out of the line, if it waits there.
+*/
+export const leaveLine = (
+	{clock, line}: DeliveryContext,
+	run: DeliveryRun,
+): void => {
+	if (!run.waiting) {
+		return;
+	}
+
+	line.leave(run.waiting);
+	run.waitedMs += clock() - run.waiting.since;
+	run.waiting = undefined;
+};
+
+/**
+Takes a request off what is under way; nothing happens to it afterwards.
+*/
+export const closeRun = (context: DeliveryContext, run: DeliveryRun): void => {
+	run.isOver = true;
+	clearTimeout(run.timer);
+	leaveLine(context, run);
+	context.runs.delete(run);
+};
+
+/**
+Ends the current call, if there is one, and gives its room to what waits.
+*/
+export const endCurrentCall = (
+	{clock, line}: DeliveryContext,
+	run: DeliveryRun,
+	how: BackendAttemptEnd,
+	shouldAbort: boolean,
+): void => {
+	const {current} = run;
+	// What the line sends on must find this request without a call.
+	run.current = undefined;
+	if (!current) {
+		return;
+	}
+
+	current.attempt?.end(how, clock());
+	if (shouldAbort) {
+		current.open().abort();
+	}
+
+	line.pump();
+};
+
+/**
+Answers with an error.
+*/
+export const refuseRun = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	kind: ErrorKind,
+	reason: string,
+): void => {
+	if (run.isOver) {
+		return;
+	}
+
+	closeRun(context, run);
+	const error = createGatewayError(kind, reason, {
+		outcome: run.outcome,
+		retryAfterSeconds:
+			run.outcome === 'not-run' ? retryAfterSeconds(context) : undefined,
+	});
+	run.sink.refuse(error, run.tried);
+	recordRun(context, run, 'refused', 0, reason);
+};
+
+/**
+Ends an answer that has begun by breaking its connection.
+*/
+export const breakOffRun = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	reason: string,
+): void => {
+	closeRun(context, run);
+	run.sink.breakOff();
+	recordRun(context, run, 'broken', 0, reason);
+};
+
+/**
+Ends a request for which nothing more can be done.
+*/
+export const giveUpRun = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	reason: string,
+): void => {
+	if (run.hasBegun) {
+		breakOffRun(context, run, reason);
+		return;
+	}
+
+	const kind = run.outcome === 'not-run' ? 'overloaded' : 'attempt-failed';
+	refuseRun(context, run, kind, reason);
+};
+
+// The fuller the line, the longer it takes until a newcomer would get through.
+const retryAfterSeconds = ({fleet, line}: DeliveryContext): number =>
+	shortestRetryAfterSeconds +
+	line.length() / Math.max(1, takenPerServerSecond * fleet.ids().length);
--- /dev/null
+++ b/src/gateway/fail-call.ts
@@ -0,0 +1,112 @@
+import type {UpstreamFailure} from '../backends/index.ts';
+import type {Outcome} from '../errors/index.ts';
+import type {DeliveryContext} from './delivery-context.ts';
+import {
+	hasAttemptLeft,
+	type CallFault,
+	type CurrentCall,
+	type DeliveryRun,
+} from './delivery-run.ts';
+import {closeRun, endCurrentCall, giveUpRun, recordRun} from './end-run.ts';
+import type {HopResult} from './hop.ts';
+
+const gravity: Readonly<Record<Outcome, number>> = {
+	'not-run': 0,
+	unknown: 1,
+	ran: 2,
+};
+
+/**
+Ends the current call with a fault, and sends the request elsewhere if it may be.
+*/
+export const failCall = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	fault: CallFault,
+): void => {
+	run.steps.push(`${fault.outcome}: ${fault.reason}`);
+	const wasLocal = run.current?.server !== undefined;
+	endCurrentCall(context, run, fault.end, true);
+	if (gravity[fault.outcome] > gravity[run.outcome]) {
+		run.outcome = fault.outcome;
+	}
+
+	if (wasLocal && !fault.reachedServer) {
+		run.tried.pop();
+	}
+
+	if (run.isDeserted) {
+		closeRun(context, run);
+		recordRun(context, run, 'caller-left', 0, fault.reason);
+		return;
+	}
+
+	// A retry is taken from the budget last, for only one that will be sent may use it up.
+	const isSentAgain =
+		isRetryable(run, fault) &&
+		hasAttemptLeft(run, context.clock()) &&
+		isRetryPaid(context, run, fault);
+	if (isSentAgain) {
+		context.sendOrWait(run);
+	} else {
+		giveUpRun(context, run, fault.reason);
+	}
+};
+
+/**
+Takes in that a call broke off or was never made.
+*/
+export const callBroke = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	{member, server}: CurrentCall,
+	{wasSent, reason}: UpstreamFailure,
+): void => {
+	if (!wasSent && member) {
+		context.onPeerFailure(member);
+	}
+
+	if (!wasSent && server !== undefined) {
+		context.onServerFailure(server, reason);
+	}
+
+	failCall(context, run, {
+		outcome: wasSent ? 'unknown' : 'not-run',
+		reason,
+		reachedServer: wasSent,
+		end: 'failed',
+	});
+};
+
+/**
+Takes in that another node refused the request.
+*/
+export const nodeRefused = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	{region}: CurrentCall,
+	{outcome, reason, tried}: Extract<HopResult, {kind: 'refused'}>,
+): void => {
+	// Without a server that was tried, the region had no room; another node of it has none either.
+	if (region !== undefined && tried.length === 0) {
+		run.regions.add(region);
+	}
+
+	failCall(context, run, {
+		outcome,
+		reason,
+		reachedServer: tried.length > 0,
+		end: 'abandoned',
+	});
+};
+
+const isRetryable = (run: DeliveryRun, {outcome}: CallFault): boolean =>
+	run.hasBegun
+		? run.isRepeatable && run.exchange.route.isResumable
+		: run.isRepeatable || outcome === 'not-run';
+
+const isRetryPaid = (
+	{budget, clock, nodes}: DeliveryContext,
+	{exchange}: DeliveryRun,
+	{reachedServer}: CallFault,
+): boolean => !reachedServer || budget.take(exchange.service, nodes(), clock());
--- /dev/null
+++ b/src/gateway/pass-answer.ts
@@ -0,0 +1,235 @@
+import {Buffer} from 'node:buffer';
+import type {UpstreamHead, UpstreamListener} from '../backends/index.ts';
+import type {DeliveryContext} from './delivery-context.ts';
+import {
+	hasAttemptLeft,
+	type CurrentCall,
+	type DeliveryRun,
+} from './delivery-run.ts';
+import {closeRun, endCurrentCall, recordRun} from './end-run.ts';
+import {createEventRelay} from './event-relay.ts';
+import {callBroke, failCall, nodeRefused} from './fail-call.ts';
+import {decodeHopResult, hopHeaderNames} from './hop.ts';
+import {judgeHead} from './judge-head.ts';
+import {forwardableHeaders} from './wire-headers.ts';
+
+/**
+The longest plain answer that is kept until it is whole, in bytes.
+*/
+export const maximumAnswerBytes = 16_777_216;
+
+/**
+Builds what passes the answer of a call on. It hears nothing once the request has another call.
+*/
+export const createAnswerListener = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	current: CurrentCall,
+): UpstreamListener => {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	let head: UpstreamHead | undefined;
+	let isStream = false;
+	const isCurrent = () => run.current === current;
+
+	return {
+		onHead(given) {
+			if (!isCurrent()) {
+				return;
+			}
+
+			head = given;
+			current.attempt?.heard(context.clock());
+			isStream = takeHead(context, run, current, given) === 'stream';
+		},
+		onData(chunk) {
+			if (!isCurrent()) {
+				return true;
+			}
+
+			if (isStream) {
+				return isReadyForMore(context, run, current, chunk);
+			}
+
+			chunks.push(chunk);
+			size += chunk.length;
+			if (size > maximumAnswerBytes) {
+				const reason = 'The answer is too long to be kept until it is whole';
+				answerIsFaulty(context, run, reason);
+			}
+
+			return true;
+		},
+		onEnd() {
+			if (!head || !isCurrent()) {
+				return;
+			}
+
+			if (isStream) {
+				endStream(context, run);
+			} else {
+				answerWhole(context, run, head, Buffer.concat(chunks, size));
+			}
+		},
+		onFailure(failure) {
+			if (isCurrent()) {
+				callBroke(context, run, current, failure);
+			}
+		},
+	};
+};
+
+const takeHead = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	current: CurrentCall,
+	head: UpstreamHead,
+): 'stream' | 'whole' | 'dropped' => {
+	const hop = current.member ? decodeHopResult(head.header) : undefined;
+	for (const server of hop?.tried ?? []) {
+		run.excluded.add(server);
+		run.tried.push(server);
+	}
+
+	if (hop?.kind === 'refused') {
+		nodeRefused(context, run, current, hop);
+		return 'dropped';
+	}
+
+	const verdict = judgeHead(head, run.exchange, context.headers, {
+		canRetry: canRetry(context, run, head),
+		hasBegun: run.hasBegun,
+	});
+	switch (verdict.kind) {
+		case 'whole': {
+			noteRetry(context, run, head.status);
+			current.attempt?.started(context.clock());
+			return 'whole';
+		}
+
+		case 'stream': {
+			beginStream(context, run, head);
+			return 'stream';
+		}
+
+		case 'fault': {
+			run.hasFaultAnswer ||= head.status >= 500;
+			failCall(context, run, {...verdict.fault, reachedServer: true});
+			return 'dropped';
+		}
+	}
+};
+
+const canRetry = (
+	{clock, retryYield}: DeliveryContext,
+	run: DeliveryRun,
+	{status}: UpstreamHead,
+): boolean =>
+	run.isRepeatable &&
+	hasAttemptLeft(run, clock()) &&
+	(status < 500 || retryYield.isWorthwhile(run.exchange.route.name));
+
+const noteRetry = (
+	{retryYield}: DeliveryContext,
+	run: DeliveryRun,
+	status: number,
+): void => {
+	if (run.hasFaultAnswer) {
+		retryYield.note(run.exchange.route.name, status < 500);
+	}
+};
+
+const beginStream = (
+	{clock}: DeliveryContext,
+	run: DeliveryRun,
+	head: UpstreamHead,
+): void => {
+	const {route, lastEventId} = run.exchange;
+	if (run.hasBegun) {
+		run.relay?.restart();
+		return;
+	}
+
+	run.hasBegun = true;
+	run.firstByteAt = clock();
+	if (route.isResumable) {
+		run.relay = createEventRelay(lastEventId);
+	}
+
+	run.sink.begin(head.status, answerHeaders(head), run.tried.at(-1) ?? '');
+};
+
+const isReadyForMore = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	current: CurrentCall,
+	chunk: Buffer,
+): boolean => {
+	current.attempt?.started(context.clock());
+	const passed = run.relay ? run.relay.push(chunk) : chunk;
+	if (passed === undefined) {
+		answerIsFaulty(context, run, 'An event of the stream is missing');
+		return true;
+	}
+
+	if (passed.length === 0 || run.isDeserted || run.sink.write(passed)) {
+		return true;
+	}
+
+	run.sink.onDrain(() => {
+		current.open().resume();
+	});
+	return false;
+};
+
+const endStream = (context: DeliveryContext, run: DeliveryRun): void => {
+	if (run.relay?.hasRest()) {
+		answerIsFaulty(context, run, 'The stream ended in the middle of an event');
+		return;
+	}
+
+	run.outcome = 'ran';
+	endCurrentCall(context, run, 'answered', false);
+	closeRun(context, run);
+	run.sink.end();
+	recordRun(context, run, 'answered', 200, '');
+};
+
+const answerWhole = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	head: UpstreamHead,
+	body: Buffer,
+): void => {
+	run.outcome = 'ran';
+	run.firstByteAt = context.clock();
+	const end = head.status >= 500 ? 'failed' : 'answered';
+	endCurrentCall(context, run, end, false);
+	closeRun(context, run);
+	if (!run.isDeserted) {
+		run.sink.begin(
+			head.status,
+			[...answerHeaders(head), 'content-length', String(body.length)],
+			run.tried.at(-1) ?? '',
+		);
+		run.sink.end(body);
+	}
+
+	recordRun(context, run, 'answered', head.status, '');
+};
+
+const answerIsFaulty = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	reason: string,
+): void => {
+	failCall(context, run, {
+		outcome: 'ran',
+		reason,
+		reachedServer: true,
+		end: 'failed',
+	});
+};
+
+const answerHeaders = ({rawHeaders}: UpstreamHead): readonly string[] =>
+	forwardableHeaders(rawHeaders, hopHeaderNames);
--- /dev/null
+++ b/src/gateway/send-run.ts
@@ -0,0 +1,184 @@
+import type {UpstreamCall} from '../backends/index.ts';
+import type {Member} from '../membership/index.ts';
+import type {DeliveryContext} from './delivery-context.ts';
+import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
+import {giveUpRun, leaveLine} from './end-run.ts';
+import {encodeHopCall} from './hop.ts';
+import {createAnswerListener} from './pass-answer.ts';
+import type {WaitingRequest} from './waiting-requests.ts';
+import {lastEventIdHeader} from './wire-headers.ts';
+
+/**
+The part of the target latency that a request may wait for room; with the way to the caller it is
+refused within a quarter of it.
+*/
+export const waitingPart = 0.2;
+
+/**
+Connections to one node of another region; a request holds one as long as its stream runs.
+*/
+export const connectionsToPeer = 256;
+
+/**
+Sends a request to the best place that it may still go to. Without room anywhere it waits, unless
+the node that forwarded it may know a better place.
+*/
+export const sendOrWait = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+): void => {
+	if (isSent(context, run)) {
+		return;
+	}
+
+	const {hop} = run.exchange;
+	if (hop && !hop.canWait) {
+		giveUpRun(context, run, noRoom);
+		return;
+	}
+
+	const waiting = createWaitingRequest(context, run);
+	run.waiting = waiting;
+	context.line.add(waiting);
+};
+
+const noRoom = 'No backend server has room';
+
+const createWaitingRequest = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+): WaitingRequest => {
+	const now = context.clock();
+	const {route, receivedAt} = run.exchange;
+	return {
+		priority: route.priority,
+		since: now,
+		until: run.hasBegun
+			? now + route.targetLatencyMs
+			: Math.max(now, receivedAt + route.targetLatencyMs * waitingPart),
+		attempt: () => isSent(context, run),
+		giveUp() {
+			run.steps.push('gave-up-waiting');
+			giveUpRun(context, run, noRoom);
+		},
+	};
+};
+
+// False without room anywhere. A request that is over needs none.
+const isSent = (context: DeliveryContext, run: DeliveryRun): boolean => {
+	if (run.isOver) {
+		return true;
+	}
+
+	const choice = context.choose(
+		run.exchange,
+		{regions: run.regions, members: run.members},
+		run.placement,
+		context.clock(),
+	);
+	switch (choice.kind) {
+		case 'server': {
+			leaveLine(context, run);
+			callServer(context, run, choice.id);
+			return true;
+		}
+
+		case 'peer': {
+			leaveLine(context, run);
+			callNode(context, run, choice.member, choice.region);
+			return true;
+		}
+
+		case 'full':
+		case 'none': {
+			return false;
+		}
+	}
+};
+
+const callServer = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	id: string,
+): void => {
+	const {clock, connectionsTo, fleet, headers} = context;
+	const attempt = fleet.begin(id, run.placement, clock());
+	run.excluded.add(id);
+	run.tried.push(id);
+	run.steps.push(`server ${id}`);
+	startCall(
+		context,
+		run,
+		{attempt, server: id, member: undefined, region: undefined},
+		{
+			key: `server ${id}`,
+			address: fleet.server(id)!.address,
+			maximumConnections: connectionsTo(run.exchange.service),
+			headers: onwardHeaders(context, run, [headers.expectedServer, id]),
+		},
+	);
+};
+
+const callNode = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	member: Member,
+	region: string,
+): void => {
+	const {exchange} = run;
+	run.members.add(member.id);
+	run.steps.push(`node ${member.id} in ${region}`);
+	const hopCall = encodeHopCall({
+		origin: context.self,
+		version: context.routesVersion(),
+		route: exchange.route.name,
+		service: exchange.service,
+		remainingMs: exchange.expiresAt - context.clock(),
+		excluded: [...run.excluded],
+		canWait: !context.isServedHere(exchange.route),
+	});
+	startCall(
+		context,
+		run,
+		{attempt: undefined, server: undefined, member, region},
+		{
+			key: `node ${member.id}/${member.incarnation}`,
+			address: member.peerAddress,
+			maximumConnections: connectionsToPeer,
+			headers: onwardHeaders(context, run, hopCall),
+		},
+	);
+};
+
+const startCall = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	to: Omit<CurrentCall, 'open'>,
+	call: Omit<UpstreamCall, 'method' | 'target' | 'body'>,
+): void => {
+	const {method, target, body} = run.exchange;
+	// The listener may be told of the call's failure only after `call` has returned.
+	const current: CurrentCall = {...to, open: () => open};
+	run.current = current;
+	const open = context.client.call(
+		{...call, method, target, body},
+		createAnswerListener(context, run, current),
+	);
+};
+
+// What goes to the next hop: the caller's headers, and what the next one needs to know.
+const onwardHeaders = (
+	{clock, headers}: DeliveryContext,
+	{exchange, relay}: DeliveryRun,
+	extra: readonly string[],
+): readonly string[] => {
+	const resumeFrom = relay?.lastEventId() ?? exchange.lastEventId;
+	const remainingMs = Math.max(1, Math.round(exchange.expiresAt - clock()));
+	return [
+		...exchange.headers,
+		headers.remainingMs,
+		String(remainingMs),
+		...(resumeFrom === undefined ? [] : [lastEventIdHeader, resumeFrom]),
+		...extra,
+	];
+};
