--- a/src/gateway/front-listener.ts
+++ b/src/gateway/front-listener.ts
@@ -99,12 +99,7 @@
 					return;
 				}
 
-				const callerLeft = options.onRequest(toRead(request, body), sink);
-				response.once('close', () => {
-					if (!response.writableFinished) {
-						callerLeft();
-					}
-				});
+				onCallerLeft(response, options.onRequest(toRead(request, body), sink));
 			});
 		},
 	);
@@ -167,6 +162,20 @@
 	request.on('error', () => undefined);
 };
 
+/**
+Calls `callerLeft` when the connection closes before the whole answer was written.
+*/
+export const onCallerLeft = (
+	response: ServerResponse,
+	callerLeft: () => void,
+): void => {
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			callerLeft();
+		}
+	});
+};
+
 /**
 The parts of a request that was read.
 */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,8 +1,6 @@
 import {randomBytes} from 'node:crypto';
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {createBackendFleet, createUpstreamClient} from '../backends/index.ts';
-import {answerTable} from '../errors/index.ts';
 import type {Logger} from '../logging/index.ts';
 import {
 	createMesh,
@@ -14,7 +12,6 @@
 import {
 	createRegistryFollower,
 	createRegistryMirror,
-	type MirrorChange,
 	type RegistrySource,
 } from '../registry/index.ts';
 import {createWindowRetryBudget} from '../retries/index.ts';
@@ -22,23 +19,14 @@
 import {createRandom, type Address} from '../shared/index.ts';
 import {createUpstreamChooser} from './choose-upstream.ts';
 import {createDeliveries} from './delivery.ts';
-import type {AnswerSink} from './exchange.ts';
-import {
-	createResponseSink,
-	readBody,
-	startFrontListener,
-	toRead,
-	type FrontListener,
-	type ReadRequest,
-} from './front-listener.ts';
+import {startFrontListener, type FrontListener} from './front-listener.ts';
 import {entriesFor} from './entry-members.ts';
 import {createGatewayObserver} from './gateway-observer.ts';
-import {encodeHopResult} from './hop.ts';
-import {
-	readExchange,
-	readForwarded,
-	type ReadContext,
-} from './read-exchange.ts';
+import {createLoadStatement} from './load-statement.ts';
+import {createNodeJoiner} from './node-joiner.ts';
+import type {ReadContext} from './read-exchange.ts';
+import {createRegistryChanges} from './registry-changes.ts';
+import {createRequestIntake} from './request-intake.ts';
 import {createServerProbes} from './server-probes.ts';
 import {createPlacementView} from './placement-view.ts';
 import {findPromptHome} from './prompt-home.ts';
@@ -119,17 +107,6 @@
 */
 export const gatewayTickMs = 50;
 
-/**
-How often a node without others asks its seeds, in milliseconds, and how often it does later.
-*/
-export const joinIntervalMs = 500;
-
-/**
-How often a node that knows others asks a seed, in milliseconds, so that groups that started
-apart find each other.
-*/
-export const rejoinIntervalMs = 4000;
-
 /**
 How long after its start a node has heard of the others, in milliseconds: a few heartbeats. What is
 shared among nodes is used sparingly until then, for after a stop of all nodes none knows another.
@@ -153,11 +130,6 @@
 */
 export const freshRoutesMs = 3000;
 
-/**
-How often the load of the own zone is stated, in milliseconds.
-*/
-export const loadIntervalMs = 500;
-
 /**
 Part of the connections of a backend server that all nodes together use.
 */
@@ -165,7 +137,6 @@
 
 // Connections to a backend server that states no bound.
 const unboundedConnections = 128;
-const firstTokenUnknown = 0;
 const seedRange = 2 ** 31;
 
 /**
@@ -222,70 +193,20 @@
 		slack: options.bounds.retrySlack,
 	});
 
-	const syncFleet = () => {
-		const usable = [...mirror.servers()].filter(
-			([, {server}]) =>
-				!server.isLeaving &&
-				regionOf(server.availabilityZone) === ownRegion &&
-				!mirror.isEvacuated(server.availabilityZone),
-		);
-		const before = new Set(fleet.ids());
-		fleet.sync(new Map(usable), clock());
-		for (const [id] of usable) {
-			before.delete(id);
-		}
-
-		for (const gone of before) {
-			client.forget(`server ${gone}`);
-		}
-	};
-
-	const noteChange = (change: MirrorChange) => {
-		switch (change.kind) {
-			case 'routes': {
-				const limits = mirror.routes()?.document.limits;
-				if (limits) {
-					front?.limit(limits);
-				}
-
-				logger.info({version: change.version}, 'routes in force');
-				return;
-			}
-
-			case 'server': {
-				logger.info(
-					{server: change.id, isUsable: change.isUsable},
-					'backend server changed',
-				);
-				return;
-			}
-
-			case 'evacuation': {
-				const {availabilityZone, isActive} = change;
-				logger.info({availabilityZone, isActive}, 'evacuation changed');
-			}
-		}
-	};
-
-	// Servers of a zone that is taken back may have turned cold meanwhile.
-	const distrustTakenBack = (changes: readonly MirrorChange[]) => {
-		const zonesBack = new Set(
-			changes.flatMap((change) =>
-				change.kind === 'evacuation' && !change.isActive
-					? [change.availabilityZone]
-					: [],
-			),
-		);
-		if (zonesBack.size === 0) {
-			return;
-		}
-
-		const ids = fleet
-			.ids()
-			.filter((id) => zonesBack.has(fleet.server(id)?.availabilityZone ?? ''));
-		fleet.distrust(ids);
-	};
-
+	const placement = createPlacementView({mirror, regions, regionOf});
+	const takeIn = createRegistryChanges({
+		mirror,
+		fleet,
+		client,
+		placement,
+		ownRegion,
+		regionOf,
+		clock,
+		logger,
+		onLimits(limits) {
+			front?.limit(limits);
+		},
+	});
 	const follower = createRegistryFollower({
 		mirror,
 		registry: options.registry,
@@ -301,18 +222,11 @@
 		clock,
 		logger,
 		onChanges(changes) {
-			for (const change of changes) {
-				noteChange(change);
-			}
-
-			placement.refresh();
-			syncFleet();
-			distrustTakenBack(changes);
+			takeIn(changes);
 			mesh.announce();
 		},
 	});
 
-	const placement = createPlacementView({mirror, regions, regionOf});
 	const loadIn = (region: string, service: string) => {
 		let load = 0;
 		const slots = placement.slotsIn(region, service);
@@ -413,8 +327,6 @@
 	let peers: PeerListener | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let isLeaving = false;
-	let nextJoinAt = 0;
-	let nextLoadAt = 0;
 
 	const readContext = (): ReadContext => ({
 		names: headers,
@@ -424,81 +336,19 @@
 		now: clock(),
 	});
 
-	const take = (
-		request: ReadRequest,
-		sink: AnswerSink,
-		read: typeof readExchange,
-	): (() => void) => {
-		const exchange = read(request, readContext());
-		if (exchange.isErr) {
-			sink.refuse(exchange.error, []);
-			observer.rejected(
-				request.header(headers.requestId) ?? '',
-				exchange.error.message,
-				answerTable[exchange.error.kind].status,
-			);
-			return () => undefined;
-		}
-
-		return deliveries.deliver(exchange.value, sink).callerLeft;
-	};
-
-	const takeForwarded = (
-		request: IncomingMessage,
-		response: ServerResponse,
-	) => {
-		readBody(request, Number.MAX_SAFE_INTEGER, (body) => {
-			if (body === 'too-large') {
-				return;
-			}
-
-			const callerLeft = take(
-				toRead(request, body),
-				createHopSink(response),
-				readForwarded,
-			);
-			response.once('close', () => {
-				if (!response.writableFinished) {
-					callerLeft();
-				}
-			});
-		});
-	};
-
-	const joinOthers = async () => {
-		const seeds = options
-			.seeds()
-			.filter(
-				(seed) =>
-					seed !== options.contactAddress && seed !== options.peerAddress,
-			);
-		const isAlone = mesh.lastHeard() === undefined;
-		const asked = isAlone
-			? seeds
-			: seeds.slice(random.below(Math.max(1, seeds.length))).slice(0, 1);
-		await Promise.all(
-			asked.map(async (seed) => {
-				const members = await questions.members(seed);
-				if (members) {
-					mesh.learn(members);
-				}
-			}),
-		);
-	};
-
-	const stateLoad = (now: number) => {
-		const services = Object.fromEntries(
-			(mirror.routes()?.document.services ?? []).map(({name}) => [
-				name,
-				{
-					...fleet.loadOf(name),
-					firstTokenMs: firstTokenUnknown,
-					costPerThousandTokens: 0,
-				},
-			]),
-		);
-		mesh.stateLoad(services, now);
-	};
+	const intake = createRequestIntake({deliveries, observer, readContext});
+	const peerAddresses = [
+		options.peerAddress,
+		...(options.contactAddress === undefined ? [] : [options.contactAddress]),
+	];
+	const joiner = createNodeJoiner({
+		mesh,
+		questions,
+		seeds: options.seeds,
+		ownAddresses: peerAddresses,
+		random,
+	});
+	const loadStatement = createLoadStatement(mesh, fleet, mirror);
 
 	const tick = () => {
 		const now = clock();
@@ -512,19 +362,8 @@
 		probes.tick(now);
 		deliveries.tick(now);
 		observer.tick(now);
-		if (now >= nextJoinAt) {
-			nextJoinAt =
-				now +
-				(mesh.lastHeard() === undefined ? joinIntervalMs : rejoinIntervalMs);
-			void joinOthers();
-		}
-
-		if (!(now >= nextLoadAt)) {
-			return;
-		}
-
-		nextLoadAt = now + loadIntervalMs;
-		stateLoad(now);
+		joiner.tick(now);
+		loadStatement.tick(now);
 	};
 
 	const isIdleWithin = async (timeoutMs: number): Promise<boolean> => {
@@ -542,31 +381,26 @@
 		async start() {
 			await mesh.start();
 			peers = await startPeerListener({
-				addresses: [
-					options.peerAddress,
-					...(options.contactAddress === undefined
-						? []
-						: [options.contactAddress]),
-				],
+				addresses: peerAddresses,
 				members: () => [mesh.self(), ...mesh.others()],
 				registryAfter: (revision) =>
 					mirror.revision() === 0
 						? {kind: 'unavailable', reason: 'nothing known yet'}
 						: mirror.answerFor(revision, clock()),
-				onForwarded: takeForwarded,
+				onForwarded: intake.takeForwarded,
 			});
 			front = await startFrontListener({
 				address: options.callerAddress,
 				limits: initialLimits,
 				isLeaving: () => isLeaving,
-				onRequest: (request, sink) => take(request, sink, readExchange),
+				onRequest: intake.take,
 				onUnreadable(reason) {
 					observer.rejected('', `unreadable: ${reason}`, 400);
 				},
 			});
 			timer = setInterval(tick, gatewayTickMs);
 			follower.start();
-			void joinOthers();
+			joiner.askNow();
 			logger.info({node: options.id, ownRegion}, 'gateway started');
 		},
 		async drain(timeoutMs) {
@@ -605,9 +439,7 @@
 			}).map(({callerAddress}) => callerAddress);
 		},
 		metrics: observer.metrics,
-		reload() {
-			nextJoinAt = 0;
-		},
+		reload: joiner.reload,
 	};
 };
 
@@ -617,35 +449,3 @@
 // How long a leaving node goes on taking connections, in milliseconds: callers keep what the
 // directory told them for some seconds.
 const settleMs = 3500;
-
-const createHopSink = (response: ServerResponse): AnswerSink => {
-	const sink = createResponseSink(response, () => false);
-	return {
-		...sink,
-		begin(status, headers, server) {
-			const result = {
-				kind: 'answered',
-				tried: server === '' ? [] : [server],
-			} as const;
-			sink.begin(status, [...headers, ...encodeHopResult(result)], server);
-		},
-		refuse({outcome, message}, tried) {
-			if (response.headersSent || response.destroyed) {
-				response.destroy();
-				return;
-			}
-
-			response.writeHead(503, [
-				...encodeHopResult({
-					kind: 'refused',
-					outcome,
-					reason: message,
-					tried,
-				}),
-				'content-length',
-				'0',
-			]);
-			response.end();
-		},
-	};
-};
--- /dev/null
+++ b/src/gateway/hop-sink.ts
@@ -0,0 +1,40 @@
+import type {ServerResponse} from 'node:http';
+import type {AnswerSink} from './exchange.ts';
+import {createResponseSink} from './front-listener.ts';
+import {encodeHopResult} from './hop.ts';
+
+/**
+Builds what answers a request that another node forwarded: with the headers that tell it how the
+request ended here.
+*/
+export const createHopSink = (response: ServerResponse): AnswerSink => {
+	const sink = createResponseSink(response, () => false);
+	return {
+		...sink,
+		begin(status, headers, server) {
+			const result = {
+				kind: 'answered',
+				tried: server === '' ? [] : [server],
+			} as const;
+			sink.begin(status, [...headers, ...encodeHopResult(result)], server);
+		},
+		refuse({outcome, message}, tried) {
+			if (response.headersSent || response.destroyed) {
+				response.destroy();
+				return;
+			}
+
+			response.writeHead(503, [
+				...encodeHopResult({
+					kind: 'refused',
+					outcome,
+					reason: message,
+					tried,
+				}),
+				'content-length',
+				'0',
+			]);
+			response.end();
+		},
+	};
+};
--- /dev/null
+++ b/src/gateway/registry-changes.ts
@@ -0,0 +1,117 @@
+import type {BackendFleet, UpstreamClient} from '../backends/index.ts';
+import type {Logger} from '../logging/index.ts';
+import type {MirrorChange, RegistryMirror} from '../registry/index.ts';
+import type {CallerLimits} from '../routes/index.ts';
+import type {PlacementView} from './placement-view.ts';
+
+/**
+What takes in changes of the registry.
+*/
+export type RegistryChangesOptions = {
+	readonly mirror: RegistryMirror;
+	readonly fleet: BackendFleet;
+	readonly client: UpstreamClient;
+	readonly placement: PlacementView;
+	readonly ownRegion: string;
+	readonly regionOf: (availabilityZone: string) => string;
+	readonly clock: () => number;
+	readonly logger: Logger;
+	/**
+	Told the bounds on callers of routes that come into force.
+	*/
+	readonly onLimits: (limits: CallerLimits) => void;
+};
+
+/**
+Builds what is called with changes once the mirror has them: it brings the fleet and the view of
+placement up to date.
+*/
+export const createRegistryChanges = (
+	options: RegistryChangesOptions,
+): ((changes: readonly MirrorChange[]) => void) => {
+	const {fleet, placement} = options;
+	return (changes) => {
+		for (const change of changes) {
+			noteChange(options, change);
+		}
+
+		placement.refresh();
+		syncFleet(options);
+		// After the fleet has its servers, for those of a zone taken back come in anew.
+		fleet.distrust(serversTakenBack(fleet, changes));
+	};
+};
+
+const noteChange = (
+	{mirror, logger, onLimits}: RegistryChangesOptions,
+	change: MirrorChange,
+): void => {
+	switch (change.kind) {
+		case 'routes': {
+			const limits = mirror.routes()?.document.limits;
+			if (limits) {
+				onLimits(limits);
+			}
+
+			logger.info({version: change.version}, 'routes in force');
+			return;
+		}
+
+		case 'server': {
+			const {id, isUsable} = change;
+			logger.info({server: id, isUsable}, 'backend server changed');
+			return;
+		}
+
+		case 'evacuation': {
+			const {availabilityZone, isActive} = change;
+			logger.info({availabilityZone, isActive}, 'evacuation changed');
+		}
+	}
+};
+
+const syncFleet = ({
+	mirror,
+	fleet,
+	client,
+	ownRegion,
+	regionOf,
+	clock,
+}: RegistryChangesOptions): void => {
+	const usable = [...mirror.servers()].filter(
+		([, {server}]) =>
+			!server.isLeaving &&
+			regionOf(server.availabilityZone) === ownRegion &&
+			!mirror.isEvacuated(server.availabilityZone),
+	);
+	const gone = new Set(fleet.ids());
+	fleet.sync(new Map(usable), clock());
+	for (const [id] of usable) {
+		gone.delete(id);
+	}
+
+	for (const id of gone) {
+		client.forget(`server ${id}`);
+	}
+};
+
+// Servers of a zone that is taken back may have turned cold meanwhile.
+const serversTakenBack = (
+	fleet: BackendFleet,
+	changes: readonly MirrorChange[],
+): readonly string[] => {
+	const zonesBack = new Set(
+		changes.flatMap((change) =>
+			change.kind === 'evacuation' && !change.isActive
+				? [change.availabilityZone]
+				: [],
+		),
+	);
+	return zonesBack.size === 0
+		? []
+		: fleet
+				.ids()
+				.filter((id) =>
+					zonesBack.has(fleet.server(id)?.availabilityZone ?? ''),
+				);
+};
