--- /dev/null
+++ b/src/backends/backend-attempt.ts
@@ -0,0 +1,120 @@
+import type {Placement} from './placement.ts';
+import {isCold, type ServerState} from './server-state.ts';
+
+/**
+How an attempt at a backend server ended.
+*/
+export const attemptEnds = [
+	'answered',
+	/**
+	It answered with a fault, broke off, or never answered.
+	*/
+	'failed',
+	/**
+	It stated that the request did not run.
+	*/
+	'refused',
+	/**
+	This node gave it up for a reason that says nothing of the server.
+	*/
+	'abandoned',
+] as const;
+
+/**
+One of the ends of an attempt.
+*/
+export type BackendAttemptEnd = (typeof attemptEnds)[number];
+
+/**
+A request under way at a backend server.
+*/
+export type BackendAttempt = {
+	readonly server: string;
+	/**
+	To be called with each sign of life from the server.
+	*/
+	heard(now: number): void;
+	/**
+	To be called when the first event or the answer is there.
+	*/
+	started(now: number): void;
+	end(how: BackendAttemptEnd, now: number): void;
+};
+
+// Weight of one more outcome in a server's failure rate.
+const failureWeight = 0.1;
+
+// Requests to a cold server that are remembered before the latest one.
+const keptColdRequests = 100;
+
+/**
+Counts a request to a server in the server's state, until its end is told.
+*/
+export const beginAttempt = (
+	state: ServerState,
+	placement: Placement,
+	now: number,
+): BackendAttempt => {
+	const waiting = {since: now};
+	const tokens = tokensToRead(state, placement);
+	state.inFlight += 1;
+	state.pendingTokens += tokens;
+	state.pending.add(waiting);
+	if (placement.sharedPart) {
+		state.memory.use(placement.sharedPart);
+	}
+
+	if (isCold(state, now)) {
+		state.coldSentAt = [...state.coldSentAt.slice(-keptColdRequests), now];
+	}
+
+	let isEnded = false;
+	const settle = () => {
+		if (state.pending.delete(waiting)) {
+			state.pendingTokens -= tokens;
+		}
+	};
+
+	return {
+		server: state.known.server.id,
+		heard(at) {
+			state.lastHeardAt = at;
+		},
+		started(at) {
+			state.lastHeardAt = at;
+			settle();
+		},
+		end(how, at) {
+			if (isEnded) {
+				return;
+			}
+
+			isEnded = true;
+			settle();
+			state.inFlight -= 1;
+			if (how === 'answered' || how === 'refused') {
+				state.lastHeardAt = at;
+			}
+
+			noteEnd(state, how);
+		},
+	};
+};
+
+const tokensToRead = (
+	{memory}: ServerState,
+	{promptTokens, sharedPart}: Placement,
+): number =>
+	sharedPart && memory.has(sharedPart.id)
+		? promptTokens - sharedPart.tokens
+		: promptTokens;
+
+const noteEnd = (state: ServerState, how: BackendAttemptEnd): void => {
+	// The other ends say nothing of how well the server serves.
+	if (!(how === 'answered' || how === 'failed')) {
+		return;
+	}
+
+	const outcome = how === 'failed' ? 1 : 0;
+	state.failureRate += (outcome - state.failureRate) * failureWeight;
+};
--- /dev/null
+++ b/src/backends/choose-server.ts
@@ -0,0 +1,195 @@
+import type {Service} from '../routes/index.ts';
+import {keyedWeight} from '../shared/index.ts';
+import {coldShare, isWithinColdShare, type ColdBound} from './cold-limit.ts';
+import type {Placement} from './placement.ts';
+import {isCold, type ServerState} from './server-state.ts';
+
+/**
+Where a request could go in the own region.
+*/
+export type LocalChoice =
+	| {
+			readonly kind: 'server';
+			readonly id: string;
+			/**
+			Load after the request, 1 being full; comparable between servers and regions.
+			*/
+			readonly cost: number;
+	  }
+	/**
+	There are servers, but none has room for another request of this node.
+	*/
+	| {readonly kind: 'full'}
+	| {readonly kind: 'none'};
+
+/**
+What servers are chosen by.
+*/
+export type ServerChoiceOptions = {
+	readonly self: string;
+	readonly availabilityZone: string;
+	/**
+	Ids of all nodes of the region that were ever heard of, this one included.
+	*/
+	readonly nodesEverHeard: () => readonly string[];
+	/**
+	How many nodes of the region serve now, this one included.
+	*/
+	readonly nodesServing: () => number;
+	readonly service: (name: string) => Service | undefined;
+	readonly coldOverrun: number;
+	readonly coldSlack: number;
+	/**
+	Whether cold servers may be used yet; a node that has just started knows no other nodes.
+	*/
+	readonly mayUseCold: (now: number) => boolean;
+};
+
+// Requests that all nodes together hold at a server, by its slots: engines queue what does not
+// fit their batch at little cost, plain servers answer it later.
+const engineRoom = 1.5;
+const plainRoom = 2;
+
+// As much prompt as delays the requests behind it about as much as a full server does, in tokens.
+const promptTokensOfFull = 40_000;
+
+// Reading a shared part again takes its time from the other requests too, and is paid for, so it
+// counts for more than the same wait behind another prompt.
+const rereadFactor = 2;
+
+// What a server of another zone of the region is worse by: the bytes between zones are paid for.
+const otherZoneCost = 0.15;
+
+// What a server that fails every request is worse by than a sound one.
+const failureCost = 3;
+
+/**
+Chooses the server that costs a request least, among those that have room for it.
+*/
+export const chooseServer = (
+	options: ServerChoiceOptions,
+	states: Iterable<ServerState>,
+	placement: Placement,
+	now: number,
+): LocalChoice => {
+	const candidates = [...states].filter((state) => isFit(state, placement));
+	if (candidates.length === 0) {
+		return {kind: 'none'};
+	}
+
+	const first = heaviest(candidates, placement.sharedPart?.id);
+	let best: {readonly state: ServerState; readonly cost: number} | undefined;
+	for (const state of candidates) {
+		if (
+			state.inFlight >= roomOf(options, state) ||
+			!hasColdRoom(options, state, now)
+		) {
+			continue;
+		}
+
+		const cost =
+			costOf(options, state) +
+			(missingTokens(state, state === first, placement) * rereadFactor) /
+				promptTokensOfFull;
+		if (!best || cost < best.cost) {
+			best = {state, cost};
+		}
+	}
+
+	return best
+		? {kind: 'server', id: best.state.known.server.id, cost: best.cost}
+		: {kind: 'full'};
+};
+
+const isFit = (
+	{known: {server}, isSuspect}: ServerState,
+	{service, excluded}: Placement,
+): boolean =>
+	!isSuspect && server.service === service && !excluded.has(server.id);
+
+// The first server in the order of the key's hash.
+const heaviest = (
+	candidates: readonly ServerState[],
+	key: string | undefined,
+): ServerState | undefined => {
+	if (key === undefined) {
+		return undefined;
+	}
+
+	const weightOf = keyedWeight(key);
+	let found: ServerState | undefined;
+	for (const candidate of candidates) {
+		if (
+			!found ||
+			weightOf(candidate.known.server.id) > weightOf(found.known.server.id)
+		) {
+			found = candidate;
+		}
+	}
+
+	return found;
+};
+
+// This node's part of the requests that a server may hold.
+const roomOf = (
+	{service, nodesServing}: ServerChoiceOptions,
+	{known: {server}}: ServerState,
+): number => {
+	const isEngine = service(server.service)?.engine !== undefined;
+	const whole = server.slots * (isEngine ? engineRoom : plainRoom);
+	return Math.max(1, Math.ceil(whole / nodesServing()));
+};
+
+const hasColdRoom = (
+	options: ServerChoiceOptions,
+	state: ServerState,
+	now: number,
+): boolean => {
+	const bound = isCold(state, now) ? coldBoundOf(options, state) : undefined;
+	if (!bound) {
+		return true;
+	}
+
+	const share = coldShare(
+		bound,
+		state.known.server.id,
+		options.self,
+		options.nodesEverHeard(),
+	);
+	return (
+		options.mayUseCold(now) && isWithinColdShare(state.coldSentAt, share, now)
+	);
+};
+
+const coldBoundOf = (
+	{service: serviceOf, coldOverrun, coldSlack}: ServerChoiceOptions,
+	state: ServerState,
+): ColdBound | undefined => {
+	const service = serviceOf(state.known.server.service);
+	return service && service.coldRequestsPerSecond > 0
+		? {
+				requestsPerSecond: service.coldRequestsPerSecond,
+				overrun: coldOverrun,
+				slack: coldSlack,
+			}
+		: undefined;
+};
+
+const costOf = (options: ServerChoiceOptions, state: ServerState): number =>
+	(state.known.server.availabilityZone === options.availabilityZone
+		? 0
+		: otherZoneCost) +
+	(state.inFlight + 1) / roomOf(options, state) +
+	state.pendingTokens / promptTokensOfFull +
+	state.failureRate * failureCost;
+
+// The first server in the order of the part's hash is taken to hold it, for every node sends it
+// there first; of the others only those that were seen to be sent it.
+const missingTokens = (
+	state: ServerState,
+	isFirst: boolean,
+	{sharedPart}: Placement,
+): number =>
+	sharedPart && !isFirst && !state.memory.has(sharedPart.id)
+		? sharedPart.tokens
+		: 0;
--- /dev/null
+++ b/src/backends/placement.ts
@@ -0,0 +1,15 @@
+/**
+What a request needs of a backend server.
+*/
+export type Placement = {
+	readonly service: string;
+	/**
+	The shared part of the prompt by which it is placed.
+	*/
+	readonly sharedPart?: {readonly id: string; readonly tokens: number};
+	readonly promptTokens: number;
+	/**
+	Backend servers that failed it already.
+	*/
+	readonly excluded: ReadonlySet<string>;
+};
