--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -166,5 +166,9 @@
 
 	endCurrentCall(context, run, 'abandoned', true);
 	closeRun(context, run);
-	recordRun(context, run, 'caller-left', 0, 'The caller closed its connection');
+	recordRun(context, run, {
+		result: 'caller-left',
+		status: 0,
+		reason: 'The caller closed its connection',
+	});
 };
--- a/src/gateway/end-run.ts
+++ b/src/gateway/end-run.ts
@@ -22,16 +22,12 @@
 export const recordRun = (
 	{clock, onRecord}: DeliveryContext,
 	run: DeliveryRun,
-	result: DeliveryRecord['result'],
-	status: number,
-	reason: string,
+	ending: Pick<DeliveryRecord, 'result' | 'status' | 'reason'>,
 ): void => {
 	const {exchange} = run;
 	onRecord({
 		exchange,
-		result,
-		status,
-		reason,
+		...ending,
 		outcome: run.outcome,
 		steps: run.steps,
 		firstByteMs:
@@ -113,7 +109,7 @@
 			run.outcome === 'not-run' ? retryAfterSeconds(context) : undefined,
 	});
 	run.sink.refuse(error, run.tried);
-	recordRun(context, run, 'refused', 0, reason);
+	recordRun(context, run, {result: 'refused', status: 0, reason});
 };
 
 /**
@@ -126,7 +122,7 @@
 ): void => {
 	closeRun(context, run);
 	run.sink.breakOff();
-	recordRun(context, run, 'broken', 0, reason);
+	recordRun(context, run, {result: 'broken', status: 0, reason});
 };
 
 /**
--- a/src/gateway/fail-call.ts
+++ b/src/gateway/fail-call.ts
@@ -37,7 +37,11 @@
 
 	if (run.isDeserted) {
 		closeRun(context, run);
-		recordRun(context, run, 'caller-left', 0, fault.reason);
+		recordRun(context, run, {
+			result: 'caller-left',
+			status: 0,
+			reason: fault.reason,
+		});
 		return;
 	}
 
--- a/src/gateway/pass-answer.ts
+++ b/src/gateway/pass-answer.ts
@@ -192,7 +192,7 @@
 	endCurrentCall(context, run, 'answered', false);
 	closeRun(context, run);
 	run.sink.end();
-	recordRun(context, run, 'answered', 200, '');
+	recordRun(context, run, {result: 'answered', status: 200, reason: ''});
 };
 
 const answerWhole = (
@@ -215,7 +215,11 @@
 		run.sink.end(body);
 	}
 
-	recordRun(context, run, 'answered', head.status, '');
+	recordRun(context, run, {
+		result: 'answered',
+		status: head.status,
+		reason: '',
+	});
 };
 
 const answerIsFaulty = (
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -7,7 +7,7 @@
 	type BackendFleetOptions,
 	type Placement,
 } from '../../src/backends/index.ts';
-import {serviceOf} from '../gateway/fixtures.ts';
+import {knownServerOf, serviceOf} from '../gateway/fixtures.ts';
 
 const setUp = (
 	ids: readonly string[],
@@ -29,23 +29,7 @@
 		...change,
 	});
 	fleet.sync(
-		new Map(
-			ids.map((id) => [
-				id,
-				{
-					coldUntil: change.coldUntil ?? 0,
-					server: {
-						id,
-						service: 'engine',
-						address: '10.0.0.1:80',
-						availabilityZone: 'zone-a',
-						slots: 8,
-						isLeaving: false,
-						coldMs: 0,
-					},
-				},
-			]),
-		),
+		new Map(ids.map((id) => [id, knownServerOf(id, 8, change.coldUntil ?? 0)])),
 		0,
 	);
 	return fleet;
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -16,7 +16,13 @@
 } from '../../src/gateway/exchange.ts';
 import {createWindowRetryBudget} from '../../src/retries/index.ts';
 import type {Route} from '../../src/routes/index.ts';
-import {exchangeOf, names, routeOf, serviceOf} from './fixtures.ts';
+import {
+	exchangeOf,
+	knownServerOf,
+	names,
+	routeOf,
+	serviceOf,
+} from './fixtures.ts';
 
 type Sent = {
 	readonly call: UpstreamCall;
@@ -40,26 +46,7 @@
 		coldSlack: 0,
 		mayUseCold: () => true,
 	});
-	fleet.sync(
-		new Map(
-			servers.map((id) => [
-				id,
-				{
-					coldUntil: 0,
-					server: {
-						id,
-						service: 'engine',
-						address: '10.0.0.1:80',
-						availabilityZone: 'zone-a',
-						slots: 1,
-						isLeaving: false,
-						coldMs: 0,
-					},
-				},
-			]),
-		),
-		now,
-	);
+	fleet.sync(new Map(servers.map((id) => [id, knownServerOf(id, 1)])), now);
 	const deliveries = createDeliveries({
 		self: 'node-1',
 		clock,
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -1,5 +1,6 @@
 import type {Exchange} from '../../src/gateway/exchange.ts';
 import type {WireHeaders} from '../../src/gateway/index.ts';
+import type {KnownServer} from '../../src/registry/registry-mirror.ts';
 import type {Route, RouteDocument, Service} from '../../src/routes/index.ts';
 
 /**
@@ -75,3 +76,20 @@
 	hop: undefined,
 	...change,
 });
+
+export const knownServerOf = (
+	id: string,
+	slots: number,
+	coldUntil = 0,
+): KnownServer => ({
+	coldUntil,
+	server: {
+		id,
+		service: 'engine',
+		address: '10.0.0.1:80',
+		availabilityZone: 'zone-a',
+		slots,
+		isLeaving: false,
+		coldMs: 0,
+	},
+});
