--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -85,8 +85,7 @@
 */
 export type DeliveryRecord = {
 	readonly exchange: Exchange;
-	readonly result:
-		'answered' | 'refused' | 'broken' | 'expired' | 'caller-left';
+	readonly result: 'answered' | 'refused' | 'broken' | 'caller-left';
 	readonly status: number;
 	readonly reason: string;
 	readonly outcome: string;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import {createGatewayObserver} from './gateway-observer.ts';
 import {createLoadStatement} from './load-statement.ts';
 import {createNodeJoiner} from './node-joiner.ts';
+import {createNodeShares} from './node-shares.ts';
 import type {ReadContext} from './read-exchange.ts';
 import {createRegistryChanges} from './registry-changes.ts';
 import {createRequestIntake} from './request-intake.ts';
@@ -107,36 +108,11 @@
 */
 export const gatewayTickMs = 50;
 
-/**
-How long after its start a node has heard of the others, in milliseconds: a few heartbeats. What is
-shared among nodes is used sparingly until then, for after a stop of all nodes none knows another.
-*/
-export const settlingMs = 2500;
-
-/**
-The retry slack is shared among so many nodes at the least, so that nodes that cannot hear of each
-other do not each take all of it.
-*/
-export const minimumSharers = 8;
-
-/**
-Nodes of a region that a node takes for granted until it had time to hear of the others. After a
-stop of all nodes each would otherwise send as much as the region can take.
-*/
-export const assumedNodes = 3;
-
 /**
 Routes confirmed within this time are taken as complete, in milliseconds.
 */
 export const freshRoutesMs = 3000;
 
-/**
-Part of the connections of a backend server that all nodes together use.
-*/
-export const connectionPart = 0.8;
-
-// Connections to a backend server that states no bound.
-const unboundedConnections = 128;
 const seedRange = 2 ** 31;
 
 /**
@@ -145,7 +121,6 @@
 export const createGateway = (options: GatewayOptions): Gateway => {
 	const {logger, headers, zones} = options;
 	const clock = () => performance.now();
-	const startedAt = clock();
 	const ownRegion = zones[options.availabilityZone] ?? '';
 	const regions = [...new Set(Object.values(zones))];
 	const random = createRandom(randomBytes(4).readUInt32LE() % seedRange);
@@ -165,27 +140,22 @@
 		wallClock: () => Date.now(),
 		logger,
 	});
-	const hasSettled = () => clock() - startedAt > settlingMs;
-	const inOwnRegion = (members: readonly Member[]) =>
-		members.filter(
-			({availabilityZone}) => regionOf(availabilityZone) === ownRegion,
-		);
+	const shares = createNodeShares({
+		self: options.id,
+		ownRegion,
+		regionOf,
+		mesh,
+		clock,
+	});
 	const fleet = createBackendFleet({
 		self: options.id,
-		nodesEverHeard: () => [
-			options.id,
-			...inOwnRegion(mesh.others()).map(({id}) => id),
-		],
-		nodesServing: () =>
-			Math.max(
-				1 + mesh.usableIn(ownRegion).length,
-				hasSettled() ? 1 : assumedNodes,
-			),
+		nodesEverHeard: shares.nodesEverHeard,
+		nodesServing: shares.nodesServing,
 		service: (name) => mirror.routes()?.service(name),
 		coldOverrun: options.bounds.coldOverrun,
 		coldSlack: options.bounds.coldSlack,
 		availabilityZone: options.availabilityZone,
-		mayUseCold: () => hasSettled(),
+		mayUseCold: shares.hasSettled,
 	});
 	const budget = createWindowRetryBudget({
 		ratio: options.bounds.retryRatio,
@@ -269,20 +239,9 @@
 		client,
 		choose,
 		budget,
-		nodes: () => Math.max(1 + mesh.others().length, minimumSharers),
-		connectionsTo(service) {
-			const maximum =
-				mirror.routes()?.service(service)?.maximumConnections ?? 0;
-			return maximum === 0
-				? unboundedConnections
-				: Math.max(
-						2,
-						Math.floor(
-							(maximum * connectionPart) /
-								(1 + inOwnRegion(mesh.others()).length),
-						),
-					);
-		},
+		nodes: shares.retrySharers,
+		connectionsTo: (service) =>
+			shares.connectionsTo(mirror.routes()?.service(service)),
 		routesVersion: () => mirror.routes()?.document.version ?? 0,
 		isServedHere: (route) => isRegionAllowed(route, ownRegion),
 		onPeerFailure({id}) {
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,10 @@
 export * from './gateway.ts';
 export {loadIntervalMs} from './load-statement.ts';
 export {joinIntervalMs, rejoinIntervalMs} from './node-joiner.ts';
+export {
+	assumedNodes,
+	connectionPart,
+	minimumSharers,
+	settlingMs,
+} from './node-shares.ts';
 export * from './wire-headers.ts';
--- /dev/null
+++ b/src/gateway/node-shares.ts
@@ -0,0 +1,104 @@
+import type {Mesh} from '../mesh/index.ts';
+import type {Service} from '../routes/index.ts';
+
+/**
+This node's part of what all nodes share.
+*/
+export type NodeShares = {
+	/**
+	Whether this node had time to hear of the others.
+	*/
+	hasSettled(): boolean;
+	/**
+	Ids of all nodes of the region that were ever heard of, this one included.
+	*/
+	nodesEverHeard(): readonly string[];
+	/**
+	How many nodes of the region are taken to serve now, this one included.
+	*/
+	nodesServing(): number;
+	/**
+	Nodes of all regions that share the retry budget.
+	*/
+	retrySharers(): number;
+	/**
+	Connections that this node may hold to one backend server of a service.
+	*/
+	connectionsTo(service: Service | undefined): number;
+};
+
+/**
+What shares are reckoned from.
+*/
+export type NodeSharesOptions = {
+	readonly self: string;
+	readonly ownRegion: string;
+	readonly regionOf: (availabilityZone: string) => string;
+	readonly mesh: Mesh;
+	readonly clock: () => number;
+};
+
+/**
+How long after its start a node has heard of the others, in milliseconds: a few heartbeats. What is
+shared among nodes is used sparingly until then, for after a stop of all nodes none knows another.
+*/
+export const settlingMs = 2500;
+
+/**
+The retry slack is shared among so many nodes at the least, so that nodes that cannot hear of each
+other do not each take all of it.
+*/
+export const minimumSharers = 8;
+
+/**
+Nodes of a region that a node takes for granted until it had time to hear of the others. After a
+stop of all nodes each would otherwise send as much as the region can take.
+*/
+export const assumedNodes = 3;
+
+/**
+Part of the connections of a backend server that all nodes together use.
+*/
+export const connectionPart = 0.8;
+
+// Connections to a backend server that states no bound.
+const unboundedConnections = 128;
+
+// Connections to a backend server that a node has at the least, however many nodes share them.
+const fewestConnections = 2;
+
+/**
+Builds the shares of a node that starts now.
+*/
+export const createNodeShares = ({
+	self,
+	ownRegion,
+	regionOf,
+	mesh,
+	clock,
+}: NodeSharesOptions): NodeShares => {
+	const startedAt = clock();
+	const hasSettled = () => clock() - startedAt > settlingMs;
+	const othersInRegion = () =>
+		mesh
+			.others()
+			.filter(({availabilityZone}) => regionOf(availabilityZone) === ownRegion);
+
+	return {
+		hasSettled,
+		nodesEverHeard: () => [self, ...othersInRegion().map(({id}) => id)],
+		nodesServing: () =>
+			Math.max(
+				1 + mesh.usableIn(ownRegion).length,
+				hasSettled() ? 1 : assumedNodes,
+			),
+		retrySharers: () => Math.max(1 + mesh.others().length, minimumSharers),
+		connectionsTo(service) {
+			const maximum = service?.maximumConnections ?? 0;
+			const part = (maximum * connectionPart) / (1 + othersInRegion().length);
+			return maximum === 0
+				? unboundedConnections
+				: Math.max(fewestConnections, Math.floor(part));
+		},
+	};
+};
