--- a/tests/gateway/choose-upstream.test.ts
+++ b/tests/gateway/choose-upstream.test.ts
@@ -9,7 +9,7 @@
 import type {Exchange} from '../../src/gateway/exchange.ts';
 import type {Member} from '../../src/membership/index.ts';
 import {createRandom} from '../../src/shared/index.ts';
-import {exchangeOf, routeOf, serviceOf} from './fixtures.ts';
+import {exchangeOf, fleetOptionsOf, routeOf} from './fixtures.ts';
 
 const memberOf = (id: string, availabilityZone: string): Member => ({
 	id,
@@ -27,16 +27,13 @@
 	readonly promptRegion?: string;
 	readonly members?: readonly string[];
 }) => {
-	const fleet = createBackendFleet({
-		self: 'self',
-		availabilityZone: 'home',
-		nodesEverHeard: () => ['self'],
-		nodesServing: () => 1,
-		service: () => serviceOf(),
-		coldOverrun: 1,
-		coldSlack: 0,
-		mayUseCold: () => true,
-	});
+	const fleet = createBackendFleet(
+		fleetOptionsOf({
+			self: 'self',
+			availabilityZone: 'home',
+			nodesEverHeard: () => ['self'],
+		}),
+	);
 	fleet.sync(
 		new Map(
 			Array.from({length: options.localServers ?? 1}, (_, index) => [
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -18,10 +18,10 @@
 import type {Route} from '../../src/routes/index.ts';
 import {
 	exchangeOf,
+	fleetOptionsOf,
 	knownServerOf,
 	names,
 	routeOf,
-	serviceOf,
 } from './fixtures.ts';
 
 type Sent = {
@@ -36,16 +36,7 @@
 	const clock = () => now;
 	const sent: Sent[] = [];
 	const records: DeliveryRecord[] = [];
-	const fleet = createBackendFleet({
-		self: 'node-1',
-		availabilityZone: 'zone-a',
-		nodesEverHeard: () => ['node-1'],
-		nodesServing: () => 1,
-		service: () => serviceOf(),
-		coldOverrun: 1,
-		coldSlack: 0,
-		mayUseCold: () => true,
-	});
+	const fleet = createBackendFleet(fleetOptionsOf());
 	fleet.sync(new Map(servers.map((id) => [id, knownServerOf(id, 1)])), now);
 	const deliveries = createDeliveries({
 		self: 'node-1',
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -1,3 +1,4 @@
+import type {BackendFleetOptions} from '../../src/backends/index.ts';
 import type {Exchange} from '../../src/gateway/exchange.ts';
 import type {WireHeaders} from '../../src/gateway/index.ts';
 import type {KnownServer} from '../../src/registry/registry-mirror.ts';
@@ -93,3 +94,20 @@
 		coldMs: 0,
 	},
 });
+
+/**
+The only node of its region, without bounds on cold servers.
+*/
+export const fleetOptionsOf = (
+	change: Partial<BackendFleetOptions> = {},
+): BackendFleetOptions => ({
+	self: 'node-1',
+	availabilityZone: 'zone-a',
+	nodesEverHeard: () => ['node-1'],
+	nodesServing: () => 1,
+	service: () => serviceOf(),
+	coldOverrun: 1,
+	coldSlack: 0,
+	mayUseCold: () => true,
+	...change,
+});
