--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -29,10 +29,6 @@
 	*/
 	readonly expiresAt: number;
 	/**
-	When the caller's own deadline passes.
-	*/
-	readonly callerDeadline: number;
-	/**
 	The last event that the caller has of a stream that it takes up again.
 	*/
 	readonly lastEventId: string | undefined;
--- a/src/gateway/read-exchange.ts
+++ b/src/gateway/read-exchange.ts
@@ -68,7 +68,6 @@
 		service: pickService(route, requestId),
 		receivedAt: context.now,
 		expiresAt: context.now + Math.min(route.timeoutMs, remainingMs),
-		callerDeadline: context.now + remainingMs,
 		hop: undefined,
 	});
 };
@@ -114,7 +113,6 @@
 
 const forwardedTimes = ({remainingMs}: HopCall, now: number) => ({
 	expiresAt: now + remainingMs,
-	callerDeadline: now + remainingMs,
 });
 
 const common = (request: ReadRequest, names: WireHeaders) => ({
--- a/src/routes/route.ts
+++ b/src/routes/route.ts
@@ -83,10 +83,6 @@
 	*/
 	readonly coldRequestsPerSecond: number;
 	/**
-	How long a backend server stays cold after its start, in milliseconds.
-	*/
-	readonly coldMs: number;
-	/**
 	Given for model engines.
 	*/
 	readonly engine: EngineTraits | undefined;
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -41,7 +41,6 @@
 	healthPath: '/health',
 	maximumConnections: 100,
 	coldRequestsPerSecond: 0,
-	coldMs: 0,
 	engine: undefined,
 	...change,
 });
@@ -72,7 +71,6 @@
 	prompt: undefined,
 	receivedAt: 0,
 	expiresAt: 4000,
-	callerDeadline: 4000,
 	lastEventId: undefined,
 	hop: undefined,
 	...change,
