Read the registry at two nodes a zone and relay it to the others of the zone

Two holders of the duty now read it; the others keep a held question open at one of them and are answered at each of its confirmations, changes and failures. A node whose relay is silent, old or no reader itself reads the registry at once. Ruled out: confirmations by heartbeats alone, for they are not prompt enough for a leaving server within three seconds.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,15 +8,16 @@
 	startPeerListener,
 	type PeerListener,
 } from '../mesh/index.ts';
-import type {Member} from '../membership/index.ts';
+import {dutyHolders, type Member} from '../membership/index.ts';
 import {
 	createRegistryFollower,
 	createRegistryMirror,
+	createRegistryRelay,
 	type RegistrySource,
 } from '../registry/index.ts';
 import {createWindowRetryBudget} from '../retries/index.ts';
 import {isRegionAllowed, type CallerLimits} from '../routes/index.ts';
-import {createRandom, type Address} from '../shared/index.ts';
+import {createRandom, rendezvousFirst, type Address} from '../shared/index.ts';
 import {createUpstreamChooser} from './choose-upstream.ts';
 import {createDeliveries} from './delivery.ts';
 import {startFrontListener, type FrontListener} from './front-listener.ts';
@@ -113,6 +114,9 @@
 */
 export const freshRoutesMs = 3000;
 
+// Its holders read the registry and relay it to the others of their zone.
+const registryDuty = 'registry';
+
 const seedRange = 2 ** 31;
 
 /**
@@ -191,11 +195,30 @@
 		},
 		clock,
 		logger,
+		relay() {
+			const self = mesh.self();
+			const holders = shares.hasSettled()
+				? dutyHolders(registryDuty, self, mesh.usable())
+				: [self];
+			return holders.some(({id}) => id === self.id)
+				? undefined
+				: rendezvousFirst(self.id, holders, ({id}) => id)?.peerAddress;
+		},
+		askRelay: async (peer, after) => questions.relayedAfter(peer, after),
+		onRead() {
+			relay.release();
+		},
 		onChanges(changes) {
 			takeIn(changes);
 			mesh.announce();
 		},
 	});
+	const relay = createRegistryRelay({
+		mirror,
+		isReading: follower.isReading,
+		confirmedAt: follower.confirmedAt,
+		clock,
+	});
 
 	const loadIn = (region: string, service: string) => {
 		let load = 0;
@@ -346,6 +369,7 @@
 					mirror.revision() === 0
 						? {kind: 'unavailable', reason: 'nothing known yet'}
 						: mirror.answerFor(revision, clock()),
+				relayedAfter: relay.answer,
 				onForwarded: intake.takeForwarded,
 			});
 			front = await startFrontListener({
--- a/src/membership/duty.ts
+++ b/src/membership/duty.ts
@@ -16,13 +16,20 @@
 	duty: string,
 	self: Member,
 	members: readonly Member[],
-): boolean => {
+): boolean => dutyHolders(duty, self, members).some(({id}) => id === self.id);
+
+/**
+The nodes of this node's zone that hold a duty, as far as this node knows.
+*/
+export const dutyHolders = (
+	duty: string,
+	self: Member,
+	members: readonly Member[],
+): readonly Member[] => {
 	const inZone = members.filter(
 		({availabilityZone, status}) =>
 			availabilityZone === self.availabilityZone && status === 'alive',
 	);
 	const candidates = self.status === 'alive' ? [self, ...inZone] : inZone;
-	return rendezvousOrder(duty, candidates, ({id}) => id)
-		.slice(0, nodesPerDuty)
-		.some(({id}) => id === self.id);
+	return rendezvousOrder(duty, candidates, ({id}) => id).slice(0, nodesPerDuty);
 };
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -7,7 +7,7 @@
 } from 'node:http';
 import {pack} from 'msgpackr';
 import type {Member} from '../membership/index.ts';
-import type {RegistryAnswer} from '../registry/index.ts';
+import type {RegistryAnswer, RelayedAnswer} from '../registry/index.ts';
 import {splitAddress, type Address} from '../shared/index.ts';
 
 /**
@@ -16,6 +16,7 @@
 export const peerPaths = {
 	members: '/quillford/members',
 	registry: '/quillford/registry',
+	relay: '/quillford/registry-relay',
 } as const;
 
 /**
@@ -34,6 +35,10 @@
 	readonly members: () => readonly Member[];
 	readonly registryAfter: (revision: number) => RegistryAnswer;
 	/**
+	Like `registryAfter`, but held while there is nothing.
+	*/
+	readonly relayedAfter: (revision: number) => Promise<RelayedAnswer>;
+	/**
 	Takes any other request: those that nodes forward.
 	*/
 	readonly onForwarded: (
@@ -58,10 +63,12 @@
 		}
 
 		if (target.startsWith(`${peerPaths.registry}?`)) {
-			const after = Number(
-				new URLSearchParams(target.slice(target.indexOf('?'))).get('after'),
-			);
-			sendPacked(response, options.registryAfter(after));
+			sendPacked(response, options.registryAfter(revisionOf(target)));
+			return;
+		}
+
+		if (target.startsWith(`${peerPaths.relay}?`)) {
+			void sendRelayed(response, options.relayedAfter(revisionOf(target)));
 			return;
 		}
 
@@ -118,6 +125,19 @@
 // New connections that may wait to be taken; a full queue costs a caller seconds.
 const backlog = 1024;
 
+const revisionOf = (target: string): number =>
+	Number(new URLSearchParams(target.slice(target.indexOf('?'))).get('after'));
+
+const sendRelayed = async (
+	response: ServerResponse,
+	answer: Promise<RelayedAnswer>,
+) => {
+	const value = await answer;
+	if (!response.destroyed) {
+		sendPacked(response, value);
+	}
+};
+
 const sendPacked = (response: ServerResponse, value: unknown) => {
 	const body = Buffer.from(pack(value));
 	response.writeHead(200, {'content-length': body.length}).end(body);
--- a/src/mesh/peer-questions.ts
+++ b/src/mesh/peer-questions.ts
@@ -1,7 +1,11 @@
 import {unpack} from 'msgpackr';
 import {Agent, request} from 'undici';
 import type {Member} from '../membership/index.ts';
-import type {RegistryAnswer} from '../registry/index.ts';
+import {
+	relayWaitMs,
+	type RegistryAnswer,
+	type RelayedAnswer,
+} from '../registry/index.ts';
 import type {Address} from '../shared/index.ts';
 import {peerPaths} from './peer-listener.ts';
 
@@ -14,6 +18,14 @@
 	*/
 	members(peer: Address): Promise<readonly Member[] | undefined>;
 	registryAfter(peer: Address, revision: number): Promise<RegistryAnswer>;
+	/**
+	What came after a revision, held while there is nothing; undefined where the node does not
+	answer.
+	*/
+	relayedAfter(
+		peer: Address,
+		revision: number,
+	): Promise<RelayedAnswer | undefined>;
 	close(): Promise<void>;
 };
 
@@ -22,6 +34,12 @@
 */
 export const questionTimeoutMs = 700;
 
+/**
+How much longer than it may be held a question to a relay of the zone takes at most, in
+milliseconds: a few turns of a busy node.
+*/
+export const relayMarginMs = 300;
+
 /**
 Builds the questions of one node.
 */
@@ -31,10 +49,14 @@
 		connections: 2,
 	});
 
-	const ask = async (peer: Address, path: string): Promise<unknown> => {
+	const ask = async (
+		peer: Address,
+		path: string,
+		timeoutMs = questionTimeoutMs,
+	): Promise<unknown> => {
 		const {statusCode, body} = await request(`http://${peer}${path}`, {
 			dispatcher,
-			signal: AbortSignal.timeout(questionTimeoutMs),
+			signal: AbortSignal.timeout(timeoutMs),
 		});
 		const bytes = await body.bytes();
 		if (statusCode !== 200) {
@@ -62,6 +84,17 @@
 				return {kind: 'unavailable', reason: (error as Error).message};
 			}
 		},
+		async relayedAfter(peer, revision) {
+			try {
+				return (await ask(
+					peer,
+					`${peerPaths.relay}?after=${revision}`,
+					relayWaitMs + relayMarginMs,
+				)) as RelayedAnswer;
+			} catch {
+				return undefined;
+			}
+		},
 		close: async () => dispatcher.destroy(),
 	};
 };
--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -1,6 +1,7 @@
 import type {Logger} from '../logging/index.ts';
 import type {Address} from '../shared/index.ts';
 import type {RegistryAnswer, RegistrySource} from './registry-entry.ts';
+import type {RelayedAnswer} from './registry-relay.ts';
 import type {
 	AnswerOrigin,
 	MirrorChange,
@@ -22,6 +23,10 @@
 	When the copy was last confirmed by the registry, or by a node that had it confirmed.
 	*/
 	confirmedAt(): number | undefined;
+	/**
+	Whether this node reads the registry itself and was answered the last time.
+	*/
+	isReading(): boolean;
 };
 
 /**
@@ -38,6 +43,21 @@
 	Another node to ask while the registry does not answer.
 	*/
 	readonly pickPeer: () => Address | undefined;
+	/**
+	The node by way of which the registry is followed; undefined where this node reads it itself.
+	*/
+	readonly relay: () => Address | undefined;
+	/**
+	Asks a relay for what came after a revision; held while there is nothing.
+	*/
+	readonly askRelay: (
+		relay: Address,
+		after: number,
+	) => Promise<RelayedAnswer | undefined>;
+	/**
+	Told after each answer and each failure of the registry.
+	*/
+	readonly onRead: () => void;
 	readonly clock: () => number;
 	readonly logger: Logger;
 	readonly onChanges: (changes: readonly MirrorChange[]) => void;
@@ -64,6 +84,18 @@
 */
 export const behindPatienceMs = 120;
 
+/**
+How long a node reads the registry itself after its relay failed it, in milliseconds: until
+membership has found out about the relay.
+*/
+export const relayPauseMs = 3000;
+
+/**
+A relay whose own confirmation is older has trouble with the registry, in milliseconds. Where there
+were changes a relay counts from when it asked, so the time of a held question is part of it.
+*/
+export const oldestRelayedMs = watchWaitMs + 1000;
+
 /**
 Builds a follower; nothing is asked before `start`.
 */
@@ -76,6 +108,8 @@
 	let isInTouch: boolean | undefined;
 	let confirmedAt: number | undefined;
 	let isAskingPeer = false;
+	let isReading = false;
+	let ownReadsUntil = -Infinity;
 	let behindTimer: NodeJS.Timeout | undefined;
 	let pause: NodeJS.Timeout | undefined;
 
@@ -148,12 +182,16 @@
 
 		if (take(answer, 'registry') === 'taken') {
 			isNeedsSnapshot = answer.kind === 'history-lost';
-			confirmedAt = askedAt;
+			confirmedAt = confirmationTime(answer, askedAt, clock());
 			noteContact(true, answer.kind);
+			isReading = true;
+			options.onRead();
 			return watchPauseMs;
 		}
 
 		mirror.sourceFailed(clock());
+		isReading = false;
+		options.onRead();
 		noteContact(
 			false,
 			answer.kind === 'unavailable' ? answer.reason : answer.kind,
@@ -166,8 +204,40 @@
 		return retryPauseMs;
 	};
 
+	const followRelay = async (relay: Address): Promise<number> => {
+		isReading = false;
+		const relayed = await options.askRelay(relay, mirror.revision());
+		if (!isRunning) {
+			return 0;
+		}
+
+		const isFresh =
+			relayed !== undefined &&
+			relayed.ageMs <= oldestRelayedMs &&
+			take(relayed.answer, 'peer') === 'taken';
+		if (isFresh) {
+			confirmedAt = clock() - relayed.ageMs;
+			return watchPauseMs;
+		}
+
+		ownReadsUntil = clock() + relayPauseMs;
+		logger.info(
+			{relay, ageMs: relayed?.ageMs},
+			'relay of the registry does not answer; reading the registry',
+		);
+		return 0;
+	};
+
+	const followOnce = async (): Promise<number> => {
+		const relay =
+			isNeedsSnapshot || mirror.revision() === 0 || clock() < ownReadsUntil
+				? undefined
+				: options.relay();
+		return relay === undefined ? askRegistry() : followRelay(relay);
+	};
+
 	const run = async () => {
-		const pauseMs = await askRegistry();
+		const pauseMs = await followOnce();
 		if (isRunning) {
 			pause = setTimeout(() => {
 				void run();
@@ -205,5 +275,19 @@
 			}
 		},
 		confirmedAt: () => confirmedAt,
+		isReading: () => isReading,
 	};
 };
+
+// An answer without changes that came after the whole wait was given when the wait was over. Any
+// other may have been given as soon as the question was asked, and been long on its way.
+const confirmationTime = (
+	answer: RegistryAnswer,
+	askedAt: number,
+	now: number,
+): number =>
+	answer.kind === 'changes' &&
+	answer.items.length === 0 &&
+	now - askedAt >= watchWaitMs
+		? askedAt + watchWaitMs
+		: askedAt;
