--- a/tests/registry/registry-relay.test.ts
+++ b/tests/registry/registry-relay.test.ts
@@ -157,7 +157,7 @@
 	};
 };
 
-test('a node behind a relay has changes at once and does not call the registry', async (t) => {
+test('a node behind a relay has changes at once and does not call the registry', async (t: TestContext) => {
 	const world = setUp(t);
 	await world.start();
 	await world.pass(5000);
@@ -170,7 +170,7 @@
 	await world.stop();
 });
 
-test('a node whose relay falls silent has a change within three seconds', async (t) => {
+test('a node whose relay falls silent has a change within three seconds', async (t: TestContext) => {
 	const world = setUp(t);
 	await world.start();
 	await world.pass(5000);
@@ -183,7 +183,7 @@
 	await world.stop();
 });
 
-test('a node whose relay loses the registry reads it itself within three seconds', async (t) => {
+test('a node whose relay loses the registry reads it itself within three seconds', async (t: TestContext) => {
 	const world = setUp(t);
 	await world.start();
 	await world.pass(5000);
@@ -195,7 +195,7 @@
 	await world.stop();
 });
 
-test('two nodes that each take the other for the reader do not wait for each other', async (t) => {
+test('two nodes that each take the other for the reader do not wait for each other', async (t: TestContext) => {
 	const mirror = createRegistryMirror();
 	mirror.apply(
 		{kind: 'snapshot', revision: 1, items: [leavingServer(1)]},
