--- a/src/registry/registry-mirror.ts
+++ b/src/registry/registry-mirror.ts
@@ -95,7 +95,7 @@
 	const known = new Map<string, KnownServer>();
 	const lapsed = new Map<string, number>();
 	const evacuated = new Set<string>();
-	let history: readonly RegistryItem[] = [];
+	const history: RegistryItem[] = [];
 	let historyFrom = 0;
 	let revision = 0;
 	let table: RouteTable | undefined;
@@ -121,9 +121,9 @@
 			return [];
 		}
 
-		history = [...history, item].slice(-keptChanges);
-		if (history.length === keptChanges) {
-			historyFrom = Math.max(historyFrom, history[0]!.revision);
+		history.push(item);
+		if (history.length > keptChanges) {
+			historyFrom = Math.max(historyFrom, history.shift()!.revision);
 		}
 
 		if (item.value === undefined) {
@@ -279,8 +279,9 @@
 			);
 			if (answer.kind === 'snapshot') {
 				changes.push(...removeMissing(answer, now));
-				// Changes between the last known revision and the snapshot were never seen one by one.
-				historyFrom = Math.max(historyFrom, answer.revision);
+				// What changed between the last known revision and the snapshot is in the history, each key
+				// once and in its latest form; only before the first snapshot nothing is known.
+				historyFrom = revision === 0 ? answer.revision : historyFrom;
 			}
 
 			revision = Math.max(revision, answer.revision);
--- a/tests/registry/registry-mirror.test.ts
+++ b/tests/registry/registry-mirror.test.ts
@@ -198,3 +198,58 @@
 		}),
 	);
 });
+
+test('a node that follows by changes ends where a node ends that read everything', () => {
+	// Each step writes or removes one of a few servers; then some steps are read as changes, the
+	// others are missed and made up for by a snapshot.
+	const steps = fc.array(
+		fc.record({
+			id: fc.constantFrom('a', 'b', 'c', 'd'),
+			isRemoved: fc.boolean(),
+			isSnapshot: fc.boolean(),
+			isAsked: fc.boolean(),
+		}),
+		{maxLength: 60},
+	);
+	fc.assert(
+		fc.property(steps, (order) => {
+			const rows = new Map<string, RegistryItem>();
+			const reader = createRegistryMirror();
+			const follower = createRegistryMirror();
+			let revision = 1;
+			reader.apply(snapshotOf(revision), 0, 'registry');
+			follower.apply(snapshotOf(revision), 0, 'peer');
+			for (const {id, isRemoved, isSnapshot, isAsked} of order) {
+				revision += 1;
+				const written = isRemoved
+					? item(`servers/${id}`, revision)
+					: serverItem(id, revision);
+				if (isRemoved) {
+					rows.delete(written.key);
+				} else {
+					rows.set(written.key, written);
+				}
+
+				if (isSnapshot) {
+					reader.apply(snapshotOf(revision, ...rows.values()), 0, 'registry');
+				} else if (reader.revision() === revision - 1) {
+					reader.apply(changesOf(revision, written), 0, 'registry');
+				}
+
+				if (isAsked) {
+					const answer = reader.answerFor(follower.revision(), 0);
+					assert.equal(answer.kind, 'changes');
+					follower.apply(
+						answer as Extract<typeof answer, {kind: 'changes'}>,
+						0,
+						'peer',
+					);
+					assert.deepEqual(
+						[...follower.servers().keys()].toSorted(),
+						[...reader.servers().keys()].toSorted(),
+					);
+				}
+			}
+		}),
+	);
+});
