--- a/src/gateway/delivery-context.ts
+++ b/src/gateway/delivery-context.ts
@@ -43,6 +43,10 @@
 	Says that a backend server could not be reached.
 	*/
 	readonly onServerFailure: (server: string, reason: string) => void;
+	/**
+	Says that a request has begun to wait for room; ticks must follow that refuse it on time.
+	*/
+	readonly onWaiting: () => void;
 	readonly onRecord: (record: DeliveryRecord) => void;
 };
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -105,9 +105,15 @@
 };
 
 /**
-Milliseconds between two ticks.
+Milliseconds between two ticks while nothing waits for room. Each tick wakes the process, and the
+shortest time that depends on it is the 300 ms for the acknowledgement of a heartbeat.
 */
-export const gatewayTickMs = 50;
+export const gatewayTickMs = 150;
+
+/**
+Milliseconds between two ticks while requests wait, so that they are refused on time.
+*/
+export const waitingTickMs = 40;
 
 /**
 Routes confirmed within this time are taken as complete, in milliseconds.
@@ -278,6 +284,11 @@
 			fleet.suspect(server, clock());
 			logger.warn({server, reason}, 'backend server suspected');
 		},
+		onWaiting() {
+			if (deliveries.waiting() === 1) {
+				scheduleTick();
+			}
+		},
 		onRecord(record) {
 			observer.record(record);
 		},
@@ -332,7 +343,14 @@
 	});
 	const loadStatement = createLoadStatement(mesh, fleet, mirror);
 
+	const scheduleTick = () => {
+		const isWaiting = deliveries.waiting() > 0;
+		clearTimeout(timer);
+		timer = setTimeout(tick, isWaiting ? waitingTickMs : gatewayTickMs);
+	};
+
 	const tick = () => {
+		scheduleTick();
 		const now = clock();
 		mesh.tick(now);
 		follower.tick(now);
@@ -381,7 +399,7 @@
 					observer.rejected('', `unreadable: ${reason}`, 400);
 				},
 			});
-			timer = setInterval(tick, gatewayTickMs);
+			tick();
 			follower.start();
 			joiner.askNow();
 			logger.info({node: options.id, ownRegion}, 'gateway started');
@@ -398,7 +416,7 @@
 			return isIdleWithin(timeoutMs - (settled - clock()) - settleMs);
 		},
 		async stop() {
-			clearInterval(timer);
+			clearTimeout(timer);
 			await Promise.all([
 				follower.stop(),
 				mesh.stop(),
--- a/src/gateway/send-run.ts
+++ b/src/gateway/send-run.ts
@@ -40,6 +40,7 @@
 	const waiting = createWaitingRequest(context, run);
 	run.waiting = waiting;
 	context.line.add(waiting);
+	context.onWaiting();
 };
 
 const noRoom = 'No backend server has room';
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -66,6 +66,7 @@
 		isServedHere: () => true,
 		onPeerFailure: () => undefined,
 		onServerFailure: () => undefined,
+		onWaiting: () => undefined,
 		onRecord(record) {
 			records.push(record);
 		},
