--- /dev/null
+++ b/tests/gateway/gateway.test.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import {after, before, describe, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {
+	eventsOf,
+	standInHeaders,
+	startGateways,
+	startStandInServer,
+	writeRoutes,
+	type GatewayDeployment,
+	type StandInServer,
+} from '../../stand-ins/gateways.ts';
+import {documentOf, routeOf, serviceOf} from './fixtures.ts';
+
+const zones = {north: 'upland', south: 'lowland'};
+
+let attempts = 0;
+
+const ask = async (
+	address: string,
+	path: string,
+	headers: Readonly<Record<string, string>> = {},
+) => {
+	attempts += 1;
+	const id = `attempt-${attempts}`;
+	const answer = await request(`http://${address}${path}`, {
+		method: 'POST',
+		body: 'hello',
+		headers: {
+			host: 'site.example',
+			[standInHeaders.requestId]: id,
+			[standInHeaders.remainingMs]: '4000',
+			...headers,
+		},
+	});
+	return {
+		id,
+		status: answer.statusCode,
+		headers: answer.headers,
+		text: await answer.body.text(),
+	};
+};
+
+// Waits for what the nodes do in their own time; the test fails by the answer, not by the wait.
+const until = async (isTrue: () => boolean | Promise<boolean>) => {
+	for (let turn = 0; turn < 100; turn += 1) {
+		// eslint-disable-next-line no-await-in-loop -- one look after the other
+		if (await isTrue()) {
+			return;
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- one look after the other
+		await sleep(50);
+	}
+};
+
+describe('two nodes in two regions', () => {
+	let deployment: GatewayDeployment;
+	let servers: readonly StandInServer[];
+
+	before(async () => {
+		deployment = await startGateways(zones, 2);
+		const {registry} = deployment;
+		writeRoutes(
+			registry,
+			documentOf({
+				routes: [
+					routeOf({
+						name: 'plain',
+						pathPrefix: '/plain/',
+						services: [{service: 'plain', weight: 1}],
+					}),
+					routeOf({
+						name: 'words',
+						pathPrefix: '/words/',
+						kind: 'streaming',
+						services: [{service: 'words', weight: 1}],
+					}),
+					routeOf({
+						name: 'bound',
+						pathPrefix: '/bound/',
+						services: [{service: 'plain', weight: 1}],
+						homeRegions: ['nowhere'],
+					}),
+				],
+				services: [serviceOf({name: 'plain'}), serviceOf({name: 'words'})],
+			}),
+		);
+		servers = await Promise.all([
+			startStandInServer(
+				registry,
+				{
+					id: 'plain-1',
+					service: 'plain',
+					address: deployment.nextAddress(),
+					availabilityZone: 'north',
+					slots: 4,
+				},
+				{kind: 'whole', text: 'done'},
+			),
+			startStandInServer(
+				registry,
+				{
+					id: 'words-1',
+					service: 'words',
+					address: deployment.nextAddress(),
+					availabilityZone: 'south',
+					slots: 4,
+				},
+				{kind: 'events', count: 5, pauseMs: 5},
+			),
+		]);
+		await until(() =>
+			deployment.nodes.every(
+				(node) => node.isReady() && node.entryAddresses('', '').length === 2,
+			),
+		);
+	});
+
+	after(async () => {
+		await deployment.stop();
+		await Promise.all(servers.map(async (server) => server.close()));
+	});
+
+	test('an answer comes whole and signed, from the own region and from the other', async () => {
+		for (const address of deployment.callerAddresses) {
+			// eslint-disable-next-line no-await-in-loop -- each request has its own answer
+			const {id, status, headers, text} = await ask(address, '/plain/a');
+			assert.equal(status, 200);
+			assert.equal(text, 'done');
+			assert.equal(headers[standInHeaders.signature], `plain-1/${id}`);
+		}
+	});
+
+	test('a stream comes event by event, whichever node is asked', async () => {
+		for (const address of deployment.callerAddresses) {
+			// eslint-disable-next-line no-await-in-loop -- each request has its own answer
+			const {status, text} = await ask(address, '/words/a');
+			assert.equal(status, 200);
+			assert.equal(text, eventsOf(5));
+		}
+	});
+
+	test('a request that no region may serve is refused as not run, with a time to come back', async () => {
+		const [address = ''] = deployment.callerAddresses;
+		const {id, status, headers} = await ask(address, '/bound/a');
+		assert.equal(status, 503);
+		assert.ok(Number(headers['retry-after']) > 0);
+		assert.ok(servers.every(({ran}) => !ran.includes(id)));
+	});
+
+	test('a path without a route is not found, and a request without an id is not taken', async () => {
+		const [address = ''] = deployment.callerAddresses;
+		const {status} = await ask(address, '/none/a');
+		assert.equal(status, 404);
+		const nameless = await ask(address, '/plain/a', {
+			[standInHeaders.requestId]: '',
+		});
+		assert.equal(nameless.status, 400);
+	});
+
+	test('a server that leaves gets nothing more once the nodes know', async () => {
+		const {registry} = deployment;
+		const late = await startStandInServer(
+			registry,
+			{
+				id: 'plain-2',
+				service: 'plain',
+				address: deployment.nextAddress(),
+				availabilityZone: 'north',
+				slots: 4,
+			},
+			{kind: 'whole', text: 'done'},
+		);
+		registry.write('server plain-1', undefined);
+		const [address = ''] = deployment.callerAddresses;
+		await until(async () => {
+			const {id} = await ask(address, '/plain/b');
+			return late.ran.includes(id);
+		});
+		const before = servers[0]!.ran.length;
+		await Promise.all(
+			Array.from({length: 20}, async () => ask(address, '/plain/c')),
+		);
+		assert.equal(servers[0]!.ran.length, before);
+		assert.ok(late.ran.length > 20);
+		await late.close();
+	});
+
+	test('the metrics count what was answered', async () => {
+		const figures = await deployment.nodes[0]!.metrics();
+		assert.match(figures, /quillford_requests_total\{.*route="plain".*\} \d+/v);
+	});
+
+	test('a node that stops ends what it has under way and takes nothing new', async () => {
+		const [address = ''] = deployment.callerAddresses;
+		const slow = ask(address, '/words/z');
+		const drained = deployment.nodes[0]!.drain(6000);
+		assert.equal(deployment.nodes[0]!.isReady(), false);
+		const {text, headers} = await slow;
+		assert.equal(text, eventsOf(5));
+		assert.equal(headers.connection, 'close');
+		assert.equal(await drained, true);
+		await assert.rejects(ask(address, '/plain/a'));
+	});
+});
