Ask a silent backend server whether it lives before it is given up

Cause: a server that owed an answer and sent nothing for 800 ms was taken out of use and its requests taken away. An engine that reads some long prompts in turn sends a node nothing for longer. Ruled out: room itself, 32 places a server for each node. Now silence of 600 ms leads to a question for its health; no answer within 500 ms, or 2.5 s of silence whatever it says, takes the server out.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -6,7 +6,14 @@
 	type ServerChoiceOptions,
 } from './choose-server.ts';
 import type {Placement} from './placement.ts';
-import {createServerState, isSilent, type ServerState} from './server-state.ts';
+import {
+	createServerState,
+	doubtMs,
+	longestSilenceMs,
+	silenceMs,
+	silentFor,
+	type ServerState,
+} from './server-state.ts';
 
 /**
 Load and room of a service in the own region.
@@ -25,7 +32,7 @@
 	begin(id: string, placement: Placement, now: number): BackendAttempt;
 	server(id: string): KnownServer['server'] | undefined;
 	/**
-	Finds servers that have gone silent with requests under way.
+	Finds servers that have gone silent with requests under way and do not say that they live.
 	*/
 	tick(now: number): readonly string[];
 	/**
@@ -37,6 +44,10 @@
 	*/
 	probed(id: string, coldMs: number | undefined, now: number): void;
 	/**
+	The server answered a question for its health, whatever it said.
+	*/
+	vouched(id: string, now: number): void;
+	/**
 	Takes it that servers may have turned cold; they are asked before they get their full share.
 	*/
 	distrust(ids: readonly string[]): void;
@@ -77,6 +88,7 @@
 		}
 
 		state.isSuspect = true;
+		state.doubtedAt = undefined;
 		state.probedAt = now;
 	};
 
@@ -104,7 +116,7 @@
 		server: (id) => states.get(id)?.known.server,
 		tick(now) {
 			const silent = [...states]
-				.filter(([, state]) => !state.isSuspect && isSilent(state, now))
+				.filter(([, state]) => !state.isSuspect && isFoundSilent(state, now))
 				.map(([id]) => id);
 			for (const id of silent) {
 				suspect(id, now);
@@ -115,7 +127,9 @@
 		dueProbes(now) {
 			const due = [...states].filter(
 				([, state]) =>
-					(state.isSuspect || state.isDistrusted) &&
+					(state.isSuspect ||
+						state.isDistrusted ||
+						state.doubtedAt !== undefined) &&
 					now - state.probedAt >= probeIntervalMs,
 			);
 			for (const [, state] of due) {
@@ -138,6 +152,13 @@
 				coldUntil: Math.max(state.known.coldUntil, now + coldMs),
 			};
 		},
+		vouched(id, now) {
+			const state = states.get(id);
+			if (state) {
+				state.vouchedAt = now;
+				state.doubtedAt = undefined;
+			}
+		},
 		distrust(ids) {
 			for (const id of ids) {
 				const state = states.get(id);
@@ -167,3 +188,22 @@
 		ids: () => states.keys().toArray(),
 	};
 };
+
+// A silent server is doubted, and found silent in earnest when it does not vouch for itself.
+const isFoundSilent = (state: ServerState, now: number): boolean => {
+	const silence = silentFor(state, now);
+	if (silence <= silenceMs) {
+		state.doubtedAt = undefined;
+		return false;
+	}
+
+	if (silence > longestSilenceMs) {
+		return true;
+	}
+
+	if (now - state.vouchedAt > silenceMs) {
+		state.doubtedAt ??= now;
+	}
+
+	return state.doubtedAt !== undefined && now - state.doubtedAt >= doubtMs;
+};
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -24,6 +24,14 @@
 	*/
 	failureRate: number;
 	isSuspect: boolean;
+	/**
+	When it was found silent, while it is asked whether it lives; it stays in use meanwhile.
+	*/
+	doubtedAt: number | undefined;
+	/**
+	When it last answered a question for its health.
+	*/
+	vouchedAt: number;
 	isDistrusted: boolean;
 	probedAt: number;
 	/**
@@ -34,10 +42,23 @@
 };
 
 /**
-A server that owes an answer and has sent nothing for so long counts as silent, in milliseconds.
-Engines send events of other requests many times in this time.
+A server that owes an answer and has sent nothing for so long is asked whether it lives, in
+milliseconds. An engine that reads long prompts sends nothing to a node for longer than that, so
+silence alone proves nothing.
+*/
+export const silenceMs = 600;
+
+/**
+How long a silent server has to answer, in milliseconds: a slot of a full server becomes free many
+times in this time.
+*/
+export const doubtMs = 500;
+
+/**
+A server that has sent nothing of what it owes for so long is not used, whatever it says of its
+health, in milliseconds. Callers give up on a stream after about two seconds of silence.
 */
-export const silenceMs = 800;
+export const longestSilenceMs = 2500;
 
 /**
 Builds the state of a server that was sent nothing yet.
@@ -54,6 +75,8 @@
 	lastHeardAt: now,
 	failureRate: 0,
 	isSuspect: false,
+	doubtedAt: undefined,
+	vouchedAt: -Infinity,
 	isDistrusted: false,
 	probedAt: -Infinity,
 	coldSentAt: [],
@@ -69,16 +92,16 @@
 ): boolean => isDistrusted || known.coldUntil > now;
 
 /**
-Whether a server owes answers and has given no sign of life for `silenceMs`.
+How long a server has owed answers without a sign of life, in milliseconds.
 */
-export const isSilent = (
+export const silentFor = (
 	{pending, lastHeardAt}: ServerState,
 	now: number,
-): boolean => {
+): number => {
 	let oldest = now;
 	for (const {since} of pending) {
 		oldest = Math.min(oldest, since);
 	}
 
-	return now - Math.max(oldest, lastHeardAt) > silenceMs;
+	return now - Math.max(oldest, lastHeardAt);
 };
--- a/src/gateway/server-probes.ts
+++ b/src/gateway/server-probes.ts
@@ -24,6 +24,9 @@
 */
 export const probeTimeoutMs = 900;
 
+// Another server has the address now.
+const misdirected = 421;
+
 /**
 Builds the probes of one node.
 */
@@ -38,7 +41,7 @@
 			return;
 		}
 
-		// A key of its own: connections from before the fault may be dead without a word.
+		// A key of its own, for the connections of requests may be dead.
 		const key = `probe ${id}`;
 		const call = client.call(
 			{
@@ -54,7 +57,12 @@
 				onHead({status, header}) {
 					const isSound = status === 200 && header(headers.serverId) === id;
 					const coldMs = Number(header(headers.coldMs) ?? 0);
-					if (isSound) {
+					if (status !== misdirected) {
+						fleet.vouched(id, clock());
+					}
+
+					// Connections from before the fault may be dead without a word.
+					if (isSound && fleet.isSuspect(id)) {
 						logger.info({server: id, coldMs}, 'backend server healthy');
 						client.forget(`server ${id}`);
 					}
