Hold requests that come before a node's first routes

Cause: a node that starts listens before it has read the registry, and refused what came in between. Now such a request waits up to 500 ms, and the registry is read before the listeners are opened. Ruled out: listening later, for a refused connection costs the caller a try as well.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -216,6 +216,7 @@
 		},
 		onChanges(changes) {
 			takeIn(changes);
+			intake.routesCame();
 			mesh.announce();
 		},
 	});
@@ -379,6 +380,8 @@
 
 	return {
 		async start() {
+			// Before the listeners: callers that come while a node starts wait for the first routes.
+			follower.start();
 			await mesh.start();
 			peers = await startPeerListener({
 				addresses: peerAddresses,
@@ -400,7 +403,6 @@
 				},
 			});
 			tick();
-			follower.start();
 			joiner.askNow();
 			logger.info({node: options.id, ownRegion}, 'gateway started');
 		},
--- a/src/gateway/request-intake.ts
+++ b/src/gateway/request-intake.ts
@@ -28,6 +28,10 @@
 	Takes a request that another node forwards.
 	*/
 	takeForwarded(request: IncomingMessage, response: ServerResponse): void;
+	/**
+	Goes on with what came before the first routes; to be called once there are routes.
+	*/
+	routesCame(): void;
 };
 
 /**
@@ -39,6 +43,17 @@
 	readonly readContext: () => ReadContext;
 };
 
+/**
+How long a request waits for the first routes of a node that has just started, in milliseconds. The
+registry is read in less; a caller that is refused has one try less.
+*/
+export const routesPatienceMs = 500;
+
+/**
+Requests that wait for the first routes at the most; more are refused at once.
+*/
+export const maximumEarlyRequests = 500;
+
 /**
 Builds the intake of one node.
 */
@@ -68,8 +83,48 @@
 		return deliveries.deliver(exchange.value, sink).callerLeft;
 	};
 
+	const early = new Set<() => void>();
+
+	// Runs once routes are known, or when the patience for them is over.
+	const afterRoutes = (run: () => void): (() => void) => {
+		if (readContext().routes || early.size >= maximumEarlyRequests) {
+			run();
+			return () => undefined;
+		}
+
+		const go = () => {
+			forget();
+			run();
+		};
+
+		const forget = () => {
+			clearTimeout(timer);
+			early.delete(go);
+		};
+
+		const timer = setTimeout(go, routesPatienceMs);
+		early.add(go);
+		return forget;
+	};
+
+	const takeReady: typeof takeBy = (read, request, sink) => {
+		let callerLeft: () => void = () => undefined;
+		const forget = afterRoutes(() => {
+			callerLeft = takeBy(read, request, sink);
+		});
+		return () => {
+			forget();
+			callerLeft();
+		};
+	};
+
 	return {
-		take: (request, sink) => takeBy(readExchange, request, sink),
+		take: (request, sink) => takeReady(readExchange, request, sink),
+		routesCame() {
+			for (const go of early) {
+				go();
+			}
+		},
 		takeForwarded(request, response) {
 			// The node of the caller has checked the length by its bounds.
 			readBody(request, Number.MAX_SAFE_INTEGER, (body) => {
@@ -79,7 +134,7 @@
 
 				const sink = createHopSink(response);
 				const read = toRead(request, body);
-				onCallerLeft(response, takeBy(readForwarded, read, sink));
+				onCallerLeft(response, takeReady(readForwarded, read, sink));
 			});
 		},
 	};
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -205,3 +205,47 @@
 		await assert.rejects(ask(address, '/plain/a'));
 	});
 });
+
+test('a request that comes before the first routes is served once there are some', async () => {
+	const deployment = await startGateways({north: 'upland'}, 1);
+	const {registry} = deployment;
+	const [address = ''] = deployment.callerAddresses;
+	const server = await startStandInServer(
+		registry,
+		{
+			id: 'plain-1',
+			service: 'plain',
+			address: deployment.nextAddress(),
+			availabilityZone: 'north',
+			slots: 4,
+		},
+		{kind: 'whole', text: 'done'},
+	);
+	const early = ask(address, '/plain/a');
+	writeRoutes(
+		registry,
+		documentOf({
+			routes: [
+				routeOf({
+					pathPrefix: '/plain/',
+					services: [{service: 'plain', weight: 1}],
+				}),
+			],
+			services: [serviceOf({name: 'plain'})],
+		}),
+	);
+	const {status, text} = await early;
+	assert.equal(status, 200);
+	assert.equal(text, 'done');
+	await deployment.stop();
+	await server.close();
+});
+
+test('a request that comes while the registry stays away is refused as not run', async () => {
+	const deployment = await startGateways({north: 'upland'}, 1);
+	deployment.registry.setUp(false);
+	const [address = ''] = deployment.callerAddresses;
+	const {status} = await ask(address, '/plain/a');
+	assert.equal(status, 503);
+	await deployment.stop();
+});
