Let requests wait longer at a node that has just started

Cause: after a loss of power the first node that is back gets what all are sent, fills the part of the servers' room that it takes for its own, and refuses the rest after a fifth of the objective; callers that were cut off have no try left. Now up to 1.5 s and four tenths of its time.

--- a/src/gateway/delivery-context.ts
+++ b/src/gateway/delivery-context.ts
@@ -27,6 +27,10 @@
 	*/
 	readonly nodes: () => number;
 	/**
+	Whether this node had time to hear of the others.
+	*/
+	readonly hasSettled: () => boolean;
+	/**
 	Connections that this node may hold to one backend server of a service.
 	*/
 	readonly connectionsTo: (service: string) => number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -270,6 +270,7 @@
 		choose,
 		budget,
 		nodes: shares.retrySharers,
+		hasSettled: shares.hasSettled,
 		connectionsTo: (service) =>
 			shares.connectionsTo(mirror.routes()?.service(service)),
 		routesVersion: () => mirror.routes()?.document.version ?? 0,
--- a/src/gateway/send-run.ts
+++ b/src/gateway/send-run.ts
@@ -14,6 +14,16 @@
 */
 export const waitingPart = 0.2;
 
+/**
+How long a request may wait for room at a node that has just started, in milliseconds. After a loss of
+power the first node that is back is sent what the others will take a second later, and callers that
+were cut off have no try left after a refusal.
+*/
+export const startPatienceMs = 1500;
+
+// At a node that has just started a request waits for this part of its time at the most.
+const startPatiencePart = 0.4;
+
 /**
 Connections to one node of another region; a request holds one as long as its stream runs.
 */
@@ -50,13 +60,13 @@
 	run: DeliveryRun,
 ): WaitingRequest => {
 	const now = context.clock();
-	const {route, receivedAt} = run.exchange;
+	const {route} = run.exchange;
 	return {
 		priority: route.priority,
 		since: now,
 		until: run.hasBegun
 			? now + route.targetLatencyMs
-			: Math.max(now, receivedAt + route.targetLatencyMs * waitingPart),
+			: Math.max(now, longestWaitUntil(context, run)),
 		roomKey: [
 			run.exchange.service,
 			route.name,
@@ -71,6 +81,19 @@
 	};
 };
 
+const longestWaitUntil = (
+	{hasSettled}: DeliveryContext,
+	{exchange}: DeliveryRun,
+): number => {
+	const {route, receivedAt, expiresAt} = exchange;
+	const usual = route.targetLatencyMs * waitingPart;
+	const patience = Math.min(
+		startPatienceMs,
+		(expiresAt - receivedAt) * startPatiencePart,
+	);
+	return receivedAt + (hasSettled() ? usual : Math.max(usual, patience));
+};
+
 // False without room anywhere. A request that is over needs none.
 const isSent = (context: DeliveryContext, run: DeliveryRun): boolean => {
 	if (run.isOver) {
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -16,6 +16,7 @@
 } from '../../src/gateway/exchange.ts';
 import {createWindowRetryBudget} from '../../src/retries/index.ts';
 import type {Route} from '../../src/routes/index.ts';
+import {startPatienceMs} from '../../src/gateway/send-run.ts';
 import {
 	exchangeOf,
 	fleetOptionsOf,
@@ -31,7 +32,7 @@
 };
 
 // A gateway of one region with backend servers that the test plays itself.
-const setUp = (servers: readonly string[], slack = 1000) => {
+const setUp = (servers: readonly string[], slack = 1000, hasSettled = true) => {
 	let now = 0;
 	const clock = () => now;
 	const sent: Sent[] = [];
@@ -61,6 +62,7 @@
 		choose: (exchange, _tried, placement) => fleet.choose(placement, now),
 		budget: createWindowRetryBudget({ratio: 0, windowMs: 10_000, slack}),
 		nodes: () => 1,
+		hasSettled: () => hasSettled,
 		connectionsTo: () => 10,
 		routesVersion: () => 1,
 		isServedHere: () => true,
@@ -223,6 +225,25 @@
 	assert.equal(fourth.seen.error.outcome, 'not-run');
 });
 
+test('a node that has just started lets requests wait longer for room', () => {
+	const {deliveries, sent, pass} = setUp(['a'], 1000, false);
+	const seen = [createSink(), createSink(), createSink()];
+	for (const {sink} of seen) {
+		deliveries.deliver(exchangeFor({}), sink);
+	}
+
+	assert.equal(sent.length, 2);
+	pass(startPatienceMs - 100);
+	assert.equal(seen[2]!.seen.error, undefined);
+	answer(sent[0]!, 200, signed);
+	sent[0]!.listener.onEnd();
+	assert.equal(sent.length, 3);
+	const last = createSink();
+	deliveries.deliver(exchangeFor({}), last.sink);
+	pass(startPatienceMs);
+	assert.equal(last.seen.error?.kind, 'overloaded');
+});
+
 test('a stream that breaks is continued after its last whole event, if it may be resumed', () => {
 	const {deliveries, sent} = setUp(['a', 'b']);
 	const {sink, seen} = createSink();
