Read what engines keep of prompts, and place long prompts by it

Now one node a zone reads the engines' cache events; holders of the duty follow each other, all others follow the holder of their zone. A prompt goes to a server that keeps it, in the own region first, and by its hash only where none is known to.

--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -43,6 +43,10 @@
 	Whether cold servers may be used yet; a node that has just started knows no other nodes.
 	*/
 	readonly mayUseCold: (now: number) => boolean;
+	/**
+	Whether a server is known to keep a prompt part in its memory.
+	*/
+	readonly keeps: (server: string, part: string) => boolean;
 };
 
 // Requests that all nodes together hold at a server, by its slots: engines queue what does not
@@ -79,8 +83,7 @@
 
 	// Asked once: it counts all nodes of the region, and there may be as many servers as nodes.
 	const nodes = options.nodesServing();
-	const first =
-		placement.sharedPart && heaviest(candidates, placement.sharedPart.id);
+	const holds = holderTest(options, candidates, placement);
 	let best: {readonly state: ServerState; readonly cost: number} | undefined;
 	for (const state of candidates) {
 		const room = roomOf(options, state, nodes);
@@ -90,7 +93,8 @@
 
 		const cost =
 			costOf(options, state, room) +
-			(missingTokens(state, state === first, placement) * rereadFactor) /
+			((holds(state) ? 0 : (placement.sharedPart?.tokens ?? 0)) *
+				rereadFactor) /
 				promptTokensOfFull;
 		if (!best || cost < best.cost) {
 			best = {state, cost};
@@ -173,13 +177,24 @@
 	state.pendingTokens / promptTokensOfFull +
 	state.failureRate * failureCost;
 
-// The first server in the order of the part's hash is taken to hold it, for every node sends it
-// there first; of the others only those that were seen to be sent it.
-const missingTokens = (
-	state: ServerState,
-	isFirst: boolean,
+// What this node sent lately counts, for engines tell of their memory late. Where no server is known
+// to keep the part, the first in the order of its hash is taken to, for every node sends it there.
+const holderTest = (
+	{keeps}: ServerChoiceOptions,
+	candidates: readonly ServerState[],
 	{sharedPart}: Placement,
-): number =>
-	sharedPart && !isFirst && !state.memory.has(sharedPart.id)
-		? sharedPart.tokens
-		: 0;
+): ((state: ServerState) => boolean) => {
+	if (!sharedPart) {
+		return () => true;
+	}
+
+	const {id} = sharedPart;
+	const isKeeper = ({known, memory}: ServerState) =>
+		keeps(known.server.id, id) || memory.has(id);
+	if (candidates.some(({known}) => keeps(known.server.id, id))) {
+		return isKeeper;
+	}
+
+	const first = heaviest(candidates, id);
+	return (state) => state === first || isKeeper(state);
+};
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 	type PeerListener,
 } from '../mesh/index.ts';
 import {dutyHolders, type Member} from '../membership/index.ts';
+import type {CacheSource} from '../prompts/index.ts';
 import {
 	createRegistryFollower,
 	createRegistryMirror,
@@ -31,6 +32,7 @@
 import {createRequestIntake} from './request-intake.ts';
 import {createServerProbes} from './server-probes.ts';
 import {createPlacementView} from './placement-view.ts';
+import {createPromptSharing} from './prompt-sharing.ts';
 import {findPromptHome} from './prompt-home.ts';
 import type {WireHeaders} from './wire-headers.ts';
 
@@ -58,6 +60,10 @@
 	*/
 	readonly seeds: () => readonly Address[];
 	readonly registry: RegistrySource;
+	/**
+	Where the memory of engines is read.
+	*/
+	readonly caches: CacheSource;
 	readonly headers: WireHeaders;
 	readonly bounds: GatewayBounds;
 	readonly logger: Logger;
@@ -157,6 +163,17 @@
 		mesh,
 		clock,
 	});
+	const prompts = createPromptSharing({
+		caches: options.caches,
+		mirror,
+		questions,
+		availabilityZone: options.availabilityZone,
+		zones: Object.keys(zones),
+		members: () => [mesh.self(), ...mesh.usable()],
+		self: mesh.self,
+		hasSettled: shares.hasSettled,
+		logger,
+	});
 	const fleet = createBackendFleet({
 		self: options.id,
 		nodesEverHeard: shares.nodesEverHeard,
@@ -166,6 +183,7 @@
 		coldSlack: options.bounds.coldSlack,
 		availabilityZone: options.availabilityZone,
 		mayUseCold: shares.hasSettled,
+		keeps: prompts.keeps,
 	});
 	const budget = createWindowRetryBudget({
 		ratio: options.bounds.retryRatio,
@@ -216,6 +234,7 @@
 		},
 		onChanges(changes) {
 			takeIn(changes);
+			prompts.refresh();
 			intake.routesCame();
 			mesh.announce();
 		},
@@ -252,7 +271,16 @@
 			const holders = placement
 				.holders(service)
 				.filter(({region}) => isRegionAllowed(route, region));
-			return findPromptHome(part, holders, placement.weights(route))?.region;
+			const keepers = holders.filter(({id}) => prompts.keeps(id, part));
+			if (keepers.some(({region}) => region === ownRegion)) {
+				return ownRegion;
+			}
+
+			return findPromptHome(
+				part,
+				keepers.length > 0 ? keepers : holders,
+				placement.weights(route),
+			)?.region;
 		},
 		random,
 	});
@@ -362,6 +390,7 @@
 		}
 
 		probes.tick(now);
+		prompts.tick();
 		deliveries.tick(now);
 		observer.tick(now);
 		joiner.tick(now);
@@ -392,6 +421,7 @@
 						? {kind: 'unavailable', reason: 'nothing known yet'}
 						: mirror.answerFor(revision, clock()),
 				relayedAfter: relay.answer,
+				promptsAfter: prompts.answer,
 				onForwarded: intake.takeForwarded,
 			});
 			front = await startFrontListener({
@@ -420,7 +450,9 @@
 		},
 		async stop() {
 			clearTimeout(timer);
+			prompts.stop();
 			await Promise.all([
+				options.caches.close(),
 				follower.stop(),
 				mesh.stop(),
 				front?.close(),
--- /dev/null
+++ b/src/gateway/prompt-sharing.ts
@@ -0,0 +1,144 @@
+import {randomUUID} from 'node:crypto';
+import type {Logger} from '../logging/index.ts';
+import type {Member} from '../membership/index.ts';
+import type {PeerQuestions} from '../mesh/index.ts';
+import {
+	createCacheReader,
+	createFeedFollower,
+	createPromptFeed,
+	createPromptMap,
+	type CacheSource,
+	type FeedAnswer,
+	type FeedQuestion,
+	type FeedSource,
+	type ReadEngine,
+} from '../prompts/index.ts';
+import type {RegistryMirror} from '../registry/index.ts';
+import {smallestSharedTokens} from '../routes/index.ts';
+import {rendezvousFirst} from '../shared/index.ts';
+
+/**
+What this node knows of the prompts that engines keep, and its part in passing that on.
+*/
+export type PromptSharing = {
+	/**
+	Whether a backend server is known to keep a prompt part.
+	*/
+	keeps(server: string, part: string): boolean;
+	/**
+	Answers another node.
+	*/
+	answer(question: FeedQuestion): Promise<FeedAnswer>;
+	/**
+	Forgets backend servers that are gone; to be called when the registry's copy has changed.
+	*/
+	refresh(): void;
+	tick(): void;
+	stop(): void;
+};
+
+/**
+What sharing is built from.
+*/
+export type PromptSharingOptions = {
+	readonly caches: CacheSource;
+	readonly mirror: RegistryMirror;
+	readonly questions: PeerQuestions;
+	readonly availabilityZone: string;
+	readonly zones: readonly string[];
+	/**
+	This node and the others that are alive.
+	*/
+	readonly members: () => readonly Member[];
+	readonly self: () => Member;
+	/**
+	Whether this node had time to hear of the others.
+	*/
+	readonly hasSettled: () => boolean;
+	readonly logger: Logger;
+};
+
+// Its holder reads the engines of its zone, and follows the holders of the other zones.
+const duty = 'prompts';
+
+/**
+Builds the sharing of one node. One node a zone reads the zone's engines; the holders of the duty follow
+each other, and every other node follows the holder of its zone. So work and bytes of a node do not
+grow with the number of nodes.
+*/
+export const createPromptSharing = (
+	options: PromptSharingOptions,
+): PromptSharing => {
+	const {mirror, questions, availabilityZone, zones} = options;
+	const map = createPromptMap();
+	const zoneOf = (server: string) =>
+		mirror.servers().get(server)?.server.availabilityZone;
+	const feed = createPromptFeed({
+		epoch: randomUUID(),
+		map,
+		isInZone: (server) => zoneOf(server) === availabilityZone,
+	});
+
+	const holderIn = (zone: string): Member | undefined =>
+		rendezvousFirst(
+			duty,
+			options.members().filter((member) => member.availabilityZone === zone),
+			({id}) => id,
+		);
+
+	const isHolder = (): boolean =>
+		holderIn(availabilityZone)?.id === options.self().id;
+
+	const enginesOfZone = (): readonly ReadEngine[] => {
+		const routes = mirror.routes();
+		return [...mirror.servers().values()]
+			.map(({server}) => server)
+			.filter(
+				(server) =>
+					server.availabilityZone === availabilityZone &&
+					routes?.service(server.service)?.engine !== undefined,
+			);
+	};
+
+	const sources = (): readonly FeedSource[] => {
+		const followed = isHolder()
+			? zones.filter((zone) => zone !== availabilityZone)
+			: [availabilityZone];
+		const scope = isHolder() ? 'zone' : 'all';
+		return followed
+			.map((zone) => holderIn(zone))
+			.filter((holder) => holder !== undefined)
+			.map(({id, peerAddress: address}) => ({id, address, scope}));
+	};
+
+	const reader = createCacheReader({
+		source: options.caches,
+		engines: () => (options.hasSettled() && isHolder() ? enginesOfZone() : []),
+		publish: feed.publish,
+		smallestTokens: smallestSharedTokens,
+		logger: options.logger,
+	});
+	const follower = createFeedFollower({
+		sources: () => (options.hasSettled() ? sources() : []),
+		ask: async ({address}, question) =>
+			questions.promptsAfter(address, question),
+		publish: feed.publish,
+	});
+
+	return {
+		keeps: map.holds,
+		answer: feed.answer,
+		refresh() {
+			const gone = map.servers().filter((id) => !mirror.servers().has(id));
+			feed.publish(gone.map((id) => [id, '', 0]));
+		},
+		tick() {
+			reader.tick();
+			follower.tick();
+		},
+		stop() {
+			reader.stop();
+			follower.stop();
+		},
+	};
+};
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -8,6 +8,7 @@
 import {pack} from 'msgpackr';
 import type {Member} from '../membership/index.ts';
 import type {RegistryAnswer, RelayedAnswer} from '../registry/index.ts';
+import type {FeedAnswer, FeedQuestion} from '../prompts/index.ts';
 import {splitAddress, type Address} from '../shared/index.ts';
 
 /**
@@ -17,6 +18,7 @@
 	members: '/quillford/members',
 	registry: '/quillford/registry',
 	relay: '/quillford/registry-relay',
+	prompts: '/quillford/prompts',
 } as const;
 
 /**
@@ -38,6 +40,7 @@
 	Like `registryAfter`, but held while there is nothing.
 	*/
 	readonly relayedAfter: (revision: number) => Promise<RelayedAnswer>;
+	readonly promptsAfter: (question: FeedQuestion) => Promise<FeedAnswer>;
 	/**
 	Takes any other request: those that nodes forward.
 	*/
@@ -68,7 +71,12 @@
 		}
 
 		if (target.startsWith(`${peerPaths.relay}?`)) {
-			void sendRelayed(response, options.relayedAfter(revisionOf(target)));
+			void sendLater(response, options.relayedAfter(revisionOf(target)));
+			return;
+		}
+
+		if (target.startsWith(`${peerPaths.prompts}?`)) {
+			void sendLater(response, options.promptsAfter(feedQuestionOf(target)));
 			return;
 		}
 
@@ -125,12 +133,24 @@
 // New connections that may wait to be taken; a full queue costs a caller seconds.
 const backlog = 1024;
 
+const queryOf = (target: string): URLSearchParams =>
+	new URLSearchParams(target.slice(target.indexOf('?')));
+
 const revisionOf = (target: string): number =>
-	Number(new URLSearchParams(target.slice(target.indexOf('?'))).get('after'));
+	Number(queryOf(target).get('after'));
+
+const feedQuestionOf = (target: string): FeedQuestion => {
+	const query = queryOf(target);
+	return {
+		scope: query.get('scope') === 'zone' ? 'zone' : 'all',
+		epoch: query.get('epoch') ?? '',
+		after: Number(query.get('after')),
+	};
+};
 
-const sendRelayed = async (
+const sendLater = async (
 	response: ServerResponse,
-	answer: Promise<RelayedAnswer>,
+	answer: Promise<RelayedAnswer | FeedAnswer>,
 ) => {
 	const value = await answer;
 	if (!response.destroyed) {
--- a/src/mesh/peer-questions.ts
+++ b/src/mesh/peer-questions.ts
@@ -6,6 +6,8 @@
 	type RegistryAnswer,
 	type RelayedAnswer,
 } from '../registry/index.ts';
+import type {FeedAnswer, FeedQuestion} from '../prompts/index.ts';
+import {feedWaitMs} from '../prompts/prompt-feed.ts';
 import type {Address} from '../shared/index.ts';
 import {peerPaths} from './peer-listener.ts';
 
@@ -26,6 +28,13 @@
 		peer: Address,
 		revision: number,
 	): Promise<RelayedAnswer | undefined>;
+	/**
+	What changed in a node's map of prompts; undefined where the node does not answer.
+	*/
+	promptsAfter(
+		peer: Address,
+		question: FeedQuestion,
+	): Promise<FeedAnswer | undefined>;
 	close(): Promise<void>;
 };
 
@@ -46,7 +55,7 @@
 export const createPeerQuestions = (): PeerQuestions => {
 	const dispatcher = new Agent({
 		connect: {timeout: questionTimeoutMs},
-		connections: 2,
+		connections: 4,
 	});
 
 	const ask = async (
@@ -95,6 +104,17 @@
 				return undefined;
 			}
 		},
+		async promptsAfter(peer, {scope, epoch, after}) {
+			try {
+				return (await ask(
+					peer,
+					`${peerPaths.prompts}?scope=${scope}&epoch=${epoch}&after=${after}`,
+					feedWaitMs + questionTimeoutMs,
+				)) as FeedAnswer;
+			} catch {
+				return undefined;
+			}
+		},
 		close: async () => dispatcher.destroy(),
 	};
 };
--- a/src/routes/prompt-prefix.ts
+++ b/src/routes/prompt-prefix.ts
@@ -15,9 +15,11 @@
 	readonly tokensOut: number;
 };
 
-// A shorter shared part is read again faster than a request waits for its place: some
-// milliseconds of prefill at the engines that the measurements are from.
-const smallestSharedTokens = 512;
+/**
+A shorter shared part is read again faster than a request waits for its place: some milliseconds of
+prefill at the engines that the measurements are from.
+*/
+export const smallestSharedTokens = 512;
 
 /**
 Reads `ID:TOKENS,ID:TOKENS`; parts without a count are left out.
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -267,6 +267,10 @@
 		contactAddress: undefined,
 		seeds: () => [`${hosts[0]!}:${peerPort}`],
 		registry: registry.source(),
+		caches: {
+			events: async () => ({kind: 'unavailable', reason: 'not read'}),
+			close: async () => undefined,
+		},
 		headers: standInHeaders,
 		bounds: {
 			retryRatio: 0.2,
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -28,6 +28,7 @@
 		coldOverrun: 1,
 		coldSlack: 0,
 		mayUseCold: () => true,
+		keeps: () => false,
 		...change,
 	});
 	fleet.sync(
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -107,5 +107,6 @@
 	coldOverrun: 1,
 	coldSlack: 0,
 	mayUseCold: () => true,
+	keeps: () => false,
 	...change,
 });
