--- /dev/null
+++ b/tests/prompts/cache-reader.test.ts
@@ -0,0 +1,109 @@
+import {test, type TestContext} from 'node:test';
+import {createLogger} from '../../src/logging/index.ts';
+import {
+	createCacheReader,
+	readPauseMs,
+	readRetryMs,
+	type CacheAnswer,
+	type PromptChange,
+	type ReadEngine,
+} from '../../src/prompts/index.ts';
+
+const engine: ReadEngine = {id: 'a', address: '10.0.0.1:80'};
+
+const setUp = ({mock}: TestContext, answers: readonly CacheAnswer[]) => {
+	mock.timers.enable({apis: ['setTimeout']});
+	const asked: number[] = [];
+	const published: PromptChange[] = [];
+	let engines: readonly ReadEngine[] = [engine];
+	const reader = createCacheReader({
+		source: {
+			async events(_engine, since) {
+				asked.push(since);
+				return (
+					answers[asked.length - 1] ?? {kind: 'unavailable', reason: 'over'}
+				);
+			},
+			close: async () => undefined,
+		},
+		engines: () => engines,
+		publish(changes) {
+			published.push(...changes);
+		},
+		smallestTokens: 512,
+		logger: createLogger('test'),
+	});
+	const pass = async (milliseconds: number) => {
+		mock.timers.tick(milliseconds);
+		for (let turn = 0; turn < 10; turn += 1) {
+			await Promise.resolve();
+		}
+	};
+
+	return {
+		reader,
+		asked,
+		published,
+		pass,
+		loseDuty() {
+			engines = [];
+		},
+	};
+};
+
+const eventsOf = (
+	epoch: string,
+	next: number,
+	...events: ReadonlyArray<readonly [part: string, tokens: number]>
+): CacheAnswer => ({
+	kind: 'events',
+	epoch,
+	next,
+	events: events.map(([part, tokens]) => ({part, tokens})),
+});
+
+test('an engine is read on from where the last answer ended, short parts left out', async (t: TestContext) => {
+	const {reader, asked, published, pass} = setUp(t, [
+		eventsOf('one', 4, ['p', 13_000], ['short', 90]),
+		eventsOf('one', 6, ['p', 0]),
+	]);
+	reader.tick();
+	await pass(0);
+	await pass(readPauseMs);
+	t.assert.deepStrictEqual(asked, [0, 4]);
+	t.assert.deepStrictEqual(published, [
+		['a', 'p', 13_000],
+		['a', 'p', 0],
+	]);
+	reader.stop();
+});
+
+test('a restart empties what was known of the engine', async (t: TestContext) => {
+	const {reader, published, pass} = setUp(t, [
+		eventsOf('one', 4, ['p', 13_000]),
+		eventsOf('two', 1, ['q', 13_000]),
+	]);
+	reader.tick();
+	await pass(0);
+	await pass(readPauseMs);
+	t.assert.deepStrictEqual(published, [
+		['a', 'p', 13_000],
+		['a', '', 0],
+		['a', 'q', 13_000],
+	]);
+	reader.stop();
+});
+
+test('an engine that does not answer is asked again later, and not once the duty is gone', async (t: TestContext) => {
+	const {reader, asked, pass, loseDuty} = setUp(t, []);
+	reader.tick();
+	await pass(0);
+	await pass(readRetryMs - 1);
+	t.assert.strictEqual(asked.length, 1);
+	await pass(1);
+	t.assert.strictEqual(asked.length, 2);
+	loseDuty();
+	reader.tick();
+	await pass(readRetryMs);
+	t.assert.strictEqual(asked.length, 2);
+});
