--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -154,10 +154,12 @@
 		},
 		vouched(id, now) {
 			const state = states.get(id);
-			if (state) {
-				state.vouchedAt = now;
-				state.doubtedAt = undefined;
+			if (!state) {
+				return;
 			}
+
+			state.vouchedAt = now;
+			state.doubtedAt = undefined;
 		},
 		distrust(ids) {
 			for (const id of ids) {
--- a/src/gateway/prompt-sharing.ts
+++ b/src/gateway/prompt-sharing.ts
@@ -91,13 +91,16 @@
 
 	const enginesOfZone = (): readonly ReadEngine[] => {
 		const routes = mirror.routes();
-		return [...mirror.servers().values()]
+		return mirror
+			.servers()
+			.values()
 			.map(({server}) => server)
 			.filter(
 				(server) =>
 					server.availabilityZone === availabilityZone &&
 					routes?.service(server.service)?.engine !== undefined,
-			);
+			)
+			.toArray();
 	};
 
 	const sources = (): readonly FeedSource[] => {
--- a/src/gateway/request-intake.ts
+++ b/src/gateway/request-intake.ts
@@ -87,7 +87,8 @@
 
 	// Runs once routes are known, or when the patience for them is over.
 	const afterRoutes = (run: () => void): (() => void) => {
-		if (readContext().routes || early.size >= maximumEarlyRequests) {
+		const isReady = readContext().routes !== undefined;
+		if (isReady || early.size >= maximumEarlyRequests) {
 			run();
 			return () => undefined;
 		}
--- a/src/prompts/cache-reader.ts
+++ b/src/prompts/cache-reader.ts
@@ -1,6 +1,11 @@
 import type {Logger} from '../logging/index.ts';
-import type {Address} from '../shared/index.ts';
-import type {CacheSource} from './cache-source.ts';
+import {
+	createKeyedLoops,
+	type Address,
+	type KeyedLoops,
+	type LoopTurn,
+} from '../shared/index.ts';
+import type {CacheEvent, CacheSource} from './cache-source.ts';
 import type {PromptChange} from './prompt-map.ts';
 
 /**
@@ -11,13 +16,7 @@
 /**
 Reads the memory of the engines of the own zone while this node has the duty to.
 */
-export type CacheReader = {
-	/**
-	Begins and ends reading as engines and the duty come and go; called at each tick.
-	*/
-	tick(): void;
-	stop(): void;
-};
+export type CacheReader = KeyedLoops;
 
 /**
 What a reader is built from.
@@ -47,24 +46,22 @@
 /**
 Builds a reader that reads nothing yet.
 */
-export const createCacheReader = (options: CacheReaderOptions): CacheReader => {
-	const {source, publish, smallestTokens, logger} = options;
-	const reading = new Map<string, ReadState>();
+export const createCacheReader = (options: CacheReaderOptions): CacheReader =>
+	createKeyedLoops(
+		() => new Map(options.engines().map((engine) => [engine.id, engine])),
+		(engine) => createTurn(options, engine),
+	);
 
-	const changesOf = (
-		id: string,
-		events: ReadonlyArray<{readonly part: string; readonly tokens: number}>,
-	): readonly PromptChange[] =>
-		events
-			.filter(({tokens}) => tokens === 0 || tokens >= smallestTokens)
-			.map(({part, tokens}) => [id, part, tokens]);
+const createTurn = (
+	{source, publish, smallestTokens, logger}: CacheReaderOptions,
+	engine: ReadEngine,
+): LoopTurn => {
+	let since = 0;
+	let epoch: string | undefined;
 
-	const readOnce = async (
-		engine: ReadEngine,
-		state: ReadState,
-	): Promise<number> => {
-		const answer = await source.events(engine, state.since);
-		if (state.isOver) {
+	return async (isOver) => {
+		const answer = await source.events(engine, since);
+		if (isOver()) {
 			return 0;
 		}
 
@@ -77,67 +74,21 @@
 		}
 
 		// A restart empties the memory; what was told of it before no longer holds.
-		const isRestarted =
-			state.epoch !== undefined && state.epoch !== answer.epoch;
-		state.epoch = answer.epoch;
-		state.since = answer.next;
+		const isRestarted = epoch !== undefined && epoch !== answer.epoch;
+		({epoch, next: since} = answer);
 		publish([
 			...(isRestarted ? [[engine.id, '', 0] as const] : []),
-			...changesOf(engine.id, answer.events),
+			...longPartsOf(engine.id, answer.events, smallestTokens),
 		]);
 		return readPauseMs;
 	};
-
-	const read = async (engine: ReadEngine, state: ReadState) => {
-		const pauseMs = await readOnce(engine, state);
-		if (!state.isOver) {
-			state.timer = setTimeout(() => {
-				void read(engine, state);
-			}, pauseMs);
-		}
-	};
-
-	const end = (id: string, state: ReadState) => {
-		state.isOver = true;
-		clearTimeout(state.timer);
-		reading.delete(id);
-	};
-
-	return {
-		tick() {
-			const engines = new Map(
-				options.engines().map((engine) => [engine.id, engine]),
-			);
-			for (const [id, state] of reading) {
-				if (!engines.has(id)) {
-					end(id, state);
-				}
-			}
-
-			for (const [id, engine] of engines) {
-				if (!reading.has(id)) {
-					const state: ReadState = {
-						since: 0,
-						epoch: undefined,
-						isOver: false,
-						timer: undefined,
-					};
-					reading.set(id, state);
-					void read(engine, state);
-				}
-			}
-		},
-		stop() {
-			for (const [id, state] of reading) {
-				end(id, state);
-			}
-		},
-	};
 };
 
-type ReadState = {
-	since: number;
-	epoch: string | undefined;
-	isOver: boolean;
-	timer: NodeJS.Timeout | undefined;
-};
+const longPartsOf = (
+	id: string,
+	events: readonly CacheEvent[],
+	smallestTokens: number,
+): readonly PromptChange[] =>
+	events
+		.filter(({tokens}) => tokens === 0 || tokens >= smallestTokens)
+		.map(({part, tokens}) => [id, part, tokens]);
--- a/src/prompts/feed-follower.ts
+++ b/src/prompts/feed-follower.ts
@@ -1,4 +1,9 @@
-import type {Address} from '../shared/index.ts';
+import {
+	createKeyedLoops,
+	type Address,
+	type KeyedLoops,
+	type LoopTurn,
+} from '../shared/index.ts';
 import type {FeedAnswer, FeedQuestion, FeedScope} from './prompt-feed.ts';
 import type {PromptChange} from './prompt-map.ts';
 
@@ -12,15 +17,9 @@
 };
 
 /**
-Follows the feeds of other nodes.
+Follows the feeds of other nodes as nodes and duties change.
 */
-export type FeedFollower = {
-	/**
-	Begins and ends following as nodes and duties change; called at each tick.
-	*/
-	tick(): void;
-	stop(): void;
-};
+export type FeedFollower = KeyedLoops;
 
 /**
 What a follower is built from.
@@ -55,17 +54,23 @@
 */
 export const createFeedFollower = (
 	options: FeedFollowerOptions,
-): FeedFollower => {
-	const following = new Map<string, FollowState>();
-
-	const followOnce = async (
-		source: FeedSource,
-		state: FollowState,
-	): Promise<number> => {
-		const {epoch, after} = state;
-		const {scope} = source;
-		const answer = await options.ask(source, {scope, epoch, after});
-		if (state.isOver) {
+): FeedFollower =>
+	createKeyedLoops(
+		() => new Map(options.sources().map((source) => [keyOf(source), source])),
+		(source) => createTurn(options, source),
+	);
+
+const createTurn = (
+	{ask, publish}: FeedFollowerOptions,
+	source: FeedSource,
+): LoopTurn => {
+	const {scope} = source;
+	let epoch = '';
+	let after = 0;
+
+	return async (isOver) => {
+		const answer = await ask(source, {scope, epoch, after});
+		if (isOver()) {
 			return 0;
 		}
 
@@ -73,64 +78,10 @@
 			return feedRetryMs;
 		}
 
-		state.epoch = answer.epoch;
-		state.after = answer.next;
-		options.publish(answer.isWhole ? wholeOf(answer.changes) : answer.changes);
+		({epoch, next: after} = answer);
+		publish(answer.isWhole ? wholeOf(answer.changes) : answer.changes);
 		return feedPauseMs;
 	};
-
-	const follow = async (source: FeedSource, state: FollowState) => {
-		const pauseMs = await followOnce(source, state);
-		if (!state.isOver) {
-			state.timer = setTimeout(() => {
-				void follow(source, state);
-			}, pauseMs);
-		}
-	};
-
-	const end = (key: string, state: FollowState) => {
-		state.isOver = true;
-		clearTimeout(state.timer);
-		following.delete(key);
-	};
-
-	return {
-		tick() {
-			const sources = new Map(
-				options.sources().map((source) => [keyOf(source), source]),
-			);
-			for (const [key, state] of following) {
-				if (!sources.has(key)) {
-					end(key, state);
-				}
-			}
-
-			for (const [key, source] of sources) {
-				if (!following.has(key)) {
-					const state: FollowState = {
-						epoch: '',
-						after: 0,
-						isOver: false,
-						timer: undefined,
-					};
-					following.set(key, state);
-					void follow(source, state);
-				}
-			}
-		},
-		stop() {
-			for (const [key, state] of following) {
-				end(key, state);
-			}
-		},
-	};
-};
-
-type FollowState = {
-	epoch: string;
-	after: number;
-	isOver: boolean;
-	timer: NodeJS.Timeout | undefined;
 };
 
 const keyOf = ({id, address, scope}: FeedSource): string =>
--- a/src/prompts/prompt-map.ts
+++ b/src/prompts/prompt-map.ts
@@ -42,7 +42,7 @@
 	const byServer = new Map<string, Map<string, number>>();
 	const byPart = new Map<string, Set<string>>();
 
-	const drop = (server: string, part: string): boolean => {
+	const hasDropped = (server: string, part: string): boolean => {
 		const holders = byPart.get(part);
 		holders?.delete(server);
 		if (holders?.size === 0) {
@@ -52,15 +52,19 @@
 		return byServer.get(server)?.delete(part) ?? false;
 	};
 
-	const dropServer = (server: string): boolean => {
+	const hasDroppedServer = (server: string): boolean => {
 		for (const part of byServer.get(server)?.keys() ?? []) {
-			drop(server, part);
+			hasDropped(server, part);
 		}
 
 		return byServer.delete(server);
 	};
 
-	const keep = (server: string, part: string, tokens: number): boolean => {
+	const isKeptAnew = (
+		server: string,
+		part: string,
+		tokens: number,
+	): boolean => {
 		const parts = byServer.get(server) ?? new Map<string, number>();
 		byServer.set(server, parts);
 		const isNews = parts.get(part) !== tokens;
@@ -71,7 +75,7 @@
 		byPart.set(part, holders.add(server));
 		if (parts.size > maximumPartsPerServer) {
 			const [oldest = ''] = parts.keys();
-			drop(server, oldest);
+			hasDropped(server, oldest);
 		}
 
 		return isNews;
@@ -80,14 +84,16 @@
 	return {
 		apply([server, part, tokens]) {
 			if (part === '') {
-				return dropServer(server);
+				return hasDroppedServer(server);
 			}
 
-			return tokens > 0 ? keep(server, part, tokens) : drop(server, part);
+			return tokens > 0
+				? isKeptAnew(server, part, tokens)
+				: hasDropped(server, part);
 		},
 		holds: (server, part) => byPart.get(part)?.has(server) ?? false,
 		holders: (part) => [...(byPart.get(part) ?? [])],
-		servers: () => [...byServer.keys()],
+		servers: () => byServer.keys().toArray(),
 		changes: () =>
 			[...byServer].flatMap(([server, parts]) =>
 				[...parts].map(([part, tokens]) => [server, part, tokens] as const),
--- a/src/shared/hash.ts
+++ b/src/shared/hash.ts
@@ -92,10 +92,12 @@
 			(weight === firstWeight &&
 				first !== undefined &&
 				compareTexts(idOf(member), idOf(first)) < 0);
-		if (isFirst) {
-			first = member;
-			firstWeight = weight;
+		if (!isFirst) {
+			continue;
 		}
+
+		first = member;
+		firstWeight = weight;
 	}
 
 	return first;
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -2,3 +2,4 @@
 export * from './random.ts';
 export * from './hash.ts';
 export * from './address.ts';
+export * from './keyed-loops.ts';
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -97,7 +97,7 @@
 			async snapshot() {
 				calls += 1;
 				return isUp
-					? {kind: 'snapshot', revision, items: [...rows.values()]}
+					? {kind: 'snapshot', revision, items: rows.values().toArray()}
 					: down;
 			},
 			async changes(after, waitMs) {
@@ -243,6 +243,8 @@
 Starts nodes, the first ones in the first zone and so on by turns.
 
 @param zones The region of each zone.
+@param count How many nodes there are.
+@param registry Read by all of them.
 */
 export const startGateways = async (
 	zones: Readonly<Record<string, string>>,
@@ -295,7 +297,7 @@
 };
 
 const listenAt = async (server: Server, address: Address): Promise<void> => {
-	const [hostname = '', port = ''] = address.split(':');
+	const [hostname = '', port = ''] = address.split(':', 2);
 	return new Promise((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(Number(port), hostname, resolve);
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -45,12 +45,10 @@
 // Waits for what the nodes do in their own time; the test fails by the answer, not by the wait.
 const until = async (isTrue: () => boolean | Promise<boolean>) => {
 	for (let turn = 0; turn < 100; turn += 1) {
-		// eslint-disable-next-line no-await-in-loop -- one look after the other
 		if (await isTrue()) {
 			return;
 		}
 
-		// eslint-disable-next-line no-await-in-loop -- one look after the other
 		await sleep(50);
 	}
 };
@@ -125,7 +123,6 @@
 
 	test('an answer comes whole and signed, from the own region and from the other', async () => {
 		for (const address of deployment.callerAddresses) {
-			// eslint-disable-next-line no-await-in-loop -- each request has its own answer
 			const {id, status, headers, text} = await ask(address, '/plain/a');
 			assert.equal(status, 200);
 			assert.equal(text, 'done');
@@ -135,7 +132,6 @@
 
 	test('a stream comes event by event, whichever node is asked', async () => {
 		for (const address of deployment.callerAddresses) {
-			// eslint-disable-next-line no-await-in-loop -- each request has its own answer
 			const {status, text} = await ask(address, '/words/a');
 			assert.equal(status, 200);
 			assert.equal(text, eventsOf(5));
@@ -179,11 +175,11 @@
 			const {id} = await ask(address, '/plain/b');
 			return late.ran.includes(id);
 		});
-		const before = servers[0]!.ran.length;
+		const ranBefore = servers[0]!.ran.length;
 		await Promise.all(
 			Array.from({length: 20}, async () => ask(address, '/plain/c')),
 		);
-		assert.equal(servers[0]!.ran.length, before);
+		assert.equal(servers[0]!.ran.length, ranBefore);
 		assert.ok(late.ran.length > 20);
 		await late.close();
 	});
@@ -202,7 +198,7 @@
 		assert.equal(text, eventsOf(5));
 		assert.equal(headers.connection, 'close');
 		assert.equal(await drained, true);
-		await assert.rejects(ask(address, '/plain/a'));
+		await assert.rejects(ask(address, '/plain/a'), {code: 'ECONNREFUSED'});
 	});
 });
 
--- a/tests/prompts/prompt-feed.test.ts
+++ b/tests/prompts/prompt-feed.test.ts
@@ -58,7 +58,6 @@
 				published += map.changes().length === before ? 0 : 1;
 				if (isAsked && published > 0) {
 					published = 0;
-					// eslint-disable-next-line no-await-in-loop -- the answers come in order
 					const answer = await feed.answer({scope: 'all', epoch, after});
 					take(copy, answer);
 					({epoch, next: after} = answer);
