--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -236,6 +236,8 @@
 			takeIn(changes);
 			prompts.refresh();
 			intake.routesCame();
+		},
+		onNews() {
 			mesh.announce();
 		},
 	});
--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -61,6 +61,10 @@
 	readonly clock: () => number;
 	readonly logger: Logger;
 	readonly onChanges: (changes: readonly MirrorChange[]) => void;
+	/**
+	Told when this node read changes from the registry itself, so that others may hear of them.
+	*/
+	readonly onNews: () => void;
 };
 
 /**
@@ -121,8 +125,14 @@
 			case 'changes':
 			case 'snapshot': {
 				const changes = mirror.apply(answer, clock(), origin);
-				if (changes.length > 0) {
-					options.onChanges(changes);
+				if (changes.length === 0) {
+					return 'taken';
+				}
+
+				options.onChanges(changes);
+				// What came from another node is known to others already.
+				if (origin === 'registry') {
+					options.onNews();
 				}
 
 				return 'taken';
--- a/tests/registry/registry-relay.test.ts
+++ b/tests/registry/registry-relay.test.ts
@@ -87,6 +87,7 @@
 		clock,
 		logger,
 		onChanges: () => undefined,
+		onNews: () => undefined,
 	});
 	const relay = createRegistryRelay({
 		mirror: readerMirror,
@@ -115,6 +116,7 @@
 		clock,
 		logger,
 		onChanges: () => undefined,
+		onNews: () => undefined,
 	});
 
 	// Steps of ten milliseconds, with what follows from each.
