Draw among backend servers that look alike

Cause: of servers with equal costs the first of the list was taken. Now costs that differ by less than a tenth are drawn among.

--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -47,6 +47,10 @@
 	Whether a server is known to keep a prompt part in its memory.
 	*/
 	readonly keeps: (server: string, part: string) => boolean;
+	/**
+	A number from 0 to 1, by which nodes choose differently among servers that look alike.
+	*/
+	readonly draw: () => number;
 };
 
 // Requests that all nodes together hold at a server, by its slots: engines queue what does not
@@ -64,6 +68,10 @@
 // What a server of another zone of the region is worse by: the bytes between zones are paid for.
 const otherZoneCost = 0.15;
 
+// Servers whose costs differ by less look alike. Nodes see their own requests only, so without a draw
+// all of them would send to the first server of the list.
+const alikeCost = 0.1;
+
 // What a server that fails every request is worse by than a sound one.
 const failureCost = 3;
 
@@ -93,6 +101,7 @@
 
 		const cost =
 			costOf(options, state, room) +
+			options.draw() * alikeCost +
 			((holds(state) ? 0 : (placement.sharedPart?.tokens ?? 0)) *
 				rereadFactor) /
 				promptTokensOfFull;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -184,6 +184,7 @@
 		availabilityZone: options.availabilityZone,
 		mayUseCold: shares.hasSettled,
 		keeps: prompts.keeps,
+		draw: random.fraction,
 	});
 	const budget = createWindowRetryBudget({
 		ratio: options.bounds.retryRatio,
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -29,6 +29,7 @@
 		coldSlack: 0,
 		mayUseCold: () => true,
 		keeps: () => false,
+		draw: () => 0,
 		...change,
 	});
 	fleet.sync(
@@ -146,3 +147,14 @@
 	fleet.probed('a', 0, 1);
 	assert.deepEqual(fleet.dueProbes(10_000), []);
 });
+
+test('nodes that know the same choose differently among servers that look alike', () => {
+	const chosen = [0, 0.9].map((first) => {
+		const draws = [first, 0.5, 0.5][Symbol.iterator]();
+		const fleet = setUp(['a', 'b', 'c'], {
+			draw: () => draws.next().value ?? 0,
+		});
+		return idOf(fleet.choose(placementOf(), 0));
+	});
+	assert.deepEqual(chosen, ['a', 'b']);
+});
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -108,5 +108,6 @@
 	coldSlack: 0,
 	mayUseCold: () => true,
 	keeps: () => false,
+	draw: () => 0,
 	...change,
 });
