Offer routes, cold rates and evacuations in the product: quillford gateway

What src/gateway serves could only be had by way of the platform's adapter. The new command reads routes and backend servers from a registry over HTTP in the project's own format (docs/REGISTRY.md). An acceptance test plays a node as a process; it found that a removal, which has no value, made the whole answer unreadable.

--- /dev/null
+++ b/src/command-line/gateway-command.ts
@@ -0,0 +1,74 @@
+import process from 'node:process';
+import {Command} from 'clipanion';
+import {createGateway, productHeaders} from '../gateway/index.ts';
+import {createLogger, startLogging} from '../logging/index.ts';
+// Not by way of the folder's index: that would load its schemas on nodes that read another registry.
+import {createHttpRegistrySource} from '../registry/http-source.ts';
+import {
+	describeSettings,
+	gatewaySettings,
+	type GatewaySettings,
+} from '../settings/index.ts';
+import {exitCodes} from './exit-codes.ts';
+import {SettingsCommand} from './settings-command.ts';
+
+// Bounds over all nodes that a deployment may want to change one day: two retries for ten requests in
+// ten seconds and a few besides, and what a cold server bears as its service states it.
+const bounds = {
+	retryRatio: 0.2,
+	retryWindowMs: 10_000,
+	retrySlack: 50,
+	coldOverrun: 1,
+	coldSlack: 0,
+} as const;
+
+/**
+`quillford gateway`: runs a node that serves routes of a registry until it is told to stop.
+*/
+export class GatewayCommand extends SettingsCommand<typeof gatewaySettings> {
+	static override paths = [['gateway']];
+
+	static override usage = Command.Usage({
+		description: 'Run a node that serves the routes of a registry',
+		details: `Routes, services, backend servers and evacuated zones come from a registry, see docs/REGISTRY.md. Every setting is a flag and an environment variable; the flag goes first.\n\n${describeSettings(gatewaySettings)}`,
+		examples: [
+			[
+				'Run a node of zone abj-wuse',
+				'quillford gateway --node-id abj-1 --availability-zone abj-wuse --zones abj-wuse=abuja,ibd-bodija=ibadan --caller-address 10.0.0.1:8000 --peer-address 10.0.0.1:8001 --registry-address 10.0.0.100:80',
+			],
+		],
+	});
+
+	constructor() {
+		super(gatewaySettings);
+	}
+
+	protected async run(settings: GatewaySettings): Promise<number> {
+		startLogging(settings.logLevel);
+		const logger = createLogger('gateway', {node: settings.nodeId});
+		const gateway = createGateway({
+			...settings,
+			id: settings.nodeId,
+			contactAddress: undefined,
+			seeds: () => settings.seedPeers,
+			registry: createHttpRegistrySource(settings.registryAddress, logger),
+			caches: undefined,
+			headers: productHeaders,
+			bounds,
+			logger,
+		});
+		const {promise, resolve} = Promise.withResolvers<string>();
+		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+			process.on(signal, () => {
+				resolve(signal);
+			});
+		}
+
+		await gateway.start();
+		logger.info({reason: await promise}, 'planned stop');
+		const isIdle = await gateway.drain(settings.drainTimeoutMs);
+		await gateway.stop();
+		logger.info({isIdle}, 'stopped');
+		return isIdle ? exitCodes.ok : exitCodes.failure;
+	}
+}
--- a/src/command-line/run.ts
+++ b/src/command-line/run.ts
@@ -4,6 +4,7 @@
 import {DrainCommand} from './drain-command.ts';
 import {exitCodes} from './exit-codes.ts';
 import {ExplainCommand} from './explain-command.ts';
+import {GatewayCommand} from './gateway-command.ts';
 import {ReportCommand} from './report-command.ts';
 import {ServeCommand} from './serve-command.ts';
 import {version} from './version.ts';
@@ -21,6 +22,7 @@
 	});
 	for (const command of [
 		ServeCommand,
+		GatewayCommand,
 		CheckCommand,
 		ExplainCommand,
 		ReportCommand,
--- a/src/command-line/serve-command.ts
+++ b/src/command-line/serve-command.ts
@@ -1,15 +1,16 @@
 import process from 'node:process';
-import {Command, Option} from 'clipanion';
+import {Command} from 'clipanion';
 import {startAdministrationServer} from '../administration/index.ts';
 import {startCallerServer} from '../callers/index.ts';
 import {createLogger, startLogging, type Logger} from '../logging/index.ts';
 import {createNode, type GatewayNode} from '../node/index.ts';
 import {
-	formatSettingFault,
-	readSettings,
+	describeSettings,
 	serveSettings,
+	type ServeSettings,
 } from '../settings/index.ts';
 import {exitCodes} from './exit-codes.ts';
+import {SettingsCommand} from './settings-command.ts';
 
 type Closable = {close(): Promise<void>};
 
@@ -20,12 +21,12 @@
 /**
 `quillford serve`: runs an entry node until it is told to stop.
 */
-export class ServeCommand extends Command {
+export class ServeCommand extends SettingsCommand<typeof serveSettings> {
 	static override paths = [['serve']];
 
 	static override usage = Command.Usage({
 		description: 'Run an entry node',
-		details: `Every setting is a flag and an environment variable; the flag goes first.\n\n${describeSettings()}`,
+		details: `Every setting is a flag and an environment variable; the flag goes first.\n\n${describeSettings(serveSettings)}`,
 		examples: [
 			[
 				'Run a node of zone abj-wuse',
@@ -35,32 +36,13 @@
 	});
 
 	constructor() {
-		super();
-		for (const [name, setting] of Object.entries(serveSettings)) {
-			Object.assign(this, {
-				[name]: Option.String(setting.flag, {description: setting.description}),
-			});
-		}
+		super(serveSettings);
 	}
 
-	async execute(): Promise<number> {
-		const flags = this as unknown as Readonly<
-			Record<string, string | undefined>
-		>;
-		const settings = readSettings(serveSettings, flags, process.env);
-		if (settings.isErr) {
-			const lines = settings.error.map(
-				(fault) => `  ${formatSettingFault(fault)}`,
-			);
-			this.context.stderr.write(
-				`Some settings are not valid:\n${lines.join('\n')}\n`,
-			);
-			return exitCodes.usage;
-		}
-
-		startLogging(settings.value.logLevel);
-		const logger = createLogger('node', {node: settings.value.nodeId});
-		const node = createNode(settings.value, logger);
+	protected async run(settings: ServeSettings): Promise<number> {
+		startLogging(settings.logLevel);
+		const logger = createLogger('node', {node: settings.nodeId});
+		const node = createNode(settings, logger);
 		return runUntilStopped(node, logger);
 	}
 }
@@ -108,13 +90,3 @@
 const closeAll = async (servers: readonly Closable[]): Promise<void> => {
 	await Promise.all(servers.map(async (server) => server.close()));
 };
-
-function describeSettings(): string {
-	return Object.values(serveSettings)
-		.map(({flag, variable, description, allowed, fallback}) => {
-			const preset =
-				fallback === undefined ? 'required' : `default "${fallback}"`;
-			return `- \`${flag}\`, \`${variable}\`: ${description} (${allowed}; ${preset})`;
-		})
-		.join('\n\n');
-}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -61,9 +61,9 @@
 	readonly seeds: () => readonly Address[];
 	readonly registry: RegistrySource;
 	/**
-	Where the memory of engines is read.
+	Where the memory of engines is read; undefined where they do not tell of it.
 	*/
-	readonly caches: CacheSource;
+	readonly caches: CacheSource | undefined;
 	readonly headers: WireHeaders;
 	readonly bounds: GatewayBounds;
 	readonly logger: Logger;
@@ -455,7 +455,7 @@
 			clearTimeout(timer);
 			prompts.stop();
 			await Promise.all([
-				options.caches.close(),
+				options.caches?.close(),
 				follower.stop(),
 				mesh.stop(),
 				front?.close(),
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -8,3 +8,4 @@
 	settlingMs,
 } from './node-shares.ts';
 export * from './wire-headers.ts';
+export * from './product-headers.ts';
--- /dev/null
+++ b/src/gateway/product-headers.ts
@@ -0,0 +1,17 @@
+import type {WireHeaders} from './wire-headers.ts';
+
+/**
+Header names of a gateway whose callers and backend servers speak the project's own names.
+*/
+export const productHeaders: WireHeaders = {
+	requestId: 'x-gateway-request-id',
+	remainingMs: 'x-gateway-remaining-ms',
+	signature: 'x-gateway-answer-signature',
+	expectedServer: 'x-gateway-expected-server',
+	notRun: 'x-gateway-not-run',
+	promptParts: 'x-gateway-prompt-parts',
+	tokenUsage: 'x-gateway-tokens',
+	coldMs: 'x-gateway-cold-ms',
+	serverId: 'x-gateway-server-id',
+	reserved: [],
+};
--- a/src/gateway/prompt-sharing.ts
+++ b/src/gateway/prompt-sharing.ts
@@ -41,7 +41,10 @@
 What sharing is built from.
 */
 export type PromptSharingOptions = {
-	readonly caches: CacheSource;
+	/**
+	Undefined where engines do not tell of their memory.
+	*/
+	readonly caches: CacheSource | undefined;
 	readonly mirror: RegistryMirror;
 	readonly questions: PeerQuestions;
 	readonly availabilityZone: string;
@@ -114,13 +117,17 @@
 			.map(({id, peerAddress: address}) => ({id, address, scope}));
 	};
 
-	const reader = createCacheReader({
-		source: options.caches,
-		engines: () => (options.hasSettled() && isHolder() ? enginesOfZone() : []),
-		publish: feed.publish,
-		smallestTokens: smallestSharedTokens,
-		logger: options.logger,
-	});
+	const {caches} = options;
+	const reader =
+		caches &&
+		createCacheReader({
+			source: caches,
+			engines: () =>
+				options.hasSettled() && isHolder() ? enginesOfZone() : [],
+			publish: feed.publish,
+			smallestTokens: smallestSharedTokens,
+			logger: options.logger,
+		});
 	const follower = createFeedFollower({
 		sources: () => (options.hasSettled() ? sources() : []),
 		ask: async ({address}, question) =>
@@ -136,11 +143,11 @@
 			feed.publish(gone.map((id) => [id, '', 0]));
 		},
 		tick() {
-			reader.tick();
+			reader?.tick();
 			follower.tick();
 		},
 		stop() {
-			reader.stop();
+			reader?.stop();
 			follower.stop();
 		},
 	};
--- /dev/null
+++ b/src/registry/http-source.ts
@@ -0,0 +1,185 @@
+/**
+Reads a registry over HTTP, in the project's own format: `GET /snapshot` answers everything, `GET
+/changes?after=REVISION&wait=MILLISECONDS` what came after a revision, held while there is nothing, or
+410 where that is no longer known. A value that cannot be read is left out, with a log line.
+*/
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import type {Logger} from '../logging/index.ts';
+import {routeKinds} from '../routes/index.ts';
+import {isAddress, type Address} from '../shared/index.ts';
+import type {
+	RegistryAnswer,
+	RegistryItem,
+	RegistrySource,
+} from './registry-entry.ts';
+
+/**
+Paths of a registry.
+*/
+export const registryPaths = {
+	snapshot: '/snapshot',
+	changes: '/changes',
+} as const;
+
+/**
+How long a registry may take to answer beyond what it is asked to hold a question, in milliseconds.
+*/
+export const registryTimeoutMs = 700;
+
+const gone = 410;
+
+const serverSchema = z.strictObject({
+	id: z.string().min(1),
+	service: z.string(),
+	address: z.string().refine((text) => isAddress(text)),
+	availabilityZone: z.string(),
+	slots: z.number().positive(),
+	isLeaving: z.boolean(),
+	coldMs: z.number().nonnegative(),
+});
+
+const routeSchema = z.strictObject({
+	name: z.string(),
+	host: z.string(),
+	pathPrefix: z.string().startsWith('/').endsWith('/'),
+	kind: z.enum(routeKinds),
+	services: z
+		.array(z.strictObject({service: z.string(), weight: z.number().positive()}))
+		.min(1),
+	timeoutMs: z.number().positive(),
+	targetLatencyMs: z.number().positive(),
+	priority: z.number().nonnegative(),
+	maximumAttempts: z.number().positive(),
+	isResumable: z.boolean(),
+	isSticky: z.boolean(),
+	homeRegions: z.array(z.string()),
+});
+
+const serviceSchema = z.strictObject({
+	name: z.string(),
+	healthPath: z.string(),
+	maximumConnections: z.number().nonnegative(),
+	coldRequestsPerSecond: z.number().nonnegative(),
+	engine: z
+		.strictObject({slots: z.number(), memoryTokens: z.number()})
+		.optional()
+		.transform((engine) => engine),
+});
+
+const documentSchema = z.strictObject({
+	version: z.number(),
+	routes: z.array(routeSchema),
+	services: z.array(serviceSchema),
+	limits: z.strictObject({
+		maximumHeaderBytes: z.number().positive(),
+		maximumBodyBytes: z.number().positive(),
+		headerTimeoutMs: z.number().positive(),
+		idleTimeoutMs: z.number().positive(),
+	}),
+});
+
+const valueSchema = z.discriminatedUnion('kind', [
+	z.strictObject({kind: z.literal('server'), server: serverSchema}),
+	z.strictObject({kind: z.literal('routes'), document: documentSchema}),
+	z.strictObject({
+		kind: z.literal('evacuation'),
+		availabilityZone: z.string(),
+	}),
+]);
+
+const answerSchema = z.object({
+	revision: z.number(),
+	items: z.array(
+		z.object({
+			key: z.string(),
+			revision: z.number(),
+			value: z.unknown().optional(),
+		}),
+	),
+});
+
+type RawItem = z.infer<typeof answerSchema>['items'][number];
+
+/**
+Builds the source; its calls never throw.
+*/
+export const createHttpRegistrySource = (
+	address: Address,
+	logger: Logger,
+): RegistrySource => {
+	const dispatcher = new Agent({
+		connect: {timeout: registryTimeoutMs},
+		connections: 2,
+	});
+
+	const read = async (
+		kind: 'changes' | 'snapshot',
+		target: string,
+		waitMs: number,
+	): Promise<RegistryAnswer> => {
+		const {statusCode, body} = await request(`http://${address}${target}`, {
+			dispatcher,
+			signal: AbortSignal.timeout(waitMs + registryTimeoutMs),
+		});
+		const text = await body.text();
+		if (statusCode === gone) {
+			return {kind: 'history-lost'};
+		}
+
+		if (statusCode !== 200) {
+			const reason = `the registry answered ${statusCode}`;
+			return {kind: 'unavailable', reason};
+		}
+
+		const {revision, items} = answerSchema.parse(JSON.parse(text));
+		return {kind, revision, items: decodeItems(items, logger)};
+	};
+
+	const guarded = async (
+		...call: Parameters<typeof read>
+	): Promise<RegistryAnswer> => {
+		try {
+			return await read(...call);
+		} catch (error) {
+			return {kind: 'unavailable', reason: (error as Error).message};
+		}
+	};
+
+	return {
+		snapshot: async () => guarded('snapshot', registryPaths.snapshot, 0),
+		changes: async (after, waitMs) =>
+			guarded(
+				'changes',
+				`${registryPaths.changes}?after=${after}&wait=${waitMs}`,
+				waitMs,
+			),
+		close: async () => dispatcher.destroy(),
+	};
+};
+
+const decodeItems = (
+	items: readonly RawItem[],
+	logger: Logger,
+): readonly RegistryItem[] =>
+	items
+		.map((item) => decodeItem(item, logger))
+		.filter((item) => item !== undefined);
+
+const decodeItem = (
+	{key, revision, value}: RawItem,
+	logger: Logger,
+): RegistryItem | undefined => {
+	if (value === undefined || value === null) {
+		return {key, revision, value: undefined};
+	}
+
+	const read = valueSchema.safeParse(value);
+	if (read.success) {
+		return {key, revision, value: read.data};
+	}
+
+	const reason = z.prettifyError(read.error).slice(0, 300);
+	logger.warn({key, revision, reason}, 'registry item cannot be read');
+	return undefined;
+};
--- /dev/null
+++ b/src/settings/gateway-settings.ts
@@ -0,0 +1,89 @@
+import {Result} from 'true-myth';
+import {logLevelNames} from '../logging/index.ts';
+import {createSetting, type SettingValue} from './setting.ts';
+import {
+	addressListSetting,
+	addressSetting,
+	choiceSetting,
+	numberSetting,
+	textSetting,
+} from './setting-kinds.ts';
+import {nameAllowed, nameForm} from './name-form.ts';
+
+const pairForm = /^[^\s,=]+=[^\s,=]+$/v;
+
+/**
+The settings of `quillford gateway`; each is a flag and an environment variable.
+*/
+export const gatewaySettings = {
+	nodeId: textSetting(
+		{
+			flag: '--node-id',
+			description: 'Name of this node, unique among all nodes',
+		},
+		nameForm,
+		nameAllowed,
+	),
+	availabilityZone: textSetting(
+		{flag: '--availability-zone', description: 'Availability zone of this VM'},
+		nameForm,
+		nameAllowed,
+	),
+	zones: createSetting<Readonly<Record<string, string>>>(
+		{
+			flag: '--zones',
+			description: 'All availability zones and their regions',
+		},
+		'pairs such as abj-wuse=abuja, separated by commas',
+		(text) => {
+			const pairs = text.split(',');
+			return pairs.every((pair) => pairForm.test(pair))
+				? Result.ok(Object.fromEntries(pairs.map((pair) => pair.split('=', 2))))
+				: Result.err('is not a list of pairs');
+		},
+	),
+	callerAddress: addressSetting({
+		flag: '--caller-address',
+		description: 'Where callers connect',
+	}),
+	peerAddress: addressSetting({
+		flag: '--peer-address',
+		description: 'Where other nodes connect (UDP and TCP)',
+	}),
+	registryAddress: addressSetting({
+		flag: '--registry-address',
+		description:
+			'Where the registry of routes and backend servers answers (HTTP)',
+	}),
+	seedPeers: addressListSetting({
+		flag: '--seed-peers',
+		description: 'Peer addresses of other nodes to ask at start',
+		fallback: '',
+	}),
+	drainTimeoutMs: numberSetting(
+		{
+			flag: '--drain-timeout-ms',
+			description: 'How long a planned stop waits for requests under way',
+			fallback: '10000',
+		},
+		0,
+		3_600_000,
+	),
+	logLevel: choiceSetting(
+		{
+			flag: '--log-level',
+			description: 'How much is logged',
+			fallback: 'info',
+		},
+		logLevelNames,
+	),
+} as const;
+
+/**
+The values of the settings of `quillford gateway`.
+*/
+export type GatewaySettings = {
+	readonly [Name in keyof typeof gatewaySettings]: SettingValue<
+		(typeof gatewaySettings)[Name]
+	>;
+};
--- a/src/settings/serve-settings.ts
+++ b/src/settings/serve-settings.ts
@@ -1,4 +1,5 @@
 import {logLevelNames} from '../logging/index.ts';
+import {nameAllowed, nameForm} from './name-form.ts';
 import type {SettingValue} from './setting.ts';
 import {
 	addressListSetting,
@@ -10,9 +11,6 @@
 	textSetting,
 } from './setting-kinds.ts';
 
-const nameForm = /^[\da-z][\d\-.a-z]{0,62}$/v;
-const nameAllowed =
-	'lower-case letters, digits, "." and "-", at most 63 characters';
 const keyForm = /^\S{16,}$/v;
 const keyAllowed = 'at least 16 characters without white space';
 const mebibyte = 1_048_576;
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -1,5 +1,5 @@
 import {randomInt} from 'node:crypto';
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import {createServer, type ServerResponse} from 'node:http';
 import {
 	createGateway,
 	type Gateway,
@@ -16,6 +16,7 @@
 } from '../src/registry/index.ts';
 import type {RouteDocument} from '../src/routes/index.ts';
 import type {Address} from '../src/shared/index.ts';
+import {closeServer, listenAt} from './http-server.ts';
 
 /**
 Header names of a made-up deployment.
@@ -173,22 +174,23 @@
 	registry: StandInRegistry,
 	entry: Omit<RegisteredServer, 'coldMs' | 'isLeaving'>,
 	answer: StandInAnswer,
+	headers: WireHeaders = standInHeaders,
 ): Promise<StandInServer> => {
 	const ran: string[] = [];
 	const server = createServer((request, response) => {
 		const header = (name: string) => String(request.headers[name] ?? '');
-		const id = header(standInHeaders.requestId);
+		const id = header(headers.requestId);
 		request.resume();
 		request.on('end', () => {
-			if (header(standInHeaders.expectedServer) !== entry.id) {
-				response.writeHead(421, {[standInHeaders.requestId]: id}).end();
+			if (header(headers.expectedServer) !== entry.id) {
+				response.writeHead(421, {[headers.requestId]: id}).end();
 				return;
 			}
 
 			ran.push(id);
 			response.writeHead(200, {
-				[standInHeaders.requestId]: id,
-				[standInHeaders.signature]: `${entry.id}/${id}`,
+				[headers.requestId]: id,
+				[headers.signature]: `${entry.id}/${id}`,
 			});
 			if (answer.kind === 'whole') {
 				response.end(answer.text);
@@ -269,10 +271,7 @@
 		contactAddress: undefined,
 		seeds: () => [`${hosts[0]!}:${peerPort}`],
 		registry: registry.source(),
-		caches: {
-			events: async () => ({kind: 'unavailable', reason: 'not read'}),
-			close: async () => undefined,
-		},
+		caches: undefined,
 		headers: standInHeaders,
 		bounds: {
 			retryRatio: 0.2,
@@ -296,22 +295,6 @@
 	};
 };
 
-const listenAt = async (server: Server, address: Address): Promise<void> => {
-	const [hostname = '', port = ''] = address.split(':', 2);
-	return new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(Number(port), hostname, resolve);
-	});
-};
-
-const closeServer = async (server: Server): Promise<void> =>
-	new Promise((resolve) => {
-		server.close(() => {
-			resolve();
-		});
-		server.closeAllConnections();
-	});
-
 /**
 The body of a stream of so many events.
 */
--- a/stand-ins/http-server.ts
+++ b/stand-ins/http-server.ts
@@ -2,8 +2,10 @@
 import {
 	createServer,
 	type IncomingMessage,
+	type Server,
 	type ServerResponse,
 } from 'node:http';
+import type {Address} from '../src/shared/index.ts';
 
 /**
 Reads a whole body.
@@ -75,3 +77,28 @@
 			{once: true},
 		);
 	});
+
+/**
+Starts listening at an IP number and port.
+*/
+export const listenAt = async (
+	server: Server,
+	address: Address,
+): Promise<void> => {
+	const [hostname = '', port = ''] = address.split(':', 2);
+	return new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(Number(port), hostname, resolve);
+	});
+};
+
+/**
+Closes a server and its connections.
+*/
+export const closeServer = async (server: Server): Promise<void> =>
+	new Promise((resolve) => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeAllConnections();
+	});
--- /dev/null
+++ b/stand-ins/registry-server.ts
@@ -0,0 +1,35 @@
+import {createServer, type ServerResponse} from 'node:http';
+import {registryPaths} from '../src/registry/http-source.ts';
+import type {Address} from '../src/shared/index.ts';
+import type {StandInRegistry} from './gateways.ts';
+import {closeServer, listenAt, sendJson} from './http-server.ts';
+
+/**
+Serves a registry in memory over HTTP.
+*/
+export const startRegistryServer = async (
+	registry: StandInRegistry,
+	address: Address,
+): Promise<{close(): Promise<void>}> => {
+	const source = registry.source();
+	const answer = async (target: string) => {
+		const {pathname, searchParams} = new URL(target, 'http://registry');
+		return pathname === registryPaths.snapshot
+			? source.snapshot()
+			: source.changes(
+					Number(searchParams.get('after')),
+					Number(searchParams.get('wait')),
+				);
+	};
+
+	const send = async (target: string, response: ServerResponse) => {
+		const found = await answer(target);
+		sendJson(response, found.kind === 'unavailable' ? 503 : 200, found);
+	};
+
+	const server = createServer((request, response) => {
+		void send(request.url ?? '', response);
+	});
+	await listenAt(server, address);
+	return {close: async () => closeServer(server)};
+};
--- /dev/null
+++ b/tests/acceptance/gateway-command.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {randomInt} from 'node:crypto';
+import {after, before, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {productHeaders} from '../../src/gateway/index.ts';
+import type {RegistryValue} from '../../src/registry/index.ts';
+import {
+	createStandInRegistry,
+	startStandInServer,
+	writeRoutes,
+	type StandInServer,
+} from '../../stand-ins/gateways.ts';
+import {startRegistryServer} from '../../stand-ins/registry-server.ts';
+import {documentOf, routeOf, serviceOf} from '../gateway/fixtures.ts';
+
+const registry = createStandInRegistry();
+const network = `127.${randomInt(2, 250)}.${randomInt(1, 250)}`;
+const callerAddress = `${network}.1:8000`;
+const registryAddress = `${network}.2:8000`;
+let registryServer: {close(): Promise<void>};
+let backendServer: StandInServer;
+let node: ChildProcess;
+let log = '';
+
+const ask = async () => {
+	try {
+		const answer = await request(`http://${callerAddress}/a/b`, {
+			headers: {
+				host: 'site.example',
+				[productHeaders.requestId]: `request-${randomInt(1, 1_000_000)}`,
+			},
+		});
+		return {status: answer.statusCode, text: await answer.body.text()};
+	} catch {
+		return {status: 0, text: ''};
+	}
+};
+
+// Waits for what the process does in its own time; the test fails by what comes after.
+const until = async (isTrue: () => boolean | Promise<boolean>) => {
+	for (let turn = 0; turn < 200; turn += 1) {
+		if (await isTrue()) {
+			return;
+		}
+
+		await sleep(50);
+	}
+};
+
+before(async () => {
+	registryServer = await startRegistryServer(registry, registryAddress);
+	backendServer = await startStandInServer(
+		registry,
+		{
+			id: 'engine-1',
+			service: 'engine',
+			address: `${network}.3:8000`,
+			availabilityZone: 'north',
+			slots: 4,
+		},
+		{kind: 'whole', text: 'done'},
+		productHeaders,
+	);
+	node = spawn('dist/quillford', [
+		'gateway',
+		'--node-id=node-1',
+		'--availability-zone=north',
+		'--zones=north=upland',
+		`--caller-address=${callerAddress}`,
+		`--peer-address=${network}.1:8001`,
+		`--registry-address=${registryAddress}`,
+	]);
+	const collect = (chunk: Uint8Array) => {
+		log += chunk.toString();
+	};
+
+	node.stdout?.on('data', collect);
+	node.stderr?.on('data', collect);
+});
+
+after(async () => {
+	await backendServer.close();
+	await registryServer.close();
+});
+
+test('a node serves the routes of a registry from the moment it has them', async () => {
+	writeRoutes(
+		registry,
+		documentOf({
+			routes: [routeOf()],
+			services: [serviceOf()],
+		}),
+	);
+	await until(async () => (await ask()).status === 200);
+	assert.deepEqual(await ask(), {status: 200, text: 'done'});
+});
+
+test('a registry value that cannot be read is logged and changes nothing', async () => {
+	const wrong = {
+		kind: 'routes',
+		document: {version: 9},
+	} as unknown as RegistryValue;
+	registry.write('routes', wrong);
+	await until(() => log.includes('registry item cannot be read'));
+	assert.match(log, /"key":"routes"/v);
+	assert.deepEqual(await ask(), {status: 200, text: 'done'});
+});
+
+test('an evacuated zone gets nothing, and is used again afterwards', async () => {
+	registry.write('evacuation north', {
+		kind: 'evacuation',
+		availabilityZone: 'north',
+	});
+	await until(async () => (await ask()).status === 503);
+	const {status} = await ask();
+	assert.equal(status, 503);
+	registry.write('evacuation north', undefined);
+	await until(async () => (await ask()).status === 200);
+	assert.deepEqual(await ask(), {status: 200, text: 'done'});
+});
+
+test('a planned stop ends the process with success', async () => {
+	const ended = once(node, 'exit');
+	node.kill('SIGTERM');
+	const [code] = (await ended) as [number | null];
+	assert.equal(code, 0);
+});
+
+test('settings that are missing are named', async () => {
+	const child = spawn('dist/quillford', ['gateway']);
+	let output = '';
+	child.stderr.on('data', (chunk: Uint8Array) => {
+		output += chunk.toString();
+	});
+	const [code] = (await once(child, 'close')) as [number | null];
+	assert.notEqual(code, 0);
+	assert.match(output, /--zones/v);
+	assert.match(output, /--registry-address/v);
+});
