--- a/src/gateway/product-headers.ts
+++ b/src/gateway/product-headers.ts
@@ -13,5 +13,6 @@
 	tokenUsage: 'x-gateway-tokens',
 	coldMs: 'x-gateway-cold-ms',
 	serverId: 'x-gateway-server-id',
-	reserved: [],
+	priority: 'x-gateway-priority',
+	reserved: ['x-gateway-priority'],
 };
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -31,7 +31,8 @@
 	tokenUsage: 'x-test-tokens',
 	coldMs: 'x-test-cold',
 	serverId: 'x-test-server',
-	reserved: ['x-test-reserved'],
+	priority: 'x-test-priority',
+	reserved: ['x-test-reserved', 'x-test-priority'],
 };
 
 /**
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -17,7 +17,8 @@
 	tokenUsage: 'x-test-tokens',
 	coldMs: 'x-test-cold',
 	serverId: 'x-test-server',
-	reserved: ['x-test-reserved'],
+	priority: 'x-test-priority',
+	reserved: ['x-test-reserved', 'x-test-priority'],
 };
 
 export const routeOf = (change: Partial<Route> = {}): Route => ({
