Take back what engines are told of a request's urgency

Cause looked for: light requests that wait at an engine behind long prompts that it reads. Tried: the route's priority with each send. Ruled out by it: the order of engines' lines as what binds the light kind.

--- a/src/gateway/product-headers.ts
+++ b/src/gateway/product-headers.ts
@@ -13,6 +13,5 @@
 	tokenUsage: 'x-gateway-tokens',
 	coldMs: 'x-gateway-cold-ms',
 	serverId: 'x-gateway-server-id',
-	priority: 'x-gateway-priority',
-	reserved: ['x-gateway-priority'],
+	reserved: [],
 };
--- a/src/gateway/send-run.ts
+++ b/src/gateway/send-run.ts
@@ -14,9 +14,6 @@
 */
 export const waitingPart = 0.2;
 
-// The range of priorities at backend servers ends here.
-const leastUrgent = 9;
-
 /**
 How long a request may wait for room at a node that has just started, in milliseconds. After a loss of
 power the first node that is back is sent what the others will take a second later, and callers that
@@ -211,8 +208,6 @@
 		...exchange.headers,
 		headers.remainingMs,
 		String(remainingMs),
-		headers.priority,
-		String(Math.min(exchange.route.priority, leastUrgent)),
 		...(resumeFrom === undefined ? [] : [lastEventIdHeader, resumeFrom]),
 		...extra,
 	];
--- a/src/gateway/wire-headers.ts
+++ b/src/gateway/wire-headers.ts
@@ -40,10 +40,6 @@
 	*/
 	readonly serverId: string;
 	/**
-	Tells a backend server how urgent a request is: 0 is the most urgent, 9 the least.
-	*/
-	readonly priority: string;
-	/**
 	Headers that only this system may set; taken off what callers send.
 	*/
 	readonly reserved: readonly string[];
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -31,8 +31,7 @@
 	tokenUsage: 'x-test-tokens',
 	coldMs: 'x-test-cold',
 	serverId: 'x-test-server',
-	priority: 'x-test-priority',
-	reserved: ['x-test-reserved', 'x-test-priority'],
+	reserved: ['x-test-reserved'],
 };
 
 /**
