Take nothing of the retry slack before a node has heard of the others

Cause: the slack was split among eight nodes at the least, however many there are. After a stop of all, 69 nodes that know themselves only could take it eight times over in their first 2.5 s. Now each has its own requests' ratio until then. Ruled out: a greater least number, which would cut the share of small fleets for good.

--- a/src/gateway/node-shares.ts
+++ b/src/gateway/node-shares.ts
@@ -18,7 +18,7 @@
 	*/
 	nodesServing(): number;
 	/**
-	Nodes of all regions that share the retry budget.
+	Nodes of all regions that share the slack of the retry budget; infinite while none may use it.
 	*/
 	retrySharers(): number;
 	/**
@@ -92,7 +92,12 @@
 				1 + mesh.usableIn(ownRegion).length,
 				hasSettled() ? 1 : assumedNodes,
 			),
-		retrySharers: () => Math.max(1 + mesh.others().length, minimumSharers),
+		// After a stop of all nodes each knows itself only: none takes of the slack before it had time to
+		// hear of the others, for all of them together could take it many times over.
+		retrySharers: () =>
+			hasSettled()
+				? Math.max(1 + mesh.others().length, minimumSharers)
+				: Number.POSITIVE_INFINITY,
 		connectionsTo(service) {
 			const maximum = service?.maximumConnections ?? 0;
 			const part = (maximum * connectionPart) / (1 + othersInRegion().length);
