--- a/src/prompts/feed-follower.ts
+++ b/src/prompts/feed-follower.ts
@@ -40,9 +40,13 @@
 };
 
 /**
-Pause between two questions to one node, in milliseconds: several changes come with one answer.
+Pause between two questions to one node, in milliseconds: several changes come with one answer, and
+questions between regions are paid for by their bytes.
 */
-export const feedPauseMs = 300;
+export const feedPauseMs: Readonly<Record<FeedScope, number>> = {
+	all: 300,
+	zone: 1000,
+};
 
 /**
 Pause after a node did not answer, in milliseconds.
@@ -80,7 +84,7 @@
 
 		({epoch, next: after} = answer);
 		publish(answer.isWhole ? wholeOf(answer.changes) : answer.changes);
-		return feedPauseMs;
+		return feedPauseMs[scope];
 	};
 };
 
