Check every field of a heartbeat that is decoded

Cause: fuzzing of sealed datagrams: a message of an unknown kind reached membership and threw. Now each field is checked as it is read, and a datagram with a wrong one is left out as a whole.

--- a/src/peers/heartbeat-codec.ts
+++ b/src/peers/heartbeat-codec.ts
@@ -13,6 +13,13 @@
 	MemberStatus,
 } from '../membership/index.ts';
 import {sealBytes, type Sealer} from './seal.ts';
+import {
+	checkChoice,
+	checkList,
+	checkNumber,
+	checkRecord,
+	checkText,
+} from './tuple-checks.ts';
 
 /**
 A heartbeat as it travels: a membership message with soft state beside it.
@@ -60,6 +67,13 @@
 	demand: ['holder', 'availabilityZone', 'rates'],
 } as const satisfies Readonly<Record<DigestValue['kind'], readonly string[]>>;
 
+// Fields that hold a record; all others hold a text.
+const recordFields: ReadonlySet<string> = new Set([
+	'counts',
+	'services',
+	'rates',
+]);
+
 const valueKinds = Object.keys(valueFields) as ReadonlyArray<
 	DigestValue['kind']
 >;
@@ -92,7 +106,7 @@
 			}
 
 			try {
-				return decodeHeartbeat(packr.unpack(body) as Tuple);
+				return decodeHeartbeat(packr.unpack(body));
 			} catch {
 				return undefined;
 			}
@@ -111,15 +125,18 @@
 	statuses.indexOf(member.status),
 ];
 
-const decodeMember = (tuple: Tuple): Member => ({
-	id: tuple[0] as string,
-	availabilityZone: tuple[1] as string,
-	peerAddress: tuple[2] as string,
-	callerAddress: tuple[3] as string,
-	incarnation: Number(tuple[4]),
-	revision: Number(tuple[5]),
-	status: statuses[tuple[6] as number]!,
-});
+const decodeMember = (value: unknown): Member => {
+	const tuple = checkList(value);
+	return {
+		id: checkText(tuple[0]),
+		availabilityZone: checkText(tuple[1]),
+		peerAddress: checkText(tuple[2]),
+		callerAddress: checkText(tuple[3]),
+		incarnation: checkNumber(tuple[4]),
+		revision: checkNumber(tuple[5]),
+		status: checkChoice(statuses, tuple[6]),
+	};
+};
 
 const encodeEntry = (entry: DigestEntry): Tuple => [
 	entry.reporter,
@@ -148,68 +165,71 @@
 	report.incarnation,
 ];
 
-const decodeLoad = (tuple: Tuple): ServerLoad => ({
-	backendServer: tuple[0] as string,
-	running: tuple[1] as number,
-	queued: tuple[2] as number,
-	slots: tuple[3] as number,
-	incarnation: tuple[4] as string,
-});
+const decodeLoad = (value: unknown): ServerLoad => {
+	const tuple = checkList(value);
+	return {
+		backendServer: checkText(tuple[0]),
+		running: checkNumber(tuple[1]),
+		queued: checkNumber(tuple[2]),
+		slots: checkNumber(tuple[3]),
+		incarnation: checkText(tuple[4]),
+	};
+};
 
 const decodeValue = (kind: DigestValue['kind'], values: Tuple): DigestValue => {
 	if (kind === 'loads') {
-		const reports = values[1] as readonly Tuple[];
 		return {
 			kind,
-			node: values[0] as string,
-			reports: reports.map((report) => decodeLoad(report)),
+			node: checkText(values[0]),
+			reports: checkList(values[1]).map((report) => decodeLoad(report)),
 		};
 	}
 
 	const fields = valueFields[kind].map((field, index) => [
 		field,
-		values[index],
+		recordFields.has(field)
+			? checkRecord(values[index])
+			: checkText(values[index]),
 	]);
 	const value: unknown = {kind, ...Object.fromEntries(fields)};
 	return value as DigestValue;
 };
 
-const decodeEntry = (tuple: Tuple, senderZone: string): DigestEntry => {
-	const scope = scopes[tuple[4] as number]!;
+const decodeEntry = (value: unknown, senderZone: string): DigestEntry => {
+	const tuple = checkList(value);
+	const scope = checkChoice(scopes, tuple[4]);
 	return {
-		reporter: tuple[0] as string,
-		incarnation: Number(tuple[1]),
-		counter: Number(tuple[2]),
-		ageMs: Number(tuple[3]),
+		reporter: checkText(tuple[0]),
+		incarnation: checkNumber(tuple[1]),
+		counter: checkNumber(tuple[2]),
+		ageMs: checkNumber(tuple[3]),
 		scope,
-		availabilityZone:
-			scope === 'everywhere' ? (tuple[5] as string) : senderZone,
-		value: decodeValue(valueKinds[tuple[6] as number]!, tuple[7] as Tuple),
+		availabilityZone: scope === 'everywhere' ? checkText(tuple[5]) : senderZone,
+		value: decodeValue(checkChoice(valueKinds, tuple[6]), checkList(tuple[7])),
 	};
 };
 
-const decodeHeartbeat = (tuple: Tuple): Heartbeat | undefined => {
+const decodeHeartbeat = (value: unknown): Heartbeat | undefined => {
+	const tuple = checkList(value);
 	if (tuple[0] !== formatVersion) {
 		return undefined;
 	}
 
-	const kind = messageKinds[tuple[1] as number]!;
+	const kind = checkChoice(messageKinds, tuple[1]);
 	const common = {
-		sequence: tuple[2] as number,
-		from: decodeMember(tuple[3] as Tuple),
-		updates: (tuple[4] as readonly Tuple[]).map((member) =>
-			decodeMember(member),
-		),
+		sequence: checkNumber(tuple[2]),
+		from: decodeMember(tuple[3]),
+		updates: checkList(tuple[4]).map((member) => decodeMember(member)),
 	};
 	const message: MembershipMessage =
 		kind === 'ping-request'
-			? {kind, ...common, target: tuple[5] as string}
+			? {kind, ...common, target: checkText(tuple[5])}
 			: {kind, ...common};
-	const [version, digest] = tuple[7] as readonly [number, string];
+	const [version, digest] = checkList(tuple[7]);
 	return {
 		message,
-		stamp: {version, digest},
-		digests: (tuple[6] as readonly Tuple[]).map((entry) =>
+		stamp: {version: checkNumber(version), digest: checkText(digest)},
+		digests: checkList(tuple[6]).map((entry) =>
 			decodeEntry(entry, common.from.availabilityZone),
 		),
 	};
--- /dev/null
+++ b/tests/peers/heartbeat-fuzz.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {Packr} from 'msgpackr';
+import {createDigestTable} from '../../src/digests/index.ts';
+import {createMembership, type Member} from '../../src/membership/index.ts';
+import {createHeartbeatCodec} from '../../src/peers/heartbeat-codec.ts';
+import {createSealer} from '../../src/peers/seal.ts';
+import {createRandom} from '../../src/shared/index.ts';
+
+const sealer = createSealer('test key');
+const codec = createHeartbeatCodec(sealer);
+const packr = new Packr({useRecords: false, variableMapSize: true});
+
+const self: Member = {
+	id: 'self',
+	availabilityZone: 'zone',
+	peerAddress: '10.0.0.1:1',
+	callerAddress: '10.0.0.1:2',
+	incarnation: 1,
+	revision: 0,
+	status: 'alive',
+};
+
+const sealed = (value: unknown): Buffer => {
+	const body = packr.pack(value);
+	return Buffer.concat([sealer.seal(body), body]);
+};
+
+// Takes a datagram in as a node does; whatever is in it, nothing may be thrown.
+const takeIn = (datagram: Buffer) => {
+	const heartbeat = codec.decode(datagram);
+	if (!heartbeat) {
+		return;
+	}
+
+	const membership = createMembership({self, random: createRandom(1)});
+	const digests = createDigestTable({
+		node: 'self',
+		availabilityZone: 'zone',
+		incarnation: () => 1,
+		sizeOf: codec.sizeOf,
+	});
+	digests.apply(heartbeat.digests, 0);
+	const actions = membership.handle(
+		{kind: 'message', message: heartbeat.message},
+		0,
+	);
+	for (const action of actions) {
+		if (action.kind === 'send') {
+			codec.encode({
+				message: action.message,
+				stamp: heartbeat.stamp,
+				digests: digests.select('zone', 700, 1, 0),
+			});
+		}
+	}
+
+	membership.handle({kind: 'tick'}, 1000);
+};
+
+test('datagrams of any bytes are ignored', () => {
+	fc.assert(
+		fc.property(fc.uint8Array({maxLength: 300}), (bytes) => {
+			assert.equal(codec.decode(Buffer.from(bytes)), undefined);
+		}),
+	);
+});
+
+test('sealed datagrams of any content are taken in or ignored, and never throw', () => {
+	fc.assert(
+		fc.property(fc.anything({maxDepth: 3}), (value) => {
+			takeIn(sealed(value));
+		}),
+	);
+});
+
+test('heartbeats with any one field replaced are taken in or ignored, and never throw', () => {
+	const member = ['a', 'zone', '10.0.0.2:1', '10.0.0.2:2', 5, 0, 0];
+	const sound = [1, 0, 7, member, [member], '', [], [3, '']];
+	const paths = fc.constantFrom<readonly number[]>(
+		[1],
+		[2],
+		[3],
+		[3, 0],
+		[3, 2],
+		[3, 4],
+		[3, 6],
+		[4],
+		[4, 0],
+		[4, 0, 0],
+		[4, 0, 5],
+		[5],
+		[6],
+		[7],
+		[7, 0],
+	);
+	fc.assert(
+		fc.property(paths, fc.anything({maxDepth: 2}), (path, value) => {
+			const changed = structuredClone(sound) as unknown[];
+			let place = changed;
+			for (const index of path.slice(0, -1)) {
+				place = place[index] as unknown[];
+			}
+
+			place[path.at(-1) ?? 0] = value;
+			takeIn(sealed(changed));
+		}),
+	);
+});
