--- a/src/prompts/prompt-feed.ts
+++ b/src/prompts/prompt-feed.ts
@@ -1,3 +1,4 @@
+import {createHeldCalls} from '../shared/index.ts';
 import type {PromptChange, PromptMap} from './prompt-map.ts';
 
 /**
@@ -83,7 +84,7 @@
 	isInZone,
 }: PromptFeedOptions): PromptFeed => {
 	const log: PromptChange[] = [];
-	const held = new Set<() => void>();
+	const held = createHeldCalls();
 	let next = 0;
 
 	const isWanted = (scope: FeedScope, [server]: PromptChange): boolean => {
@@ -111,35 +112,19 @@
 		};
 	};
 
-	const untilNews = async () =>
-		new Promise<void>((resolve) => {
-			const done = () => {
-				clearTimeout(timer);
-				held.delete(done);
-				resolve();
-			};
-
-			const timer = setTimeout(done, feedWaitMs);
-			held.add(done);
-		});
-
 	return {
 		publish(changes) {
 			const news = changes.filter((change) => map.apply(change));
 			next += news.length;
 			log.push(...news);
 			log.splice(0, Math.max(0, log.length - keptPromptChanges));
-			if (news.length === 0) {
-				return;
-			}
-
-			for (const done of held) {
-				done();
+			if (news.length > 0) {
+				held.release();
 			}
 		},
 		async answer(question) {
 			if (question.epoch === epoch && question.after === next) {
-				await untilNews();
+				await held.wait(feedWaitMs);
 			}
 
 			return answerNow(question);
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -1,3 +1,4 @@
+import {createHeldCalls} from '../shared/index.ts';
 import type {RegistryAnswer} from './registry-entry.ts';
 import type {RegistryMirror} from './registry-mirror.ts';
 
@@ -52,7 +53,7 @@
 	options: RegistryRelayOptions,
 ): RegistryRelay => {
 	const {mirror, clock, confirmedAt, isReading} = options;
-	const held = new Set<() => void>();
+	const held = createHeldCalls();
 
 	const answerNow = (after: number): RelayedAnswer => {
 		const now = clock();
@@ -68,30 +69,14 @@
 				};
 	};
 
-	const untilReleased = async () =>
-		new Promise<void>((resolve) => {
-			const done = () => {
-				clearTimeout(timer);
-				held.delete(done);
-				resolve();
-			};
-
-			const timer = setTimeout(done, relayWaitMs);
-			held.add(done);
-		});
-
 	return {
 		async answer(after) {
 			if (isReading() && after > 0 && after >= mirror.revision()) {
-				await untilReleased();
+				await held.wait(relayWaitMs);
 			}
 
 			return answerNow(after);
 		},
-		release() {
-			for (const done of held) {
-				done();
-			}
-		},
+		release: held.release,
 	};
 };
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -1,14 +1,13 @@
 import {Result} from 'true-myth';
 import {logLevelNames} from '../logging/index.ts';
+import {nodeSettings} from './node-settings.ts';
 import {createSetting, type SettingValue} from './setting.ts';
 import {
 	addressListSetting,
 	addressSetting,
 	choiceSetting,
 	numberSetting,
-	textSetting,
 } from './setting-kinds.ts';
-import {nameAllowed, nameForm} from './name-form.ts';
 
 const pairForm = /^[^\s,=]+=[^\s,=]+$/v;
 
@@ -16,19 +15,7 @@
 The settings of `quillford gateway`; each is a flag and an environment variable.
 */
 export const gatewaySettings = {
-	nodeId: textSetting(
-		{
-			flag: '--node-id',
-			description: 'Name of this node, unique among all nodes',
-		},
-		nameForm,
-		nameAllowed,
-	),
-	availabilityZone: textSetting(
-		{flag: '--availability-zone', description: 'Availability zone of this VM'},
-		nameForm,
-		nameAllowed,
-	),
+	...nodeSettings,
 	zones: createSetting<Readonly<Record<string, string>>>(
 		{
 			flag: '--zones',
@@ -42,14 +29,6 @@
 				: Result.err('is not a list of pairs');
 		},
 	),
-	callerAddress: addressSetting({
-		flag: '--caller-address',
-		description: 'Where callers connect',
-	}),
-	peerAddress: addressSetting({
-		flag: '--peer-address',
-		description: 'Where other nodes connect (UDP and TCP)',
-	}),
 	registryAddress: addressSetting({
 		flag: '--registry-address',
 		description:
--- a/src/settings/serve-settings.ts
+++ b/src/settings/serve-settings.ts
@@ -1,5 +1,5 @@
 import {logLevelNames} from '../logging/index.ts';
-import {nameAllowed, nameForm} from './name-form.ts';
+import {nodeSettings} from './node-settings.ts';
 import type {SettingValue} from './setting.ts';
 import {
 	addressListSetting,
@@ -19,27 +19,7 @@
 The settings of `quillford serve`; each is a flag and an environment variable.
 */
 export const serveSettings = {
-	nodeId: textSetting(
-		{
-			flag: '--node-id',
-			description: 'Name of this node, unique among all nodes',
-		},
-		nameForm,
-		nameAllowed,
-	),
-	availabilityZone: textSetting(
-		{flag: '--availability-zone', description: 'Availability zone of this VM'},
-		nameForm,
-		nameAllowed,
-	),
-	callerAddress: addressSetting({
-		flag: '--caller-address',
-		description: 'Where callers connect',
-	}),
-	peerAddress: addressSetting({
-		flag: '--peer-address',
-		description: 'Where other nodes connect (UDP and TCP)',
-	}),
+	...nodeSettings,
 	administrationAddress: addressSetting({
 		flag: '--administration-address',
 		description: 'Where operators connect',
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -3,3 +3,4 @@
 export * from './hash.ts';
 export * from './address.ts';
 export * from './keyed-loops.ts';
+export * from './held-calls.ts';
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -15,7 +15,7 @@
 	RegistryValue,
 } from '../src/registry/index.ts';
 import type {RouteDocument} from '../src/routes/index.ts';
-import type {Address} from '../src/shared/index.ts';
+import {createHeldCalls, type Address} from '../src/shared/index.ts';
 import {closeServer, listenAt} from './http-server.ts';
 
 /**
@@ -56,23 +56,11 @@
 export const createStandInRegistry = (): StandInRegistry => {
 	const rows = new Map<string, RegistryItem>();
 	const history: RegistryItem[] = [];
-	const waiting = new Set<() => void>();
+	const held = createHeldCalls();
 	let revision = 0;
 	let isUp = true;
 	let calls = 0;
 
-	const untilWritten = async (waitMs: number) =>
-		new Promise<void>((resolve) => {
-			const done = () => {
-				clearTimeout(timer);
-				waiting.delete(done);
-				resolve();
-			};
-
-			const timer = setTimeout(done, waitMs);
-			waiting.add(done);
-		});
-
 	const down: RegistryAnswer = {kind: 'unavailable', reason: 'down'};
 
 	return {
@@ -86,9 +74,7 @@
 				rows.set(key, item);
 			}
 
-			for (const done of waiting) {
-				done();
-			}
+			held.release();
 		},
 		setUp(isNow) {
 			isUp = isNow;
@@ -104,7 +90,7 @@
 			async changes(after, waitMs) {
 				calls += 1;
 				if (isUp && revision <= after) {
-					await untilWritten(waitMs);
+					await held.wait(waitMs);
 				}
 
 				return isUp
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -1,24 +1,9 @@
 import type {BackendFleetOptions} from '../../src/backends/index.ts';
 import type {Exchange} from '../../src/gateway/exchange.ts';
-import type {WireHeaders} from '../../src/gateway/index.ts';
 import type {KnownServer} from '../../src/registry/registry-mirror.ts';
 import type {Route, RouteDocument, Service} from '../../src/routes/index.ts';
 
-/**
-Header names of a made-up deployment.
-*/
-export const names: WireHeaders = {
-	requestId: 'x-test-id',
-	remainingMs: 'x-test-remaining',
-	signature: 'x-test-signature',
-	expectedServer: 'x-test-expected',
-	notRun: 'x-test-not-run',
-	promptParts: 'x-test-parts',
-	tokenUsage: 'x-test-tokens',
-	coldMs: 'x-test-cold',
-	serverId: 'x-test-server',
-	reserved: ['x-test-reserved'],
-};
+export {standInHeaders as names} from '../../stand-ins/gateways.ts';
 
 export const routeOf = (change: Partial<Route> = {}): Route => ({
 	name: 'route',
--- a/tests/gateway/node-shares.test.ts
+++ b/tests/gateway/node-shares.test.ts
@@ -57,14 +57,12 @@
 };
 
 test('nodes that have just started do not use more than the slack, whoever they have heard of', () => {
-	const views = fc
-		.integer({min: 1, max: 70})
-		.chain((count) =>
-			fc.array(fc.array(fc.integer({min: 0, max: count - 1}), {maxLength: 5}), {
-				minLength: count,
-				maxLength: count,
-			}),
-		);
+	const views = fc.integer({min: 1, max: 70}).chain((count) =>
+		fc.array(fc.array(fc.integer({min: 0, max: count - 1}), {maxLength: 5}), {
+			minLength: count,
+			maxLength: count,
+		}),
+	);
 	fc.assert(
 		fc.property(views, fc.integer({min: 0, max: settlingMs}), (all, age) => {
 			assert.ok(takenByAll(all, age) <= slack);
