--- a/src/gateway/delivery-run.ts
+++ b/src/gateway/delivery-run.ts
@@ -86,6 +86,18 @@
 	*/
 	hasBegun: boolean;
 	firstByteAt: number | undefined;
+	/**
+	Status of the stream that went to the caller.
+	*/
+	status: number;
+	/**
+	When the latest piece of a stream came.
+	*/
+	pieceAt: number | undefined;
+	/**
+	The longest time between two pieces of the stream so far, in milliseconds.
+	*/
+	longestPauseMs: number;
 	isOver: boolean;
 	/**
 	Whether the caller left while the request is left to end.
@@ -139,6 +151,9 @@
 		hasFaultAnswer: false,
 		hasBegun: false,
 		firstByteAt: undefined,
+		status: 0,
+		pieceAt: undefined,
+		longestPauseMs: 0,
 		isOver: false,
 		isDeserted: false,
 	};
--- a/src/gateway/end-run.ts
+++ b/src/gateway/end-run.ts
@@ -36,6 +36,7 @@
 				: run.firstByteAt - exchange.receivedAt,
 		totalMs: clock() - exchange.receivedAt,
 		waitedMs: run.waitedMs,
+		longestPauseMs: run.longestPauseMs,
 	});
 };
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -92,4 +92,8 @@
 	readonly firstByteMs: number | undefined;
 	readonly totalMs: number;
 	readonly waitedMs: number;
+	/**
+	Between two pieces of a stream.
+	*/
+	readonly longestPauseMs: number;
 };
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -88,6 +88,13 @@
 		buckets: latencyBuckets,
 		registers: [registry],
 	});
+	const pause = new Histogram({
+		name: 'quillford_longest_pause_milliseconds',
+		help: 'Longest time between two pieces of a stream',
+		labelNames: ['route'],
+		buckets: latencyBuckets,
+		registers: [registry],
+	});
 	for (const [name, read] of Object.entries(options.gauges)) {
 		// A gauge enters itself into its registry.
 		// eslint-disable-next-line no-new -- nothing else needs the object
@@ -133,6 +140,7 @@
 			origin: exchange.hop?.origin,
 			firstByteMs: rounded(record.firstByteMs),
 			waitedMs: rounded(record.waitedMs),
+			longestPauseMs: rounded(record.longestPauseMs),
 			totalMs: rounded(record.totalMs),
 			targetMs: exchange.route.targetLatencyMs,
 			...options.inputs(),
@@ -160,6 +168,10 @@
 				waited.observe({route: route.name}, record.waitedMs);
 			}
 
+			if (record.longestPauseMs > 0) {
+				pause.observe({route: route.name}, record.longestPauseMs);
+			}
+
 			if (isWorthLine(record)) {
 				linesLeft -= 1;
 				line(record);
--- a/src/gateway/pass-answer.ts
+++ b/src/gateway/pass-answer.ts
@@ -152,6 +152,7 @@
 
 	run.hasBegun = true;
 	run.firstByteAt = clock();
+	run.status = head.status;
 	if (route.isResumable) {
 		run.relay = createEventRelay(lastEventId);
 	}
@@ -165,7 +166,9 @@
 	current: CurrentCall,
 	chunk: Buffer,
 ): boolean => {
-	current.attempt?.started(context.clock());
+	const now = context.clock();
+	current.attempt?.started(now);
+	notePiece(run, now);
 	const passed = run.relay ? run.relay.push(chunk) : chunk;
 	if (passed === undefined) {
 		answerIsFaulty(context, run, 'An event of the stream is missing');
@@ -182,6 +185,12 @@
 	return false;
 };
 
+// Engines that read long prompts between the tokens of a stream show in its pauses.
+const notePiece = (run: DeliveryRun, now: number): void => {
+	run.longestPauseMs = Math.max(run.longestPauseMs, now - (run.pieceAt ?? now));
+	run.pieceAt = now;
+};
+
 const endStream = (context: DeliveryContext, run: DeliveryRun): void => {
 	if (run.relay?.hasRest()) {
 		answerIsFaulty(context, run, 'The stream ended in the middle of an event');
@@ -192,7 +201,7 @@
 	endCurrentCall(context, run, 'answered', false);
 	closeRun(context, run);
 	run.sink.end();
-	recordRun(context, run, {result: 'answered', status: 200, reason: ''});
+	recordRun(context, run, {result: 'answered', status: run.status, reason: ''});
 };
 
 const answerWhole = (
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -225,6 +225,20 @@
 	assert.equal(fourth.seen.error.outcome, 'not-run');
 });
 
+test('the record of a stream tells its status and its longest pause', () => {
+	const {deliveries, sent, records, pass} = setUp(['a']);
+	deliveries.deliver(exchangeFor({kind: 'streaming'}), createSink().sink);
+	answer(sent[0]!, 206, signed);
+	for (const [index, pauseMs] of [0, 10, 90, 20].entries()) {
+		pass(pauseMs);
+		sent[0]!.listener.onData(Buffer.from(`id: ${index}\ndata: x\n\n`));
+	}
+
+	sent[0]!.listener.onEnd();
+	assert.equal(records[0]?.status, 206);
+	assert.equal(records[0].longestPauseMs, 90);
+});
+
 test('a node that has just started lets requests wait longer for room', () => {
 	const {deliveries, sent, pass} = setUp(['a'], 1000, false);
 	const seen = [createSink(), createSink(), createSink()];
--- a/tests/gateway/gateway-observer.test.ts
+++ b/tests/gateway/gateway-observer.test.ts
@@ -35,6 +35,7 @@
 	firstByteMs: 20,
 	totalMs: 40,
 	waitedMs: 0,
+	longestPauseMs: 0,
 	...change,
 });
 
