--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,84 +1,34 @@
 import {randomBytes} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {createBackendFleet, createUpstreamClient} from '../backends/index.ts';
-import type {Logger} from '../logging/index.ts';
 import {
 	createMesh,
 	createPeerQuestions,
 	startPeerListener,
 	type PeerListener,
 } from '../mesh/index.ts';
-import {dutyHolders, type Member} from '../membership/index.ts';
-import type {CacheSource} from '../prompts/index.ts';
-import {
-	createRegistryFollower,
-	createRegistryMirror,
-	createRegistryRelay,
-	type RegistrySource,
-} from '../registry/index.ts';
+import type {Member} from '../membership/index.ts';
+import {createRegistryMirror} from '../registry/index.ts';
 import {createWindowRetryBudget} from '../retries/index.ts';
 import {isRegionAllowed, type CallerLimits} from '../routes/index.ts';
-import {createRandom, rendezvousFirst, type Address} from '../shared/index.ts';
+import {createRandom, type Address} from '../shared/index.ts';
 import {createUpstreamChooser} from './choose-upstream.ts';
 import {createDeliveries} from './delivery.ts';
 import {startFrontListener, type FrontListener} from './front-listener.ts';
 import {entriesFor} from './entry-members.ts';
+import type {GatewayOptions} from './gateway-options.ts';
 import {createGatewayObserver} from './gateway-observer.ts';
 import {createLoadStatement} from './load-statement.ts';
 import {createNodeJoiner} from './node-joiner.ts';
 import {createNodeShares} from './node-shares.ts';
 import type {ReadContext} from './read-exchange.ts';
 import {createRegistryChanges} from './registry-changes.ts';
+import {createRegistrySharing} from './registry-sharing.ts';
 import {createRequestIntake} from './request-intake.ts';
 import {createServerProbes} from './server-probes.ts';
 import {createPlacementView} from './placement-view.ts';
 import {createPromptSharing} from './prompt-sharing.ts';
 import {findPromptHome} from './prompt-home.ts';
-import type {WireHeaders} from './wire-headers.ts';
-
-/**
-What a gateway needs to know at its start.
-*/
-export type GatewayOptions = {
-	readonly id: string;
-	readonly availabilityZone: string;
-	/**
-	All availability zones and their regions.
-	*/
-	readonly zones: Readonly<Record<string, string>>;
-	readonly callerAddress: Address;
-	/**
-	Where other nodes reach it: UDP for heartbeats, TCP for calls.
-	*/
-	readonly peerAddress: Address;
-	/**
-	A second address for the first contact of other nodes.
-	*/
-	readonly contactAddress: Address | undefined;
-	/**
-	Contact addresses of other nodes; may change.
-	*/
-	readonly seeds: () => readonly Address[];
-	readonly registry: RegistrySource;
-	/**
-	Where the memory of engines is read; undefined where they do not tell of it.
-	*/
-	readonly caches: CacheSource | undefined;
-	readonly headers: WireHeaders;
-	readonly bounds: GatewayBounds;
-	readonly logger: Logger;
-};
-
-/**
-Bounds that hold over all nodes, as the deployment states them.
-*/
-export type GatewayBounds = {
-	readonly retryRatio: number;
-	readonly retryWindowMs: number;
-	readonly retrySlack: number;
-	readonly coldOverrun: number;
-	readonly coldSlack: number;
-};
 
 /**
 A running gateway.
@@ -126,12 +76,6 @@
 */
 export const freshRoutesMs = 3000;
 
-// Its holders read the registry and relay it to the others of their zone.
-const registryDuty = 'registry';
-
-// A second reader would double the calls and save nothing: whoever loses its relay reads by itself.
-const readersPerZone = 1;
-
 const seedRange = 2 ** 31;
 
 /**
@@ -153,7 +97,7 @@
 		regionOf,
 		revision: mirror.revision,
 		onRevision(revision, from) {
-			follower.heard(revision, from);
+			registry.heard(revision, from);
 		},
 		clock,
 		wallClock: () => Date.now(),
@@ -209,47 +153,21 @@
 			front?.limit(limits);
 		},
 	});
-	const follower = createRegistryFollower({
+	const registry = createRegistrySharing({
 		mirror,
-		registry: options.registry,
-		askPeer: async (peer, after) => questions.registryAfter(peer, after),
-		pickPeer() {
-			const near = mesh.usableIn(ownRegion);
-			const peers =
-				near.length > 0 && random.below(2) === 0 ? near : mesh.usable();
-			return peers.length === 0
-				? undefined
-				: peers[random.below(peers.length)]!.peerAddress;
-		},
+		source: options.registry,
+		mesh,
+		questions,
+		ownRegion,
+		hasSettled: shares.hasSettled,
+		random,
 		clock,
 		logger,
-		relay() {
-			const self = mesh.self();
-			const holders = shares.hasSettled()
-				? dutyHolders(registryDuty, self, mesh.usable(), readersPerZone)
-				: [self];
-			return holders.some(({id}) => id === self.id)
-				? undefined
-				: rendezvousFirst(self.id, holders, ({id}) => id)?.peerAddress;
-		},
-		askRelay: async (peer, after) => questions.relayedAfter(peer, after),
-		onRead() {
-			relay.release();
-		},
 		onChanges(changes) {
 			takeIn(changes);
 			prompts.refresh();
 			intake.routesCame();
 		},
-		onNews() {
-			mesh.announce();
-		},
-	});
-	const relay = createRegistryRelay({
-		mirror,
-		isReading: follower.isReading,
-		confirmedAt: follower.confirmedAt,
-		clock,
 	});
 
 	const loadIn = (region: string, service: string) => {
@@ -290,10 +208,11 @@
 		},
 		random,
 	});
+	const routesVersion = () => mirror.routes()?.document.version ?? 0;
 	const inputs = () => ({
-		routesVersion: mirror.routes()?.document.version ?? 0,
+		routesVersion: routesVersion(),
 		registryRevision: mirror.revision(),
-		registryAgeMs: Math.round(clock() - (follower.confirmedAt() ?? -Infinity)),
+		registryAgeMs: Math.round(registry.ageMs()),
 	});
 	const deliveries = createDeliveries({
 		self: options.id,
@@ -307,7 +226,7 @@
 		hasSettled: shares.hasSettled,
 		connectionsTo: (service) =>
 			shares.connectionsTo(mirror.routes()?.service(service)),
-		routesVersion: () => mirror.routes()?.document.version ?? 0,
+		routesVersion,
 		isServedHere: (route) => isRegionAllowed(route, ownRegion),
 		onPeerFailure({id}) {
 			unreachable.set(id, clock() + peerPauseMs);
@@ -336,7 +255,7 @@
 			requestsUnderWay: deliveries.count,
 			requestsWaiting: deliveries.waiting,
 			registryRevision: mirror.revision,
-			routesVersion: () => mirror.routes()?.document.version ?? 0,
+			routesVersion,
 			nodesUsable: () => mesh.usable().length,
 			backendServers: () => fleet.ids().length,
 			upstreamConnectionsOpened: client.connectionsOpened,
@@ -360,8 +279,7 @@
 	const readContext = (): ReadContext => ({
 		names: headers,
 		routes: mirror.routes(),
-		areRoutesFresh:
-			clock() - (follower.confirmedAt() ?? -Infinity) < freshRoutesMs,
+		areRoutesFresh: registry.ageMs() < freshRoutesMs,
 		now: clock(),
 	});
 
@@ -389,7 +307,7 @@
 		scheduleTick();
 		const now = clock();
 		mesh.tick(now);
-		follower.tick(now);
+		registry.tick(now);
 		for (const server of fleet.tick(now)) {
 			logger.warn({server}, 'backend server silent');
 			deliveries.serverSilent(server);
@@ -417,16 +335,13 @@
 	return {
 		async start() {
 			// Before the listeners: callers that come while a node starts wait for the first routes.
-			follower.start();
+			registry.start();
 			await mesh.start();
 			peers = await startPeerListener({
 				addresses: peerAddresses,
 				members: () => [mesh.self(), ...mesh.others()],
-				registryAfter: (revision) =>
-					mirror.revision() === 0
-						? {kind: 'unavailable', reason: 'nothing known yet'}
-						: mirror.answerFor(revision, clock()),
-				relayedAfter: relay.answer,
+				registryAfter: registry.answer,
+				relayedAfter: registry.relayedAnswer,
 				promptsAfter: prompts.answer,
 				onForwarded: intake.takeForwarded,
 			});
@@ -459,7 +374,7 @@
 			prompts.stop();
 			await Promise.all([
 				options.caches?.close(),
-				follower.stop(),
+				registry.stop(),
 				mesh.stop(),
 				front?.close(),
 				peers?.close(),
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export * from './gateway.ts';
+export type * from './gateway-options.ts';
 export {loadIntervalMs} from './load-statement.ts';
 export {joinIntervalMs, rejoinIntervalMs} from './node-joiner.ts';
 export {
--- /dev/null
+++ b/src/gateway/registry-sharing.ts
@@ -0,0 +1,132 @@
+import type {Logger} from '../logging/index.ts';
+import {dutyHolders} from '../membership/index.ts';
+import type {Mesh, PeerQuestions} from '../mesh/index.ts';
+import {
+	createRegistryFollower,
+	createRegistryRelay,
+	type MirrorChange,
+	type RegistryAnswer,
+	type RegistryMirror,
+	type RegistrySource,
+	type RelayedAnswer,
+} from '../registry/index.ts';
+import {rendezvousFirst, type Address, type Random} from '../shared/index.ts';
+
+/**
+Keeps this node's copy of the registry up to date, and its part in passing it on to other nodes.
+*/
+export type RegistrySharing = {
+	start(): void;
+	stop(): Promise<void>;
+	tick(now: number): void;
+	/**
+	Says which revision another node has; a node that is behind asks it.
+	*/
+	heard(revision: number, from: Address): void;
+	/**
+	Milliseconds since the registry last confirmed the copy; infinite before it did.
+	*/
+	ageMs(): number;
+	/**
+	Answers another node with what came after a revision, at once.
+	*/
+	answer(after: number): RegistryAnswer;
+	/**
+	Answers another node with what came after a revision; held while there is nothing.
+	*/
+	relayedAnswer(after: number): Promise<RelayedAnswer>;
+};
+
+/**
+What sharing is built from.
+*/
+export type RegistrySharingOptions = {
+	readonly mirror: RegistryMirror;
+	readonly source: RegistrySource;
+	readonly mesh: Mesh;
+	readonly questions: PeerQuestions;
+	readonly ownRegion: string;
+	/**
+	Whether this node had time to hear of the others.
+	*/
+	readonly hasSettled: () => boolean;
+	readonly random: Random;
+	readonly clock: () => number;
+	readonly logger: Logger;
+	/**
+	Told what has changed once the mirror has it.
+	*/
+	readonly onChanges: (changes: readonly MirrorChange[]) => void;
+};
+
+// Its holders read the registry and relay it to the others of their zone.
+const duty = 'registry';
+
+// A second reader would double the calls and save nothing: whoever loses its relay reads by itself.
+const readersPerZone = 1;
+
+/**
+Builds the sharing of one node; nothing is asked before `start`. One node a zone reads the registry,
+and the others of the zone follow it by way of that one.
+*/
+export const createRegistrySharing = (
+	options: RegistrySharingOptions,
+): RegistrySharing => {
+	const {mirror, mesh, questions, random, clock} = options;
+
+	const pickPeer = (): Address | undefined => {
+		const near = mesh.usableIn(options.ownRegion);
+		const peers =
+			near.length > 0 && random.below(2) === 0 ? near : mesh.usable();
+		return peers.length === 0
+			? undefined
+			: peers[random.below(peers.length)]!.peerAddress;
+	};
+
+	const relayToAsk = (): Address | undefined => {
+		const self = mesh.self();
+		const holders = options.hasSettled()
+			? dutyHolders(duty, self, mesh.usable(), readersPerZone)
+			: [self];
+		return holders.some(({id}) => id === self.id)
+			? undefined
+			: rendezvousFirst(self.id, holders, ({id}) => id)?.peerAddress;
+	};
+
+	const follower = createRegistryFollower({
+		mirror,
+		registry: options.source,
+		askPeer: async (peer, after) => questions.registryAfter(peer, after),
+		pickPeer,
+		relay: relayToAsk,
+		askRelay: async (peer, after) => questions.relayedAfter(peer, after),
+		clock,
+		logger: options.logger,
+		onRead() {
+			relay.release();
+		},
+		onChanges: options.onChanges,
+		onNews() {
+			mesh.announce();
+		},
+	});
+	const relay = createRegistryRelay({
+		mirror,
+		isReading: follower.isReading,
+		confirmedAt: follower.confirmedAt,
+		clock,
+	});
+
+	return {
+		start: follower.start,
+		stop: follower.stop,
+		tick: follower.tick,
+		heard: follower.heard,
+		ageMs: () => clock() - (follower.confirmedAt() ?? -Infinity),
+		answer: (after) =>
+			mirror.revision() === 0
+				? {kind: 'unavailable', reason: 'nothing known yet'}
+				: mirror.answerFor(after, clock()),
+		relayedAnswer: relay.answer,
+	};
+};
