--- /dev/null
+++ b/src/gateway/gateway-chooser.ts
@@ -0,0 +1,113 @@
+import type {BackendFleet, ServiceLoad} from '../backends/index.ts';
+import type {Member} from '../membership/index.ts';
+import type {Mesh} from '../mesh/index.ts';
+import {isRegionAllowed} from '../routes/index.ts';
+import type {Random} from '../shared/index.ts';
+import {
+	createUpstreamChooser,
+	type UpstreamChooser,
+} from './choose-upstream.ts';
+import type {Exchange} from './exchange.ts';
+import type {PlacementView} from './placement-view.ts';
+import {findPromptHome} from './prompt-home.ts';
+
+/**
+Chooses where requests go, by what this node knows of other nodes and regions.
+*/
+export type GatewayChooser = {
+	readonly choose: UpstreamChooser;
+	/**
+	Says that a node could not be reached; it is sent nothing for a while.
+	*/
+	peerFailed(member: Member): void;
+};
+
+/**
+What the choice is made from.
+*/
+export type GatewayChooserOptions = {
+	/**
+	All availability zones and their regions.
+	*/
+	readonly zones: Readonly<Record<string, string>>;
+	readonly regions: readonly string[];
+	readonly ownRegion: string;
+	readonly mesh: Mesh;
+	readonly fleet: BackendFleet;
+	readonly placement: PlacementView;
+	/**
+	Whether a backend server is known to keep a prompt part.
+	*/
+	readonly keeps: (server: string, part: string) => boolean;
+	readonly random: Random;
+	readonly clock: () => number;
+};
+
+// How long a node that could not be reached is sent nothing, in milliseconds.
+const peerPauseMs = 1500;
+
+/**
+Builds the chooser of one node.
+*/
+export const createGatewayChooser = (
+	options: GatewayChooserOptions,
+): GatewayChooser => {
+	const {mesh, clock} = options;
+	const unreachableUntil = new Map<string, number>();
+	const isReachable = ({id}: Member) =>
+		(unreachableUntil.get(id) ?? 0) < clock();
+
+	return {
+		choose: createUpstreamChooser({
+			ownRegion: options.ownRegion,
+			fleet: options.fleet,
+			membersIn: (region) =>
+				mesh.usableIn(region).filter((each) => isReachable(each)),
+			regions: options.regions,
+			loadIn: (region, service) => loadIn(options, region, service),
+			promptRegion: (exchange, part) => promptRegion(options, exchange, part),
+			random: options.random,
+		}),
+		peerFailed({id}) {
+			unreachableUntil.set(id, clock() + peerPauseMs);
+		},
+	};
+};
+
+// The load of a region is that of its fullest zone.
+const loadIn = (
+	{zones, placement, mesh, clock}: GatewayChooserOptions,
+	region: string,
+	service: string,
+): ServiceLoad => {
+	let load = 0;
+	const slots = placement.slotsIn(region, service);
+	for (const [zone, zoneRegion] of Object.entries(zones)) {
+		if (zoneRegion === region) {
+			load = Math.max(load, mesh.loadIn(zone, service, clock())?.load ?? 0);
+		}
+	}
+
+	return {load, slots};
+};
+
+// Servers that keep the part go before those that would have to read it, the own region's first.
+const promptRegion = (
+	{ownRegion, placement, keeps}: GatewayChooserOptions,
+	{route, service}: Exchange,
+	part: string,
+): string | undefined => {
+	const holders = placement
+		.holders(service)
+		.filter(({region}) => isRegionAllowed(route, region));
+	const keepers = holders.filter(({id}) => keeps(id, part));
+	if (keepers.some(({region}) => region === ownRegion)) {
+		return ownRegion;
+	}
+
+	return findPromptHome(
+		part,
+		keepers.length > 0 ? keepers : holders,
+		placement.weights(route),
+	)?.region;
+};
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,21 +1,15 @@
 import {randomBytes} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {createBackendFleet, createUpstreamClient} from '../backends/index.ts';
-import {
-	createMesh,
-	createPeerQuestions,
-	startPeerListener,
-	type PeerListener,
-} from '../mesh/index.ts';
-import type {Member} from '../membership/index.ts';
+import {createMesh, createPeerQuestions} from '../mesh/index.ts';
 import {createRegistryMirror} from '../registry/index.ts';
 import {createWindowRetryBudget} from '../retries/index.ts';
-import {isRegionAllowed, type CallerLimits} from '../routes/index.ts';
+import {isRegionAllowed} from '../routes/index.ts';
 import {createRandom, type Address} from '../shared/index.ts';
-import {createUpstreamChooser} from './choose-upstream.ts';
 import {createDeliveries} from './delivery.ts';
-import {startFrontListener, type FrontListener} from './front-listener.ts';
 import {entriesFor} from './entry-members.ts';
+import {createGatewayChooser} from './gateway-chooser.ts';
+import {createGatewayListeners} from './gateway-listeners.ts';
 import type {GatewayOptions} from './gateway-options.ts';
 import {createGatewayObserver} from './gateway-observer.ts';
 import {createLoadStatement} from './load-statement.ts';
@@ -28,7 +22,7 @@
 import {createServerProbes} from './server-probes.ts';
 import {createPlacementView} from './placement-view.ts';
 import {createPromptSharing} from './prompt-sharing.ts';
-import {findPromptHome} from './prompt-home.ts';
+import {createTickSchedule, gatewayTickMs} from './tick-schedule.ts';
 
 /**
 A running gateway.
@@ -52,25 +46,6 @@
 	reload(): void;
 };
 
-// Bounds on callers before the first configuration is known; no request is served until then.
-const initialLimits: CallerLimits = {
-	maximumHeaderBytes: 65_536,
-	maximumBodyBytes: 16_777_216,
-	headerTimeoutMs: 10_000,
-	idleTimeoutMs: 60_000,
-};
-
-/**
-Milliseconds between two ticks while nothing waits for room. Each tick wakes the process, and the
-shortest time that depends on it is the 300 ms for the acknowledgement of a heartbeat.
-*/
-export const gatewayTickMs = 150;
-
-/**
-Milliseconds between two ticks while requests wait, so that they are refused on time.
-*/
-export const waitingTickMs = 40;
-
 /**
 Routes confirmed within this time are taken as complete, in milliseconds.
 */
@@ -150,7 +125,7 @@
 		clock,
 		logger,
 		onLimits(limits) {
-			front?.limit(limits);
+			listeners.limit(limits);
 		},
 	});
 	const registry = createRegistrySharing({
@@ -170,43 +145,16 @@
 		},
 	});
 
-	const loadIn = (region: string, service: string) => {
-		let load = 0;
-		const slots = placement.slotsIn(region, service);
-		for (const [zone, zoneRegion] of Object.entries(zones)) {
-			if (zoneRegion === region) {
-				load = Math.max(load, mesh.loadIn(zone, service, clock())?.load ?? 0);
-			}
-		}
-
-		return {load, slots};
-	};
-
-	const unreachable = new Map<string, number>();
-	const isReachable = ({id}: Member) => (unreachable.get(id) ?? 0) < clock();
-	const choose = createUpstreamChooser({
+	const {choose, peerFailed} = createGatewayChooser({
+		zones,
+		regions,
 		ownRegion,
+		mesh,
 		fleet,
-		membersIn: (region) =>
-			mesh.usableIn(region).filter((each) => isReachable(each)),
-		regions,
-		loadIn,
-		promptRegion({route, service}, part) {
-			const holders = placement
-				.holders(service)
-				.filter(({region}) => isRegionAllowed(route, region));
-			const keepers = holders.filter(({id}) => prompts.keeps(id, part));
-			if (keepers.some(({region}) => region === ownRegion)) {
-				return ownRegion;
-			}
-
-			return findPromptHome(
-				part,
-				keepers.length > 0 ? keepers : holders,
-				placement.weights(route),
-			)?.region;
-		},
+		placement,
+		keeps: prompts.keeps,
 		random,
+		clock,
 	});
 	const routesVersion = () => mirror.routes()?.document.version ?? 0;
 	const inputs = () => ({
@@ -228,9 +176,7 @@
 			shares.connectionsTo(mirror.routes()?.service(service)),
 		routesVersion,
 		isServedHere: (route) => isRegionAllowed(route, ownRegion),
-		onPeerFailure({id}) {
-			unreachable.set(id, clock() + peerPauseMs);
-		},
+		onPeerFailure: peerFailed,
 		onServerFailure(server, reason) {
 			if (fleet.isSuspect(server)) {
 				return;
@@ -241,7 +187,7 @@
 		},
 		onWaiting() {
 			if (deliveries.waiting() === 1) {
-				scheduleTick();
+				ticks.reschedule();
 			}
 		},
 		onRecord(record) {
@@ -271,9 +217,6 @@
 			mirror.routes()?.service(service)?.healthPath ?? '/',
 	});
 
-	let front: FrontListener | undefined;
-	let peers: PeerListener | undefined;
-	let timer: NodeJS.Timeout | undefined;
 	let isLeaving = false;
 
 	const readContext = (): ReadContext => ({
@@ -297,14 +240,7 @@
 	});
 	const loadStatement = createLoadStatement(mesh, fleet, mirror);
 
-	const scheduleTick = () => {
-		const isWaiting = deliveries.waiting() > 0;
-		clearTimeout(timer);
-		timer = setTimeout(tick, isWaiting ? waitingTickMs : gatewayTickMs);
-	};
-
-	const tick = () => {
-		scheduleTick();
+	const ticks = createTickSchedule(deliveries.waiting, () => {
 		const now = clock();
 		mesh.tick(now);
 		registry.tick(now);
@@ -319,7 +255,25 @@
 		observer.tick(now);
 		joiner.tick(now);
 		loadStatement.tick(now);
-	};
+	});
+	const listeners = createGatewayListeners({
+		peers: {
+			addresses: peerAddresses,
+			members: () => [mesh.self(), ...mesh.others()],
+			registryAfter: registry.answer,
+			relayedAfter: registry.relayedAnswer,
+			promptsAfter: prompts.answer,
+			onForwarded: intake.takeForwarded,
+		},
+		callers: {
+			address: options.callerAddress,
+			isLeaving: () => isLeaving,
+			onRequest: intake.take,
+			onUnreadable(reason) {
+				observer.rejected('', `unreadable: ${reason}`, 400);
+			},
+		},
+	});
 
 	const isIdleWithin = async (timeoutMs: number): Promise<boolean> => {
 		const until = clock() + timeoutMs;
@@ -337,24 +291,8 @@
 			// Before the listeners: callers that come while a node starts wait for the first routes.
 			registry.start();
 			await mesh.start();
-			peers = await startPeerListener({
-				addresses: peerAddresses,
-				members: () => [mesh.self(), ...mesh.others()],
-				registryAfter: registry.answer,
-				relayedAfter: registry.relayedAnswer,
-				promptsAfter: prompts.answer,
-				onForwarded: intake.takeForwarded,
-			});
-			front = await startFrontListener({
-				address: options.callerAddress,
-				limits: initialLimits,
-				isLeaving: () => isLeaving,
-				onRequest: intake.take,
-				onUnreadable(reason) {
-					observer.rejected('', `unreadable: ${reason}`, 400);
-				},
-			});
-			tick();
+			await listeners.start();
+			ticks.start();
 			joiner.askNow();
 			logger.info({node: options.id, ownRegion}, 'gateway started');
 		},
@@ -366,18 +304,17 @@
 			await new Promise((resolve) => {
 				setTimeout(resolve, Math.min(settleMs, timeoutMs));
 			});
-			front?.finish();
+			listeners.finish();
 			return isIdleWithin(timeoutMs - (settled - clock()) - settleMs);
 		},
 		async stop() {
-			clearTimeout(timer);
+			ticks.stop();
 			prompts.stop();
 			await Promise.all([
 				options.caches?.close(),
 				registry.stop(),
 				mesh.stop(),
-				front?.close(),
-				peers?.close(),
+				listeners.close(),
 				questions.close(),
 				client.close(),
 			]);
@@ -400,9 +337,6 @@
 	};
 };
 
-// How long a node that could not be reached is sent nothing, in milliseconds.
-const peerPauseMs = 1500;
-
 // How long a leaving node goes on taking connections, in milliseconds: callers keep what the
 // directory told them for some seconds.
 const settleMs = 3500;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -8,5 +8,6 @@
 	minimumSharers,
 	settlingMs,
 } from './node-shares.ts';
+export {gatewayTickMs, waitingTickMs} from './tick-schedule.ts';
 export * from './wire-headers.ts';
 export * from './product-headers.ts';
