--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,27 +1,12 @@
-import {randomBytes} from 'node:crypto';
-import {performance} from 'node:perf_hooks';
-import {createBackendFleet, createUpstreamClient} from '../backends/index.ts';
-import {createMesh, createPeerQuestions} from '../mesh/index.ts';
-import {createRegistryMirror} from '../registry/index.ts';
-import {createWindowRetryBudget} from '../retries/index.ts';
-import {isRegionAllowed} from '../routes/index.ts';
-import {createRandom, type Address} from '../shared/index.ts';
-import {createDeliveries} from './delivery.ts';
+import type {Address} from '../shared/index.ts';
 import {entriesFor} from './entry-members.ts';
-import {createGatewayChooser} from './gateway-chooser.ts';
 import {createGatewayListeners} from './gateway-listeners.ts';
 import type {GatewayOptions} from './gateway-options.ts';
-import {createGatewayObserver} from './gateway-observer.ts';
 import {createLoadStatement} from './load-statement.ts';
 import {createNodeJoiner} from './node-joiner.ts';
-import {createNodeShares} from './node-shares.ts';
-import type {ReadContext} from './read-exchange.ts';
-import {createRegistryChanges} from './registry-changes.ts';
-import {createRegistrySharing} from './registry-sharing.ts';
-import {createRequestIntake} from './request-intake.ts';
+import {createNodeKnowledge} from './node-knowledge.ts';
+import {createRequestHandling} from './request-handling.ts';
 import {createServerProbes} from './server-probes.ts';
-import {createPlacementView} from './placement-view.ts';
-import {createPromptSharing} from './prompt-sharing.ts';
 import {createTickSchedule, gatewayTickMs} from './tick-schedule.ts';
 
 /**
@@ -46,167 +31,37 @@
 	reload(): void;
 };
 
-/**
-Routes confirmed within this time are taken as complete, in milliseconds.
-*/
-export const freshRoutesMs = 3000;
-
-const seedRange = 2 ** 31;
-
 /**
 Builds a gateway; nothing runs before `start`.
 */
 export const createGateway = (options: GatewayOptions): Gateway => {
-	const {logger, headers, zones} = options;
-	const clock = () => performance.now();
-	const ownRegion = zones[options.availabilityZone] ?? '';
-	const regions = [...new Set(Object.values(zones))];
-	const random = createRandom(randomBytes(4).readUInt32LE() % seedRange);
-	const regionOf = (zone: string) => zones[zone] ?? '';
-
-	const mirror = createRegistryMirror();
-	const client = createUpstreamClient();
-	const questions = createPeerQuestions();
-	const mesh = createMesh({
-		...options,
-		regionOf,
-		revision: mirror.revision,
-		onRevision(revision, from) {
-			registry.heard(revision, from);
-		},
-		clock,
-		wallClock: () => Date.now(),
-		logger,
-	});
-	const shares = createNodeShares({
-		self: options.id,
-		ownRegion,
-		regionOf,
-		mesh,
-		clock,
-	});
-	const prompts = createPromptSharing({
-		caches: options.caches,
-		mirror,
-		questions,
-		availabilityZone: options.availabilityZone,
-		zones: Object.keys(zones),
-		members: () => [mesh.self(), ...mesh.usable()],
-		self: mesh.self,
-		hasSettled: shares.hasSettled,
-		logger,
-	});
-	const fleet = createBackendFleet({
-		self: options.id,
-		nodesEverHeard: shares.nodesEverHeard,
-		nodesServing: shares.nodesServing,
-		service: (name) => mirror.routes()?.service(name),
-		coldOverrun: options.bounds.coldOverrun,
-		coldSlack: options.bounds.coldSlack,
-		availabilityZone: options.availabilityZone,
-		mayUseCold: shares.hasSettled,
-		keeps: prompts.keeps,
-		draw: random.fraction,
-	});
-	const budget = createWindowRetryBudget({
-		ratio: options.bounds.retryRatio,
-		windowMs: options.bounds.retryWindowMs,
-		slack: options.bounds.retrySlack,
-	});
-
-	const placement = createPlacementView({mirror, regions, regionOf});
-	const takeIn = createRegistryChanges({
-		mirror,
-		fleet,
-		client,
-		placement,
-		ownRegion,
-		regionOf,
-		clock,
-		logger,
+	const {logger, headers} = options;
+	const knowledge = createNodeKnowledge(options, {
 		onLimits(limits) {
 			listeners.limit(limits);
 		},
-	});
-	const registry = createRegistrySharing({
-		mirror,
-		source: options.registry,
-		mesh,
-		questions,
-		ownRegion,
-		hasSettled: shares.hasSettled,
-		random,
-		clock,
-		logger,
-		onChanges(changes) {
-			takeIn(changes);
-			prompts.refresh();
+		onTakenIn() {
 			intake.routesCame();
 		},
 	});
-
-	const {choose, peerFailed} = createGatewayChooser({
-		zones,
-		regions,
+	const {
+		clock,
 		ownRegion,
+		mirror,
+		registry,
 		mesh,
-		fleet,
-		placement,
-		keeps: prompts.keeps,
-		random,
-		clock,
-	});
-	const routesVersion = () => mirror.routes()?.document.version ?? 0;
-	const inputs = () => ({
-		routesVersion: routesVersion(),
-		registryRevision: mirror.revision(),
-		registryAgeMs: Math.round(registry.ageMs()),
-	});
-	const deliveries = createDeliveries({
-		self: options.id,
-		clock,
-		headers,
+		questions,
+		prompts,
 		fleet,
 		client,
-		choose,
-		budget,
-		nodes: shares.retrySharers,
-		hasSettled: shares.hasSettled,
-		connectionsTo: (service) =>
-			shares.connectionsTo(mirror.routes()?.service(service)),
-		routesVersion,
-		isServedHere: (route) => isRegionAllowed(route, ownRegion),
-		onPeerFailure: peerFailed,
-		onServerFailure(server, reason) {
-			if (fleet.isSuspect(server)) {
-				return;
-			}
-
-			fleet.suspect(server, clock());
-			logger.warn({server, reason}, 'backend server suspected');
-		},
-		onWaiting() {
-			if (deliveries.waiting() === 1) {
-				ticks.reschedule();
-			}
-		},
-		onRecord(record) {
-			observer.record(record);
-		},
-	});
-	const observer = createGatewayObserver({
-		logger,
-		inputs,
-		gauges: {
-			requestsUnderWay: deliveries.count,
-			requestsWaiting: deliveries.waiting,
-			registryRevision: mirror.revision,
-			routesVersion,
-			nodesUsable: () => mesh.usable().length,
-			backendServers: () => fleet.ids().length,
-			upstreamConnectionsOpened: client.connectionsOpened,
+	} = knowledge;
+	const {intake, deliveries, observer} = createRequestHandling(
+		options,
+		knowledge,
+		() => {
+			ticks.reschedule();
 		},
-	});
+	);
 	const probes = createServerProbes({
 		client,
 		fleet,
@@ -217,16 +72,6 @@
 			mirror.routes()?.service(service)?.healthPath ?? '/',
 	});
 
-	let isLeaving = false;
-
-	const readContext = (): ReadContext => ({
-		names: headers,
-		routes: mirror.routes(),
-		areRoutesFresh: registry.ageMs() < freshRoutesMs,
-		now: clock(),
-	});
-
-	const intake = createRequestIntake({deliveries, observer, readContext});
 	const peerAddresses = [
 		options.peerAddress,
 		...(options.contactAddress === undefined ? [] : [options.contactAddress]),
@@ -236,7 +81,7 @@
 		questions,
 		seeds: options.seeds,
 		ownAddresses: peerAddresses,
-		random,
+		random: knowledge.random,
 	});
 	const loadStatement = createLoadStatement(mesh, fleet, mirror);
 
@@ -256,6 +101,8 @@
 		joiner.tick(now);
 		loadStatement.tick(now);
 	});
+
+	let isLeaving = false;
 	const listeners = createGatewayListeners({
 		peers: {
 			addresses: peerAddresses,
@@ -327,7 +174,7 @@
 			);
 			return entriesFor({
 				members: all,
-				regionOf,
+				regionOf: knowledge.regionOf,
 				region,
 				availabilityZone,
 			}).map(({callerAddress}) => callerAddress);
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -8,6 +8,7 @@
 	minimumSharers,
 	settlingMs,
 } from './node-shares.ts';
+export {freshRoutesMs} from './request-handling.ts';
 export {gatewayTickMs, waitingTickMs} from './tick-schedule.ts';
 export * from './wire-headers.ts';
 export * from './product-headers.ts';
--- /dev/null
+++ b/src/gateway/node-knowledge.ts
@@ -0,0 +1,182 @@
+import {randomBytes} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
+import {
+	createBackendFleet,
+	createUpstreamClient,
+	type BackendFleet,
+	type UpstreamClient,
+} from '../backends/index.ts';
+import {
+	createMesh,
+	createPeerQuestions,
+	type Mesh,
+	type PeerQuestions,
+} from '../mesh/index.ts';
+import {createRegistryMirror, type RegistryMirror} from '../registry/index.ts';
+import type {CallerLimits} from '../routes/index.ts';
+import {createRandom, type Random} from '../shared/index.ts';
+import type {GatewayOptions} from './gateway-options.ts';
+import {createNodeShares, type NodeShares} from './node-shares.ts';
+import {createPlacementView, type PlacementView} from './placement-view.ts';
+import {createPromptSharing, type PromptSharing} from './prompt-sharing.ts';
+import {createRegistryChanges} from './registry-changes.ts';
+import {
+	createRegistrySharing,
+	type RegistrySharing,
+} from './registry-sharing.ts';
+
+/**
+What a node knows of other nodes, of backend servers and of prompts, and what keeps it up to date.
+*/
+export type NodeKnowledge = {
+	/**
+	Milliseconds that only rise.
+	*/
+	readonly clock: () => number;
+	readonly random: Random;
+	readonly ownRegion: string;
+	readonly regions: readonly string[];
+	readonly regionOf: (availabilityZone: string) => string;
+	/**
+	The copy of the registry, and what keeps it.
+	*/
+	readonly mirror: RegistryMirror;
+	readonly registry: RegistrySharing;
+	/**
+	The other nodes, and what is shared with them.
+	*/
+	readonly mesh: Mesh;
+	readonly questions: PeerQuestions;
+	readonly shares: NodeShares;
+	readonly prompts: PromptSharing;
+	/**
+	The backend servers of the own region, and the connections to them.
+	*/
+	readonly fleet: BackendFleet;
+	readonly client: UpstreamClient;
+	/**
+	The backend servers of all regions.
+	*/
+	readonly placement: PlacementView;
+};
+
+/**
+Who is told when the registry's copy has changed.
+*/
+export type KnowledgeCallbacks = {
+	/**
+	Told the bounds on callers of routes that come into force.
+	*/
+	readonly onLimits: (limits: CallerLimits) => void;
+	/**
+	Told last, once everything else has taken the changes in.
+	*/
+	readonly onTakenIn: () => void;
+};
+
+const seedRange = 2 ** 31;
+
+/**
+Builds the knowledge of a node that knows nothing yet; nothing runs before its parts are started.
+*/
+export const createNodeKnowledge = (
+	options: GatewayOptions,
+	{onLimits, onTakenIn}: KnowledgeCallbacks,
+): NodeKnowledge => {
+	const {logger, zones, availabilityZone, bounds} = options;
+	const clock = () => performance.now();
+	const ownRegion = zones[availabilityZone] ?? '';
+	const regions = [...new Set(Object.values(zones))];
+	const random = createRandom(randomBytes(4).readUInt32LE() % seedRange);
+	const regionOf = (zone: string) => zones[zone] ?? '';
+
+	const mirror = createRegistryMirror();
+	const client = createUpstreamClient();
+	const questions = createPeerQuestions();
+	const mesh = createMesh({
+		...options,
+		regionOf,
+		revision: mirror.revision,
+		onRevision(revision, from) {
+			registry.heard(revision, from);
+		},
+		clock,
+		wallClock: () => Date.now(),
+		logger,
+	});
+	const shares = createNodeShares({
+		self: options.id,
+		ownRegion,
+		regionOf,
+		mesh,
+		clock,
+	});
+	const prompts = createPromptSharing({
+		caches: options.caches,
+		mirror,
+		questions,
+		availabilityZone,
+		zones: Object.keys(zones),
+		members: () => [mesh.self(), ...mesh.usable()],
+		self: mesh.self,
+		hasSettled: shares.hasSettled,
+		logger,
+	});
+	const fleet = createBackendFleet({
+		self: options.id,
+		nodesEverHeard: shares.nodesEverHeard,
+		nodesServing: shares.nodesServing,
+		service: (name) => mirror.routes()?.service(name),
+		coldOverrun: bounds.coldOverrun,
+		coldSlack: bounds.coldSlack,
+		availabilityZone,
+		mayUseCold: shares.hasSettled,
+		keeps: prompts.keeps,
+		draw: random.fraction,
+	});
+	const placement = createPlacementView({mirror, regions, regionOf});
+	const takeIn = createRegistryChanges({
+		mirror,
+		fleet,
+		client,
+		placement,
+		ownRegion,
+		regionOf,
+		clock,
+		logger,
+		onLimits,
+	});
+	const registry = createRegistrySharing({
+		mirror,
+		source: options.registry,
+		mesh,
+		questions,
+		ownRegion,
+		hasSettled: shares.hasSettled,
+		random,
+		clock,
+		logger,
+		onChanges(changes) {
+			takeIn(changes);
+			prompts.refresh();
+			onTakenIn();
+		},
+	});
+
+	return {
+		clock,
+		random,
+		ownRegion,
+		regions,
+		regionOf,
+		mirror,
+		registry,
+		mesh,
+		questions,
+		shares,
+		prompts,
+		fleet,
+		client,
+		placement,
+	};
+};
--- /dev/null
+++ b/src/gateway/request-handling.ts
@@ -0,0 +1,112 @@
+import {createWindowRetryBudget} from '../retries/index.ts';
+import {isRegionAllowed} from '../routes/index.ts';
+import {createDeliveries, type Deliveries} from './delivery.ts';
+import {createGatewayChooser} from './gateway-chooser.ts';
+import {
+	createGatewayObserver,
+	type GatewayObserver,
+} from './gateway-observer.ts';
+import type {GatewayOptions} from './gateway-options.ts';
+import type {NodeKnowledge} from './node-knowledge.ts';
+import {createRequestIntake, type RequestIntake} from './request-intake.ts';
+
+/**
+What takes requests in, delivers them and writes down what became of them.
+*/
+export type RequestHandling = {
+	readonly intake: RequestIntake;
+	readonly deliveries: Deliveries;
+	readonly observer: GatewayObserver;
+};
+
+/**
+Routes confirmed within this time are taken as complete, in milliseconds.
+*/
+export const freshRoutesMs = 3000;
+
+/**
+Builds the handling of one node.
+
+@param options What the node was told at its start.
+@param knowledge What this node knows.
+@param onFirstWaiting Told when a request waits for room and no other does.
+*/
+export const createRequestHandling = (
+	options: GatewayOptions,
+	knowledge: NodeKnowledge,
+	onFirstWaiting: () => void,
+): RequestHandling => {
+	const {logger, headers, bounds} = options;
+	const {clock, ownRegion, mirror, registry, mesh, shares, fleet, client} =
+		knowledge;
+	const routesVersion = () => mirror.routes()?.document.version ?? 0;
+	const {choose, peerFailed} = createGatewayChooser({
+		...knowledge,
+		zones: options.zones,
+		keeps: knowledge.prompts.keeps,
+	});
+	const deliveries = createDeliveries({
+		self: options.id,
+		clock,
+		headers,
+		fleet,
+		client,
+		choose,
+		budget: createWindowRetryBudget({
+			ratio: bounds.retryRatio,
+			windowMs: bounds.retryWindowMs,
+			slack: bounds.retrySlack,
+		}),
+		nodes: shares.retrySharers,
+		hasSettled: shares.hasSettled,
+		connectionsTo: (service) =>
+			shares.connectionsTo(mirror.routes()?.service(service)),
+		routesVersion,
+		isServedHere: (route) => isRegionAllowed(route, ownRegion),
+		onPeerFailure: peerFailed,
+		onServerFailure(server, reason) {
+			if (fleet.isSuspect(server)) {
+				return;
+			}
+
+			fleet.suspect(server, clock());
+			logger.warn({server, reason}, 'backend server suspected');
+		},
+		onWaiting() {
+			if (deliveries.waiting() === 1) {
+				onFirstWaiting();
+			}
+		},
+		onRecord(record) {
+			observer.record(record);
+		},
+	});
+	const observer = createGatewayObserver({
+		logger,
+		inputs: () => ({
+			routesVersion: routesVersion(),
+			registryRevision: mirror.revision(),
+			registryAgeMs: Math.round(registry.ageMs()),
+		}),
+		gauges: {
+			requestsUnderWay: deliveries.count,
+			requestsWaiting: deliveries.waiting,
+			registryRevision: mirror.revision,
+			routesVersion,
+			nodesUsable: () => mesh.usable().length,
+			backendServers: () => fleet.ids().length,
+			upstreamConnectionsOpened: client.connectionsOpened,
+		},
+	});
+	const intake = createRequestIntake({
+		deliveries,
+		observer,
+		readContext: () => ({
+			names: headers,
+			routes: mirror.routes(),
+			areRoutesFresh: registry.ageMs() < freshRoutesMs,
+			now: clock(),
+		}),
+	});
+	return {intake, deliveries, observer};
+};
