--- /dev/null
+++ b/stand-ins/registered-server.ts
@@ -0,0 +1,103 @@
+import {createServer, type ServerResponse} from 'node:http';
+import type {WireHeaders} from '../src/gateway/index.ts';
+import type {RegisteredServer} from '../src/registry/index.ts';
+import {closeServer, listenAt} from './http-server.ts';
+import type {StandInRegistry} from './registry.ts';
+import {standInHeaders} from './stand-in-headers.ts';
+
+/**
+How a backend server of the stand-in answers.
+*/
+export type StandInAnswer =
+	| {readonly kind: 'whole'; readonly text: string}
+	/**
+	Events with rising ids, one each `pauseMs` milliseconds.
+	*/
+	| {
+			readonly kind: 'events';
+			readonly count: number;
+			readonly pauseMs: number;
+	  };
+
+/**
+A backend server that registers itself.
+*/
+export type StandInServer = {
+	readonly id: string;
+	/**
+	Ids of the requests that it ran, in order.
+	*/
+	readonly ran: readonly string[];
+	close(): Promise<void>;
+};
+
+const eventOf = (index: number): string => `id: ${index}\ndata: ${index}\n\n`;
+
+const sendEvents = (
+	response: ServerResponse,
+	{count, pauseMs}: Extract<StandInAnswer, {kind: 'events'}>,
+	after: number,
+) => {
+	let index = after;
+	const sendNext = () => {
+		index += 1;
+		response.write(eventOf(index));
+		if (index >= count) {
+			response.end();
+		} else if (!response.destroyed) {
+			setTimeout(sendNext, pauseMs);
+		}
+	};
+
+	sendNext();
+};
+
+/**
+Starts a backend server and enters it into the registry.
+*/
+export const startStandInServer = async (
+	registry: StandInRegistry,
+	entry: Omit<RegisteredServer, 'coldMs' | 'isLeaving'>,
+	answer: StandInAnswer,
+	headers: WireHeaders = standInHeaders,
+): Promise<StandInServer> => {
+	const ran: string[] = [];
+	const server = createServer((request, response) => {
+		const header = (name: string) => String(request.headers[name] ?? '');
+		const id = header(headers.requestId);
+		request.resume();
+		request.on('end', () => {
+			if (header(headers.expectedServer) !== entry.id) {
+				response.writeHead(421, {[headers.requestId]: id}).end();
+				return;
+			}
+
+			ran.push(id);
+			response.writeHead(200, {
+				[headers.requestId]: id,
+				[headers.signature]: `${entry.id}/${id}`,
+			});
+			if (answer.kind === 'whole') {
+				response.end(answer.text);
+			} else {
+				sendEvents(response, answer, Number(header('last-event-id')));
+			}
+		});
+	});
+	await listenAt(server, entry.address);
+	registry.write(`server ${entry.id}`, {
+		kind: 'server',
+		server: {...entry, coldMs: 0, isLeaving: false},
+	});
+	return {
+		id: entry.id,
+		ran,
+		close: async () => closeServer(server),
+	};
+};
+
+/**
+The body of a stream of so many events.
+*/
+export const eventsOf = (count: number): string =>
+	Array.from({length: count}, (_, index) => eventOf(index + 1)).join('');
--- a/stand-ins/registry-server.ts
+++ b/stand-ins/registry-server.ts
@@ -1,7 +1,7 @@
 import {createServer, type ServerResponse} from 'node:http';
 import {registryPaths} from '../src/registry/http-source.ts';
 import type {Address} from '../src/shared/index.ts';
-import type {StandInRegistry} from './gateways.ts';
+import type {StandInRegistry} from './registry.ts';
 import {closeServer, listenAt, sendJson} from './http-server.ts';
 
 /**
--- /dev/null
+++ b/stand-ins/stand-in-headers.ts
@@ -0,0 +1,17 @@
+import type {WireHeaders} from '../src/gateway/index.ts';
+
+/**
+Header names of a made-up deployment.
+*/
+export const standInHeaders: WireHeaders = {
+	requestId: 'x-test-id',
+	remainingMs: 'x-test-remaining',
+	signature: 'x-test-signature',
+	expectedServer: 'x-test-expected',
+	notRun: 'x-test-not-run',
+	promptParts: 'x-test-parts',
+	tokenUsage: 'x-test-tokens',
+	coldMs: 'x-test-cold',
+	serverId: 'x-test-server',
+	reserved: ['x-test-reserved'],
+};
--- a/tests/acceptance/gateway-command.test.ts
+++ b/tests/acceptance/gateway-command.test.ts
@@ -8,11 +8,10 @@
 import {productHeaders} from '../../src/gateway/index.ts';
 import type {RegistryValue} from '../../src/registry/index.ts';
 import {
-	createStandInRegistry,
 	startStandInServer,
-	writeRoutes,
 	type StandInServer,
-} from '../../stand-ins/gateways.ts';
+} from '../../stand-ins/registered-server.ts';
+import {createStandInRegistry, writeRoutes} from '../../stand-ins/registry.ts';
 import {startRegistryServer} from '../../stand-ins/registry-server.ts';
 import {documentOf, routeOf, serviceOf} from '../gateway/fixtures.ts';
 
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -3,7 +3,7 @@
 import type {KnownServer} from '../../src/registry/registry-mirror.ts';
 import type {Route, RouteDocument, Service} from '../../src/routes/index.ts';
 
-export {standInHeaders as names} from '../../stand-ins/gateways.ts';
+export {standInHeaders as names} from '../../stand-ins/stand-in-headers.ts';
 
 export const routeOf = (change: Partial<Route> = {}): Route => ({
 	name: 'route',
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -3,14 +3,16 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
 import {
-	eventsOf,
-	standInHeaders,
 	startGateways,
-	startStandInServer,
-	writeRoutes,
 	type GatewayDeployment,
-	type StandInServer,
 } from '../../stand-ins/gateways.ts';
+import {
+	eventsOf,
+	startStandInServer,
+	type StandInServer,
+} from '../../stand-ins/registered-server.ts';
+import {writeRoutes} from '../../stand-ins/registry.ts';
+import {standInHeaders} from '../../stand-ins/stand-in-headers.ts';
 import {documentOf, routeOf, serviceOf} from './fixtures.ts';
 
 const zones = {north: 'upland', south: 'lowland'};
