--- a/tests/acceptance/gateway-command.test.ts
+++ b/tests/acceptance/gateway-command.test.ts
@@ -3,7 +3,6 @@
 import {once} from 'node:events';
 import {randomInt} from 'node:crypto';
 import {after, before, test} from 'node:test';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
 import {productHeaders} from '../../src/gateway/index.ts';
 import type {RegistryValue} from '../../src/registry/index.ts';
@@ -14,6 +13,7 @@
 import {createStandInRegistry, writeRoutes} from '../../stand-ins/registry.ts';
 import {startRegistryServer} from '../../stand-ins/registry-server.ts';
 import {documentOf, routeOf, serviceOf} from '../gateway/fixtures.ts';
+import {until} from '../until.ts';
 
 const registry = createStandInRegistry();
 const network = `127.${randomInt(2, 250)}.${randomInt(1, 250)}`;
@@ -38,16 +38,8 @@
 	}
 };
 
-// Waits for what the process does in its own time; the test fails by what comes after.
-const until = async (isTrue: () => boolean | Promise<boolean>) => {
-	for (let turn = 0; turn < 200; turn += 1) {
-		if (await isTrue()) {
-			return;
-		}
-
-		await sleep(50);
-	}
-};
+// A process takes longer to start than a node in this one.
+const processTurns = 200;
 
 before(async () => {
 	registryServer = await startRegistryServer(registry, registryAddress);
@@ -93,7 +85,7 @@
 			services: [serviceOf()],
 		}),
 	);
-	await until(async () => (await ask()).status === 200);
+	await until(async () => (await ask()).status === 200, processTurns);
 	assert.deepEqual(await ask(), {status: 200, text: 'done'});
 });
 
@@ -103,7 +95,7 @@
 		document: {version: 9},
 	} as unknown as RegistryValue;
 	registry.write('routes', wrong);
-	await until(() => log.includes('registry item cannot be read'));
+	await until(() => log.includes('registry item cannot be read'), processTurns);
 	assert.match(log, /"key":"routes"/v);
 	assert.deepEqual(await ask(), {status: 200, text: 'done'});
 });
@@ -113,11 +105,11 @@
 		kind: 'evacuation',
 		availabilityZone: 'north',
 	});
-	await until(async () => (await ask()).status === 503);
+	await until(async () => (await ask()).status === 503, processTurns);
 	const {status} = await ask();
 	assert.equal(status, 503);
 	registry.write('evacuation north', undefined);
-	await until(async () => (await ask()).status === 200);
+	await until(async () => (await ask()).status === 200, processTurns);
 	assert.deepEqual(await ask(), {status: 200, text: 'done'});
 });
 
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {after, before, describe, test} from 'node:test';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
 import {
 	startGateways,
@@ -13,6 +12,7 @@
 } from '../../stand-ins/registered-server.ts';
 import {writeRoutes} from '../../stand-ins/registry.ts';
 import {standInHeaders} from '../../stand-ins/stand-in-headers.ts';
+import {until} from '../until.ts';
 import {documentOf, routeOf, serviceOf} from './fixtures.ts';
 
 const zones = {north: 'upland', south: 'lowland'};
@@ -44,17 +44,6 @@
 	};
 };
 
-// Waits for what the nodes do in their own time; the test fails by the answer, not by the wait.
-const until = async (isTrue: () => boolean | Promise<boolean>) => {
-	for (let turn = 0; turn < 100; turn += 1) {
-		if (await isTrue()) {
-			return;
-		}
-
-		await sleep(50);
-	}
-};
-
 describe('two nodes in two regions', () => {
 	let deployment: GatewayDeployment;
 	let servers: readonly StandInServer[];
