--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,84 +1,13 @@
-import {randomBytes} from 'node:crypto';
-import {performance} from 'node:perf_hooks';
-import {createBackendFleet, createUpstreamClient} from '../backends/index.ts';
-import type {Logger} from '../logging/index.ts';
-import {
-	createMesh,
-	createPeerQuestions,
-	startPeerListener,
-	type PeerListener,
-} from '../mesh/index.ts';
-import {dutyHolders, type Member} from '../membership/index.ts';
-import type {CacheSource} from '../prompts/index.ts';
-import {
-	createRegistryFollower,
-	createRegistryMirror,
-	createRegistryRelay,
-	type RegistrySource,
-} from '../registry/index.ts';
-import {createWindowRetryBudget} from '../retries/index.ts';
-import {isRegionAllowed, type CallerLimits} from '../routes/index.ts';
-import {createRandom, rendezvousFirst, type Address} from '../shared/index.ts';
-import {createUpstreamChooser} from './choose-upstream.ts';
-import {createDeliveries} from './delivery.ts';
-import {startFrontListener, type FrontListener} from './front-listener.ts';
+import type {Address} from '../shared/index.ts';
 import {entriesFor} from './entry-members.ts';
-import {createGatewayObserver} from './gateway-observer.ts';
+import {createGatewayListeners} from './gateway-listeners.ts';
+import type {GatewayOptions} from './gateway-options.ts';
 import {createLoadStatement} from './load-statement.ts';
 import {createNodeJoiner} from './node-joiner.ts';
-import {createNodeShares} from './node-shares.ts';
-import type {ReadContext} from './read-exchange.ts';
-import {createRegistryChanges} from './registry-changes.ts';
-import {createRequestIntake} from './request-intake.ts';
+import {createNodeKnowledge} from './node-knowledge.ts';
+import {createRequestHandling} from './request-handling.ts';
 import {createServerProbes} from './server-probes.ts';
-import {createPlacementView} from './placement-view.ts';
-import {createPromptSharing} from './prompt-sharing.ts';
-import {findPromptHome} from './prompt-home.ts';
-import type {WireHeaders} from './wire-headers.ts';
-
-/**
-What a gateway needs to know at its start.
-*/
-export type GatewayOptions = {
-	readonly id: string;
-	readonly availabilityZone: string;
-	/**
-	All availability zones and their regions.
-	*/
-	readonly zones: Readonly<Record<string, string>>;
-	readonly callerAddress: Address;
-	/**
-	Where other nodes reach it: UDP for heartbeats, TCP for calls.
-	*/
-	readonly peerAddress: Address;
-	/**
-	A second address for the first contact of other nodes.
-	*/
-	readonly contactAddress: Address | undefined;
-	/**
-	Contact addresses of other nodes; may change.
-	*/
-	readonly seeds: () => readonly Address[];
-	readonly registry: RegistrySource;
-	/**
-	Where the memory of engines is read; undefined where they do not tell of it.
-	*/
-	readonly caches: CacheSource | undefined;
-	readonly headers: WireHeaders;
-	readonly bounds: GatewayBounds;
-	readonly logger: Logger;
-};
-
-/**
-Bounds that hold over all nodes, as the deployment states them.
-*/
-export type GatewayBounds = {
-	readonly retryRatio: number;
-	readonly retryWindowMs: number;
-	readonly retrySlack: number;
-	readonly coldOverrun: number;
-	readonly coldSlack: number;
-};
+import {createTickSchedule, gatewayTickMs} from './tick-schedule.ts';
 
 /**
 A running gateway.
@@ -102,246 +31,37 @@
 	reload(): void;
 };
 
-// Bounds on callers before the first configuration is known; no request is served until then.
-const initialLimits: CallerLimits = {
-	maximumHeaderBytes: 65_536,
-	maximumBodyBytes: 16_777_216,
-	headerTimeoutMs: 10_000,
-	idleTimeoutMs: 60_000,
-};
-
-/**
-Milliseconds between two ticks while nothing waits for room. Each tick wakes the process, and the
-shortest time that depends on it is the 300 ms for the acknowledgement of a heartbeat.
-*/
-export const gatewayTickMs = 150;
-
-/**
-Milliseconds between two ticks while requests wait, so that they are refused on time.
-*/
-export const waitingTickMs = 40;
-
-/**
-Routes confirmed within this time are taken as complete, in milliseconds.
-*/
-export const freshRoutesMs = 3000;
-
-// Its holders read the registry and relay it to the others of their zone.
-const registryDuty = 'registry';
-
-// A second reader would double the calls and save nothing: whoever loses its relay reads by itself.
-const readersPerZone = 1;
-
-const seedRange = 2 ** 31;
-
 /**
 Builds a gateway; nothing runs before `start`.
 */
 export const createGateway = (options: GatewayOptions): Gateway => {
-	const {logger, headers, zones} = options;
-	const clock = () => performance.now();
-	const ownRegion = zones[options.availabilityZone] ?? '';
-	const regions = [...new Set(Object.values(zones))];
-	const random = createRandom(randomBytes(4).readUInt32LE() % seedRange);
-	const regionOf = (zone: string) => zones[zone] ?? '';
-
-	const mirror = createRegistryMirror();
-	const client = createUpstreamClient();
-	const questions = createPeerQuestions();
-	const mesh = createMesh({
-		...options,
-		regionOf,
-		revision: mirror.revision,
-		onRevision(revision, from) {
-			follower.heard(revision, from);
-		},
-		clock,
-		wallClock: () => Date.now(),
-		logger,
-	});
-	const shares = createNodeShares({
-		self: options.id,
-		ownRegion,
-		regionOf,
-		mesh,
-		clock,
-	});
-	const prompts = createPromptSharing({
-		caches: options.caches,
-		mirror,
-		questions,
-		availabilityZone: options.availabilityZone,
-		zones: Object.keys(zones),
-		members: () => [mesh.self(), ...mesh.usable()],
-		self: mesh.self,
-		hasSettled: shares.hasSettled,
-		logger,
-	});
-	const fleet = createBackendFleet({
-		self: options.id,
-		nodesEverHeard: shares.nodesEverHeard,
-		nodesServing: shares.nodesServing,
-		service: (name) => mirror.routes()?.service(name),
-		coldOverrun: options.bounds.coldOverrun,
-		coldSlack: options.bounds.coldSlack,
-		availabilityZone: options.availabilityZone,
-		mayUseCold: shares.hasSettled,
-		keeps: prompts.keeps,
-		draw: random.fraction,
-	});
-	const budget = createWindowRetryBudget({
-		ratio: options.bounds.retryRatio,
-		windowMs: options.bounds.retryWindowMs,
-		slack: options.bounds.retrySlack,
-	});
-
-	const placement = createPlacementView({mirror, regions, regionOf});
-	const takeIn = createRegistryChanges({
-		mirror,
-		fleet,
-		client,
-		placement,
-		ownRegion,
-		regionOf,
-		clock,
-		logger,
+	const {logger, headers} = options;
+	const knowledge = createNodeKnowledge(options, {
 		onLimits(limits) {
-			front?.limit(limits);
+			listeners.limit(limits);
 		},
-	});
-	const follower = createRegistryFollower({
-		mirror,
-		registry: options.registry,
-		askPeer: async (peer, after) => questions.registryAfter(peer, after),
-		pickPeer() {
-			const near = mesh.usableIn(ownRegion);
-			const peers =
-				near.length > 0 && random.below(2) === 0 ? near : mesh.usable();
-			return peers.length === 0
-				? undefined
-				: peers[random.below(peers.length)]!.peerAddress;
-		},
-		clock,
-		logger,
-		relay() {
-			const self = mesh.self();
-			const holders = shares.hasSettled()
-				? dutyHolders(registryDuty, self, mesh.usable(), readersPerZone)
-				: [self];
-			return holders.some(({id}) => id === self.id)
-				? undefined
-				: rendezvousFirst(self.id, holders, ({id}) => id)?.peerAddress;
-		},
-		askRelay: async (peer, after) => questions.relayedAfter(peer, after),
-		onRead() {
-			relay.release();
-		},
-		onChanges(changes) {
-			takeIn(changes);
-			prompts.refresh();
+		onTakenIn() {
 			intake.routesCame();
 		},
-		onNews() {
-			mesh.announce();
-		},
 	});
-	const relay = createRegistryRelay({
-		mirror,
-		isReading: follower.isReading,
-		confirmedAt: follower.confirmedAt,
+	const {
 		clock,
-	});
-
-	const loadIn = (region: string, service: string) => {
-		let load = 0;
-		const slots = placement.slotsIn(region, service);
-		for (const [zone, zoneRegion] of Object.entries(zones)) {
-			if (zoneRegion === region) {
-				load = Math.max(load, mesh.loadIn(zone, service, clock())?.load ?? 0);
-			}
-		}
-
-		return {load, slots};
-	};
-
-	const unreachable = new Map<string, number>();
-	const isReachable = ({id}: Member) => (unreachable.get(id) ?? 0) < clock();
-	const choose = createUpstreamChooser({
 		ownRegion,
-		fleet,
-		membersIn: (region) =>
-			mesh.usableIn(region).filter((each) => isReachable(each)),
-		regions,
-		loadIn,
-		promptRegion({route, service}, part) {
-			const holders = placement
-				.holders(service)
-				.filter(({region}) => isRegionAllowed(route, region));
-			const keepers = holders.filter(({id}) => prompts.keeps(id, part));
-			if (keepers.some(({region}) => region === ownRegion)) {
-				return ownRegion;
-			}
-
-			return findPromptHome(
-				part,
-				keepers.length > 0 ? keepers : holders,
-				placement.weights(route),
-			)?.region;
-		},
-		random,
-	});
-	const inputs = () => ({
-		routesVersion: mirror.routes()?.document.version ?? 0,
-		registryRevision: mirror.revision(),
-		registryAgeMs: Math.round(clock() - (follower.confirmedAt() ?? -Infinity)),
-	});
-	const deliveries = createDeliveries({
-		self: options.id,
-		clock,
-		headers,
+		mirror,
+		registry,
+		mesh,
+		questions,
+		prompts,
 		fleet,
 		client,
-		choose,
-		budget,
-		nodes: shares.retrySharers,
-		hasSettled: shares.hasSettled,
-		connectionsTo: (service) =>
-			shares.connectionsTo(mirror.routes()?.service(service)),
-		routesVersion: () => mirror.routes()?.document.version ?? 0,
-		isServedHere: (route) => isRegionAllowed(route, ownRegion),
-		onPeerFailure({id}) {
-			unreachable.set(id, clock() + peerPauseMs);
-		},
-		onServerFailure(server, reason) {
-			if (fleet.isSuspect(server)) {
-				return;
-			}
-
-			fleet.suspect(server, clock());
-			logger.warn({server, reason}, 'backend server suspected');
-		},
-		onWaiting() {
-			if (deliveries.waiting() === 1) {
-				scheduleTick();
-			}
-		},
-		onRecord(record) {
-			observer.record(record);
-		},
-	});
-	const observer = createGatewayObserver({
-		logger,
-		inputs,
-		gauges: {
-			requestsUnderWay: deliveries.count,
-			requestsWaiting: deliveries.waiting,
-			registryRevision: mirror.revision,
-			routesVersion: () => mirror.routes()?.document.version ?? 0,
-			nodesUsable: () => mesh.usable().length,
-			backendServers: () => fleet.ids().length,
-			upstreamConnectionsOpened: client.connectionsOpened,
-		},
-	});
+	} = knowledge;
+	const {intake, deliveries, observer} = createRequestHandling(
+		options,
+		knowledge,
+		() => {
+			ticks.reschedule();
+		},
+	);
 	const probes = createServerProbes({
 		client,
 		fleet,
@@ -352,20 +72,6 @@
 			mirror.routes()?.service(service)?.healthPath ?? '/',
 	});
 
-	let front: FrontListener | undefined;
-	let peers: PeerListener | undefined;
-	let timer: NodeJS.Timeout | undefined;
-	let isLeaving = false;
-
-	const readContext = (): ReadContext => ({
-		names: headers,
-		routes: mirror.routes(),
-		areRoutesFresh:
-			clock() - (follower.confirmedAt() ?? -Infinity) < freshRoutesMs,
-		now: clock(),
-	});
-
-	const intake = createRequestIntake({deliveries, observer, readContext});
 	const peerAddresses = [
 		options.peerAddress,
 		...(options.contactAddress === undefined ? [] : [options.contactAddress]),
@@ -375,21 +81,14 @@
 		questions,
 		seeds: options.seeds,
 		ownAddresses: peerAddresses,
-		random,
+		random: knowledge.random,
 	});
 	const loadStatement = createLoadStatement(mesh, fleet, mirror);
 
-	const scheduleTick = () => {
-		const isWaiting = deliveries.waiting() > 0;
-		clearTimeout(timer);
-		timer = setTimeout(tick, isWaiting ? waitingTickMs : gatewayTickMs);
-	};
-
-	const tick = () => {
-		scheduleTick();
+	const ticks = createTickSchedule(deliveries.waiting, () => {
 		const now = clock();
 		mesh.tick(now);
-		follower.tick(now);
+		registry.tick(now);
 		for (const server of fleet.tick(now)) {
 			logger.warn({server}, 'backend server silent');
 			deliveries.serverSilent(server);
@@ -401,7 +100,27 @@
 		observer.tick(now);
 		joiner.tick(now);
 		loadStatement.tick(now);
-	};
+	});
+
+	let isLeaving = false;
+	const listeners = createGatewayListeners({
+		peers: {
+			addresses: peerAddresses,
+			members: () => [mesh.self(), ...mesh.others()],
+			registryAfter: registry.answer,
+			relayedAfter: registry.relayedAnswer,
+			promptsAfter: prompts.answer,
+			onForwarded: intake.takeForwarded,
+		},
+		callers: {
+			address: options.callerAddress,
+			isLeaving: () => isLeaving,
+			onRequest: intake.take,
+			onUnreadable(reason) {
+				observer.rejected('', `unreadable: ${reason}`, 400);
+			},
+		},
+	});
 
 	const isIdleWithin = async (timeoutMs: number): Promise<boolean> => {
 		const until = clock() + timeoutMs;
@@ -417,29 +136,10 @@
 	return {
 		async start() {
 			// Before the listeners: callers that come while a node starts wait for the first routes.
-			follower.start();
+			registry.start();
 			await mesh.start();
-			peers = await startPeerListener({
-				addresses: peerAddresses,
-				members: () => [mesh.self(), ...mesh.others()],
-				registryAfter: (revision) =>
-					mirror.revision() === 0
-						? {kind: 'unavailable', reason: 'nothing known yet'}
-						: mirror.answerFor(revision, clock()),
-				relayedAfter: relay.answer,
-				promptsAfter: prompts.answer,
-				onForwarded: intake.takeForwarded,
-			});
-			front = await startFrontListener({
-				address: options.callerAddress,
-				limits: initialLimits,
-				isLeaving: () => isLeaving,
-				onRequest: intake.take,
-				onUnreadable(reason) {
-					observer.rejected('', `unreadable: ${reason}`, 400);
-				},
-			});
-			tick();
+			await listeners.start();
+			ticks.start();
 			joiner.askNow();
 			logger.info({node: options.id, ownRegion}, 'gateway started');
 		},
@@ -451,18 +151,17 @@
 			await new Promise((resolve) => {
 				setTimeout(resolve, Math.min(settleMs, timeoutMs));
 			});
-			front?.finish();
+			listeners.finish();
 			return isIdleWithin(timeoutMs - (settled - clock()) - settleMs);
 		},
 		async stop() {
-			clearTimeout(timer);
+			ticks.stop();
 			prompts.stop();
 			await Promise.all([
 				options.caches?.close(),
-				follower.stop(),
+				registry.stop(),
 				mesh.stop(),
-				front?.close(),
-				peers?.close(),
+				listeners.close(),
 				questions.close(),
 				client.close(),
 			]);
@@ -475,7 +174,7 @@
 			);
 			return entriesFor({
 				members: all,
-				regionOf,
+				regionOf: knowledge.regionOf,
 				region,
 				availabilityZone,
 			}).map(({callerAddress}) => callerAddress);
@@ -485,9 +184,6 @@
 	};
 };
 
-// How long a node that could not be reached is sent nothing, in milliseconds.
-const peerPauseMs = 1500;
-
 // How long a leaving node goes on taking connections, in milliseconds: callers keep what the
 // directory told them for some seconds.
 const settleMs = 3500;
