--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -175,8 +175,8 @@
 		await Promise.all(
 			Array.from({length: 20}, async () => ask(address, '/plain/c')),
 		);
-		assert.equal(servers[0]!.ran.length, ranBefore);
-		assert.ok(late.ran.length > 20);
+		t.assert.strictEqual(servers[0]!.ran.length, ranBefore);
+		t.assert.ok(late.ran.length > 20);
 	});
 
 	test('the metrics count what was answered', async () => {
@@ -228,8 +228,8 @@
 		}),
 	);
 	const {status, text} = await early;
-	assert.equal(status, 200);
-	assert.equal(text, 'done');
+	t.assert.strictEqual(status, 200);
+	t.assert.strictEqual(text, 'done');
 });
 
 test('a request that comes while the registry stays away is refused as not run', async (t: TestContext) => {
@@ -238,7 +238,7 @@
 	deployment.registry.setUp(false);
 	const [address = ''] = deployment.callerAddresses;
 	const {status} = await ask(address, '/plain/a');
-	assert.equal(status, 503);
+	t.assert.strictEqual(status, 503);
 });
 
 test('the bounds of routes hold that came before the listener for callers was up', async (t: TestContext) => {
@@ -253,5 +253,5 @@
 	const [address = ''] = deployment.callerAddresses;
 	await until(() => deployment.nodes[0]!.isReady());
 	const {status} = await ask(address, '/a/b');
-	assert.equal(status, 413);
+	t.assert.strictEqual(status, 413);
 });
