Drop answers for other attempts without ending the node

The node's log ends with an unhandled 'error' event (UND_ERR_ABORTED): judgeAnswer destroyed the unread body, and an unread body that is destroyed emits an error. While the answer is still arriving, the library listens to that error itself; once it has arrived whole nothing does, and the process ends. So one foreign answer at the wrong moment ended a node.

Other readers of answers (registry, peers' questions, administration) read them whole and were not at fault; the forwarding of the platform's node does not use such bodies.

--- a/src/engines/engine-client.ts
+++ b/src/engines/engine-client.ts
@@ -6,7 +6,7 @@
 import type {LoadReport} from '../fleet/index.ts';
 import type {AttemptFailure} from '../retries/index.ts';
 import type {ClearedRegion} from '../routing/index.ts';
-import type {Address} from '../shared/index.ts';
+import {dropBody, type Address} from '../shared/index.ts';
 
 /**
 A request as it is sent to a backend server.
@@ -186,7 +186,7 @@
 	}
 
 	if (answer.headers[attemptHeader] !== attemptId) {
-		answer.body.destroy();
+		dropBody(answer.body);
 		return Result.err(foreignAnswer());
 	}
 
--- a/src/peers/peer-calls.ts
+++ b/src/peers/peer-calls.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import type {Readable} from 'node:stream';
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {Agent, request, fetch as undiciFetch} from 'undici';
 import {Result} from 'true-myth';
@@ -17,7 +18,7 @@
 import type {NodeReport} from '../reporting/index.ts';
 import type {AttemptFailure} from '../retries/index.ts';
 import type {ClearedRegion} from '../routing/index.ts';
-import type {Address} from '../shared/index.ts';
+import {dropBody, type Address} from '../shared/index.ts';
 import type {ForwardCall, ForwardEnvelope} from './forward-call.ts';
 import type {PeerRouter, PeerState} from './peer-router.ts';
 import type {Sealer} from './seal.ts';
@@ -173,10 +174,7 @@
 	};
 };
 
-type AnswerBody = AsyncIterable<Buffer> & {
-	json(): Promise<unknown>;
-	destroy(): unknown;
-};
+type AnswerBody = Readable & {json(): Promise<unknown>};
 
 const judgeAnswer = async (
 	status: number,
@@ -191,7 +189,7 @@
 	}
 
 	if (headers[attemptHeader] !== attemptId) {
-		body.destroy();
+		dropBody(body);
 		return Result.err({
 			outcome: 'unknown',
 			isStated: true,
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -4,3 +4,4 @@
 export * from './address.ts';
 export * from './keyed-loops.ts';
 export * from './held-calls.ts';
+export * from './drop-body.ts';
