Send requests to another region over connections that rest

Cause: requests that crossed regions took 289 ms in the middle where the way there and back takes 110 and the work there 28. The node was drawn anew from all of the region, and with tens of nodes each pair had no open connection: opening one takes a whole way there and back more. Connections also closed after 10 s.

Change: among the nodes of the region that is chosen, those to which a connection rests go first, by turns; connections between nodes rest 30 s. A busy connection does not rest, so a burst still spreads over more nodes.

Ruled out: waiting in line (logged waits were 0) and the nodes there (28 ms).

--- a/benchmarks/run.ts
+++ b/benchmarks/run.ts
@@ -8,6 +8,7 @@
 import {measureMembership} from './membership.ts';
 import {measureMemory} from './memory.ts';
 import {measureOverhead} from './overhead.ts';
+import {measureProcessor} from './processor.ts';
 import {measureRouting} from './routing.ts';
 import type {Row} from './table.ts';
 
@@ -27,6 +28,7 @@
 	control: measureControl,
 	routing: () => measureRouting(values.only),
 	overhead: measureOverhead,
+	processor: measureProcessor,
 };
 
 const chosen = positionals.length > 0 ? positionals : Object.keys(benchmarks);
--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -84,6 +84,10 @@
 	*/
 	forget(key: string): void;
 	connectionsOpened(): number;
+	/**
+	Whether a connection under the key is open and carries no call.
+	*/
+	hasRestingConnection(key: string): boolean;
 	close(): Promise<void>;
 };
 
@@ -180,6 +184,7 @@
 			void pool?.close().catch(() => undefined);
 		},
 		connectionsOpened: () => opened,
+		hasRestingConnection: (key) => (pools.get(key)?.stats.free ?? 0) > 0,
 		async close() {
 			const all = pools.values().toArray();
 			pools.clear();
--- a/src/gateway/choose-upstream.ts
+++ b/src/gateway/choose-upstream.ts
@@ -50,6 +50,10 @@
 		exchange: Exchange,
 		part: string,
 	) => string | undefined;
+	/**
+	Whether a request to a node would need no new connection.
+	*/
+	readonly hasRestingConnection: (member: Member) => boolean;
 	readonly random: Random;
 };
 
@@ -113,11 +117,7 @@
 			.filter(({id}) => !tried.members.has(id));
 		return slots === 0 || members.length === 0
 			? undefined
-			: {
-					region,
-					member: members[options.random.below(members.length)]!,
-					cost: load / slots,
-				};
+			: {region, members, cost: load / slots};
 	};
 
 	const leastLoaded = (
@@ -147,6 +147,16 @@
 		return remote && remote.cost < fullestHome ? remote : undefined;
 	};
 
+	// Opening a connection takes as long as the way to another region and back.
+	const toPeer = ({members, region}: Remote): UpstreamChoice => {
+		const connected = members.filter((each) =>
+			options.hasRestingConnection(each),
+		);
+		const candidates = connected.length > 0 ? connected : members;
+		const member = candidates[options.random.below(candidates.length)]!;
+		return {kind: 'peer', member, region};
+	};
+
 	return (exchange, tried, placement, now) => {
 		// A request that came from another node is never sent on: that rules out loops.
 		const home = exchange.hop
@@ -178,15 +188,9 @@
 
 type Remote = {
 	readonly region: string;
-	readonly member: Member;
+	readonly members: readonly Member[];
 	/**
 	Its load by its room.
 	*/
 	readonly cost: number;
 };
-
-const toPeer = ({member, region}: Remote): UpstreamChoice => ({
-	kind: 'peer',
-	member,
-	region,
-});
--- a/src/gateway/gateway-chooser.ts
+++ b/src/gateway/gateway-chooser.ts
@@ -1,4 +1,8 @@
-import type {BackendFleet, ServiceLoad} from '../backends/index.ts';
+import type {
+	BackendFleet,
+	ServiceLoad,
+	UpstreamClient,
+} from '../backends/index.ts';
 import type {Member} from '../membership/index.ts';
 import type {Mesh} from '../mesh/index.ts';
 import {isRegionAllowed} from '../routes/index.ts';
@@ -8,6 +12,7 @@
 	type UpstreamChooser,
 } from './choose-upstream.ts';
 import type {Exchange} from './exchange.ts';
+import {peerKey} from './peer-connections.ts';
 import type {PlacementView} from './placement-view.ts';
 import {findPromptHome} from './prompt-home.ts';
 
@@ -39,6 +44,7 @@
 	Whether a backend server is known to keep a prompt part.
 	*/
 	readonly keeps: (server: string, part: string) => boolean;
+	readonly client: Pick<UpstreamClient, 'hasRestingConnection'>;
 	readonly random: Random;
 	readonly clock: () => number;
 };
@@ -66,6 +72,8 @@
 			regions: options.regions,
 			loadIn: (region, service) => loadIn(options, region, service),
 			promptRegion: (exchange, part) => promptRegion(options, exchange, part),
+			hasRestingConnection: (member) =>
+				options.client.hasRestingConnection(peerKey(member)),
 			random: options.random,
 		}),
 		peerFailed({id}) {
--- /dev/null
+++ b/src/gateway/peer-connections.ts
@@ -0,0 +1,13 @@
+// Connections to nodes of other regions: what names them, and how many there may be.
+import type {Member} from '../membership/index.ts';
+
+/**
+Connections to one node of another region; a request holds one as long as its stream runs.
+*/
+export const connectionsToPeer = 256;
+
+/**
+Names the connections to one life of a node, for the client that keeps them.
+*/
+export const peerKey = ({id, incarnation}: Member): string =>
+	`node ${id}/${incarnation}`;
--- a/src/gateway/send-run.ts
+++ b/src/gateway/send-run.ts
@@ -4,6 +4,7 @@
 import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
 import {giveUpRun, leaveLine} from './end-run.ts';
 import {encodeHopCall} from './hop.ts';
+import {connectionsToPeer, peerKey} from './peer-connections.ts';
 import {createAnswerListener} from './pass-answer.ts';
 import type {WaitingRequest} from './waiting-requests.ts';
 import {lastEventIdHeader} from './wire-headers.ts';
@@ -24,11 +25,6 @@
 // At a node that has just started a request waits for this part of its time at the most.
 const startPatiencePart = 0.4;
 
-/**
-Connections to one node of another region; a request holds one as long as its stream runs.
-*/
-export const connectionsToPeer = 256;
-
 /**
 Sends a request to the best place that it may still go to. Without room anywhere it waits, unless
 the node that forwarded it may know a better place.
@@ -172,7 +168,7 @@
 		run,
 		{attempt: undefined, server: undefined, member, region},
 		{
-			key: `node ${member.id}/${member.incarnation}`,
+			key: peerKey(member),
 			address: member.peerAddress,
 			maximumConnections: connectionsToPeer,
 			headers: onwardHeaders(context, run, hopCall),
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -129,7 +129,7 @@
 	});
 
 // How long connections between nodes rest, in milliseconds.
-const idleMs = 10_000;
+const idleMs = 30_000;
 // New connections that may wait to be taken; a full queue costs a caller seconds.
 const backlog = 1024;
 
--- a/tests/backends/upstream-client.test.ts
+++ b/tests/backends/upstream-client.test.ts
@@ -6,6 +6,7 @@
 	type UpstreamCall,
 	type UpstreamHead,
 } from '../../src/backends/index.ts';
+import {until} from '../until.ts';
 
 type Seen = {
 	readonly head: UpstreamHead | undefined;
@@ -189,3 +190,27 @@
 	});
 	t.assert.strictEqual(size, 200_000);
 });
+
+test('a connection rests after an answer, and not before one or while a call is under way', async (t: TestContext) => {
+	const client = setUp(t);
+	const waiting: Socket[] = [];
+	const address = await startServer(t, (socket, count) => {
+		if (count === 1) {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi');
+		} else {
+			waiting.push(socket);
+		}
+	});
+	t.assert.strictEqual(client.hasRestingConnection(address), false);
+	const isResting = () => client.hasRestingConnection(address);
+	await ask(client, address);
+	await until(isResting);
+	t.assert.strictEqual(isResting(), true);
+	const second = ask(client, address);
+	t.assert.strictEqual(client.hasRestingConnection(address), false);
+	await until(() => waiting.length === 1, 100);
+	waiting[0]!.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi');
+	await second;
+	await until(isResting);
+	t.assert.strictEqual(isResting(), true);
+});
--- a/tests/gateway/choose-upstream.test.ts
+++ b/tests/gateway/choose-upstream.test.ts
@@ -26,6 +26,8 @@
 	readonly loads?: Readonly<Record<string, ServiceLoad>>;
 	readonly promptRegion?: string;
 	readonly members?: readonly string[];
+	readonly nodesPerRegion?: number;
+	readonly connected?: readonly string[];
 }) => {
 	const fleet = createBackendFleet(
 		fleetOptionsOf({
@@ -60,10 +62,13 @@
 		regions: ['home', 'near', 'far'],
 		membersIn: (region) =>
 			(options.members ?? ['near', 'far']).includes(region)
-				? [memberOf(`node-${region}`, region)]
+				? Array.from({length: options.nodesPerRegion ?? 1}, (_, index) =>
+						memberOf(`node-${region}-${index}`, region),
+					)
 				: [],
 		loadIn: (region) => options.loads?.[region] ?? {load: 0, slots: 8},
 		promptRegion: () => options.promptRegion,
+		hasRestingConnection: ({id}) => options.connected?.includes(id) ?? false,
 		random: createRandom(1),
 	});
 	return {fleet, choose};
@@ -156,3 +161,25 @@
 	const tried = {regions: new Set(['far', 'near']), members: new Set<string>()};
 	assert.equal(regionOf(choose(exchange, tried, placementOf(), 0)), 'full');
 });
+
+test('nodes to which a connection rests go first, by turns, and any node where there is none', () => {
+	const chosen = (connected: readonly string[]) => {
+		const {choose} = setUp({localServers: 0, nodesPerRegion: 6, connected});
+		const members = new Set<string>();
+		for (let turn = 0; turn < 200; turn += 1) {
+			const choice = choose(exchangeOf(), nothingTried, placementOf(), 0);
+			assert.equal(choice.kind, 'peer');
+			if (choice.kind === 'peer') {
+				members.add(choice.member.id);
+			}
+		}
+
+		return [...members].toSorted();
+	};
+
+	assert.deepEqual(chosen(['node-near-2', 'node-near-4']), [
+		'node-near-2',
+		'node-near-4',
+	]);
+	assert.equal(chosen([]).length, 6);
+});
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -57,6 +57,7 @@
 			},
 			forget: () => undefined,
 			connectionsOpened: () => 0,
+			hasRestingConnection: () => false,
 			close: async () => undefined,
 		},
 		choose: (exchange, _tried, placement) => fleet.choose(placement, now),
