Ask a node again after a fault of its backend server

Cause: of the light requests that came late over regions nearly all were second tries after a fault of the first backend server. The node that had passed the fault on was left out, so the second try went to another node of the same region, mostly over a connection that had to be opened first.

Change: a node that passes on a fault of a backend server, or says which one it tried, is not left out; one whose connection broke or which had no room still is.

--- a/src/gateway/fail-call.ts
+++ b/src/gateway/fail-call.ts
@@ -82,18 +82,30 @@
 	});
 };
 
+/**
+Takes in that a node is well and its backend server is not: the node may be asked again, which spares
+a new connection.
+*/
+export const notAtFault = (run: DeliveryRun, {member}: CurrentCall): void => {
+	if (member) {
+		run.members.delete(member.id);
+	}
+};
+
 /**
 Takes in that another node refused the request.
 */
 export const nodeRefused = (
 	context: DeliveryContext,
 	run: DeliveryRun,
-	{region}: CurrentCall,
+	current: CurrentCall,
 	{outcome, reason, tried}: Extract<HopResult, {kind: 'refused'}>,
 ): void => {
 	// Without a server that was tried, the region had no room; another node of it has none either.
-	if (region !== undefined && tried.length === 0) {
-		run.regions.add(region);
+	if (tried.length > 0) {
+		notAtFault(run, current);
+	} else if (current.region !== undefined) {
+		run.regions.add(current.region);
 	}
 
 	failCall(context, run, {
--- a/src/gateway/pass-answer.ts
+++ b/src/gateway/pass-answer.ts
@@ -8,7 +8,7 @@
 } from './delivery-run.ts';
 import {closeRun, endCurrentCall, recordRun} from './end-run.ts';
 import {createEventRelay} from './event-relay.ts';
-import {callBroke, failCall, nodeRefused} from './fail-call.ts';
+import {callBroke, failCall, nodeRefused, notAtFault} from './fail-call.ts';
 import {decodeHopResult, hopHeaderNames} from './hop.ts';
 import {judgeHead} from './judge-head.ts';
 import {forwardableHeaders} from './wire-headers.ts';
@@ -114,6 +114,7 @@
 
 		case 'fault': {
 			run.hasFaultAnswer ||= head.status >= 500;
+			notAtFault(run, current);
 			failCall(context, run, {...verdict.fault, reachedServer: true});
 			return 'dropped';
 		}
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -8,6 +8,7 @@
 	type UpstreamListener,
 } from '../../src/backends/index.ts';
 import type {GatewayError} from '../../src/errors/index.ts';
+import type {UpstreamChooser} from '../../src/gateway/choose-upstream.ts';
 import {createDeliveries} from '../../src/gateway/delivery.ts';
 import type {
 	AnswerSink,
@@ -16,7 +17,9 @@
 } from '../../src/gateway/exchange.ts';
 import {createWindowRetryBudget} from '../../src/retries/index.ts';
 import type {Route} from '../../src/routes/index.ts';
+import {hopHeaders} from '../../src/gateway/hop.ts';
 import {startPatienceMs} from '../../src/gateway/send-run.ts';
+import {memberOf} from '../fixtures.ts';
 import {
 	exchangeOf,
 	fleetOptionsOf,
@@ -32,7 +35,12 @@
 };
 
 // A gateway of one region with backend servers that the test plays itself.
-const setUp = (servers: readonly string[], slack = 1000, hasSettled = true) => {
+const setUp = (
+	servers: readonly string[],
+	slack = 1000,
+	hasSettled = true,
+	choose?: UpstreamChooser,
+) => {
 	let now = 0;
 	const clock = () => now;
 	const sent: Sent[] = [];
@@ -60,7 +68,9 @@
 			hasRestingConnection: () => false,
 			close: async () => undefined,
 		},
-		choose: (exchange, _tried, placement) => fleet.choose(placement, now),
+		choose:
+			choose ??
+			((_exchange, _tried, placement) => fleet.choose(placement, now)),
 		budget: createWindowRetryBudget({ratio: 0, windowMs: 10_000, slack}),
 		nodes: () => 1,
 		hasSettled: () => hasSettled,
@@ -326,3 +336,45 @@
 	assert.deepEqual(told, [4000, 3000]);
 	assert.ok(sent[1]!.call.headers.includes('x-test-expected'));
 });
+
+// The only other node, as long as the request may still go to it.
+const chooseOtherNode: UpstreamChooser = (_exchange, {members}) =>
+	members.has('node-2')
+		? {kind: 'none'}
+		: {kind: 'peer', member: memberOf('node-2', 'far'), region: 'far'};
+
+test('a node is asked again after a fault of its backend server', () => {
+	const {deliveries, sent} = setUp([], 1000, true, chooseOtherNode);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({maximumAttempts: 3}), sink);
+	answer(sent[0]!, 500, {
+		...signed,
+		[hopHeaders.result]: 'answered',
+		[hopHeaders.tried]: 'a',
+	});
+	assert.equal(sent.length, 2);
+	answer(sent[1]!, 503, {
+		[hopHeaders.result]: 'refused',
+		[hopHeaders.tried]: 'b',
+		[hopHeaders.outcome]: 'not-run',
+	});
+	assert.equal(sent.length, 3);
+	answer(sent[2]!, 200, {
+		...signed,
+		[hopHeaders.result]: 'answered',
+		[hopHeaders.tried]: 'c',
+	});
+	sent[2]!.listener.onEnd();
+	assert.equal(seen.status, 200);
+});
+
+test('a node is not asked again after its connection broke, or after it had no room', () => {
+	const broken = setUp([], 1000, true, chooseOtherNode);
+	broken.deliveries.deliver(exchangeFor({}), createSink().sink);
+	broken.sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	assert.equal(broken.sent.length, 1);
+	const full = setUp([], 1000, true, chooseOtherNode);
+	full.deliveries.deliver(exchangeFor({}), createSink().sink);
+	answer(full.sent[0]!, 503, {[hopHeaders.result]: 'refused'});
+	assert.equal(full.sent.length, 1);
+});
