Keep some connections to each other region open

Cause: the first request to another region, and each that met busy connections, still waited for a connection to be opened: a whole way there and back.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,5 @@
 import type {Address} from '../shared/index.ts';
+import {createConnectionWarmer} from './connection-warmer.ts';
 import {entriesFor} from './entry-members.ts';
 import {createGatewayListeners} from './gateway-listeners.ts';
 import type {GatewayOptions} from './gateway-options.ts';
@@ -84,6 +85,12 @@
 		random: knowledge.random,
 	});
 	const loadStatement = createLoadStatement(mesh, fleet, mirror);
+	const warmer = createConnectionWarmer({
+		client,
+		otherRegions: knowledge.regions.filter((region) => region !== ownRegion),
+		membersIn: mesh.usableIn,
+		random: knowledge.random,
+	});
 
 	const ticks = createTickSchedule(deliveries.waiting, () => {
 		const now = clock();
@@ -100,6 +107,7 @@
 		observer.tick(now);
 		joiner.tick(now);
 		loadStatement.tick(now);
+		warmer.tick(now);
 	});
 
 	let isLeaving = false;
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -19,6 +19,10 @@
 	registry: '/quillford/registry',
 	relay: '/quillford/registry-relay',
 	prompts: '/quillford/prompts',
+	/**
+	Answers nothing: the connection is what is wanted.
+	*/
+	rest: '/quillford/rest',
 } as const;
 
 /**
@@ -50,6 +54,7 @@
 	) => void;
 };
 
+const noContent = 204;
 const notFound = 404;
 
 /**
@@ -80,6 +85,11 @@
 			return;
 		}
 
+		if (target === peerPaths.rest) {
+			response.writeHead(noContent).end();
+			return;
+		}
+
 		if (target.startsWith('/quillford/')) {
 			response.writeHead(notFound).end();
 			return;
