--- a/src/gateway/connection-warmer.ts
+++ b/src/gateway/connection-warmer.ts
@@ -87,10 +87,12 @@
 	// A node that does not answer must not keep its region from being warmed.
 	const giveUpLate = (now: number) => {
 		for (const [region, {call, since}] of opening) {
-			if (now - since >= warmTimeoutMs) {
-				call.abort();
-				opening.delete(region);
+			if (now - since < warmTimeoutMs) {
+				continue;
 			}
+
+			call.abort();
+			opening.delete(region);
 		}
 	};
 
