Send long prompts for one server by way of one node, with room for them

Every node saw its own requests only: a server with four prompts to read looked idle to the fifth node. And a node's room at a server is its slots by the number of nodes, two to three, so that a node with several prompts for one server sent the rest elsewhere.

Change: a prompt for another region goes to the node of that region that is drawn by the server which keeps it (or is to read it), so one node knows nearly all prompts for that server; for long prompts a node's room counts with three nodes at the most; where no server keeps a part, another than the first by hash may read it when that one is busy.

--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -58,12 +58,21 @@
 const engineRoom = 1.5;
 const plainRoom = 2;
 
+// Long prompts for one server come by way of few nodes: the one that other regions send them to, and
+// those of its own region that have callers for the same part. With room by the number of all nodes
+// half of the prompts met a server that this node had no room at, and were read again elsewhere.
+const nodesOfLongPrompts = 3;
+
 // As much prompt as delays the requests behind it about as much as a full server does, in tokens.
 const promptTokensOfFull = 40_000;
 
 // Reading a shared part again takes its time from the other requests too, and is paid for, so it
 // counts for more than the same wait behind another prompt.
-const rereadFactor = 2;
+const anotherReadFactor = 2;
+
+// Where no server keeps a part one has to read it: the first in the order of its hash, for there the
+// other nodes look for it, unless another is less busy by more than this counts.
+const firstReadFactor = 0.5;
 
 // What a server of another zone of the region is worse by: the bytes between zones are paid for.
 const otherZoneCost = 0.15;
@@ -91,10 +100,10 @@
 
 	// Asked once: it counts all nodes of the region, and there may be as many servers as nodes.
 	const nodes = options.nodesServing();
-	const holds = holderTest(options, candidates, placement);
+	const rereadFactorOf = rereadFactors(options, candidates, placement);
 	let best: {readonly state: ServerState; readonly cost: number} | undefined;
 	for (const state of candidates) {
-		const room = roomOf(options, state, nodes);
+		const room = roomOf(options, state, nodes, placement);
 		if (state.inFlight >= room || !hasColdRoom(options, state, now)) {
 			continue;
 		}
@@ -102,8 +111,7 @@
 		const cost =
 			costOf(options, state, room) +
 			options.draw() * alikeCost +
-			((holds(state) ? 0 : (placement.sharedPart?.tokens ?? 0)) *
-				rereadFactor) /
+			((placement.sharedPart?.tokens ?? 0) * rereadFactorOf(state)) /
 				promptTokensOfFull;
 		if (!best || cost < best.cost) {
 			best = {state, cost};
@@ -133,10 +141,12 @@
 	{service}: ServerChoiceOptions,
 	{known: {server}}: ServerState,
 	nodes: number,
+	{sharedPart}: Placement,
 ): number => {
 	const isEngine = service(server.service)?.engine !== undefined;
 	const whole = server.slots * (isEngine ? engineRoom : plainRoom);
-	return Math.max(1, Math.ceil(whole / nodes));
+	const sharers = sharedPart ? Math.min(nodes, nodesOfLongPrompts) : nodes;
+	return Math.max(1, Math.ceil(whole / sharers));
 };
 
 const hasColdRoom = (
@@ -186,24 +196,25 @@
 	state.pendingTokens / promptTokensOfFull +
 	state.failureRate * failureCost;
 
-// What this node sent lately counts, for engines tell of their memory late. Where no server is known
-// to keep the part, the first in the order of its hash is taken to, for every node sends it there.
-const holderTest = (
+// What a server without the part counts for. What this node sent lately counts as kept, for engines tell
+// of their memory late.
+const rereadFactors = (
 	{keeps}: ServerChoiceOptions,
 	candidates: readonly ServerState[],
 	{sharedPart}: Placement,
-): ((state: ServerState) => boolean) => {
+): ((state: ServerState) => number) => {
 	if (!sharedPart) {
-		return () => true;
+		return () => 0;
 	}
 
 	const {id} = sharedPart;
 	const isKeeper = ({known, memory}: ServerState) =>
 		keeps(known.server.id, id) || memory.has(id);
-	if (candidates.some(({known}) => keeps(known.server.id, id))) {
-		return isKeeper;
+	const keepers = new Set(candidates.filter((state) => isKeeper(state)));
+	if (keepers.size > 0) {
+		return (state) => (keepers.has(state) ? 0 : anotherReadFactor);
 	}
 
 	const first = heaviest(candidates, id);
-	return (state) => state === first || isKeeper(state);
+	return (state) => (state === first ? 0 : firstReadFactor);
 };
--- a/src/gateway/choose-upstream.ts
+++ b/src/gateway/choose-upstream.ts
@@ -6,8 +6,9 @@
 } from '../backends/index.ts';
 import type {Member} from '../membership/index.ts';
 import {isRegionAllowed} from '../routes/index.ts';
-import type {Random} from '../shared/index.ts';
+import {rendezvousFirst, type Random} from '../shared/index.ts';
 import type {Exchange} from './exchange.ts';
+import type {PromptHolder} from './prompt-home.ts';
 
 /**
 Where a request goes next.
@@ -44,12 +45,12 @@
 	*/
 	readonly loadIn: (region: string, service: string) => ServiceLoad;
 	/**
-	The region of the backend server by which a shared prompt part is placed.
+	The backend server by which a shared prompt part is placed, with its region.
 	*/
-	readonly promptRegion: (
+	readonly promptHome: (
 		exchange: Exchange,
 		part: string,
-	) => string | undefined;
+	) => PromptHolder | undefined;
 	/**
 	Whether a request to a node would need no new connection.
 	*/
@@ -141,10 +142,11 @@
 		tried: Tried,
 		{sharedPart}: Placement,
 	): Remote | undefined => {
-		const region = sharedPart && options.promptRegion(exchange, sharedPart.id);
-		const remote =
-			region === undefined ? undefined : remoteIn(region, exchange, tried);
-		return remote && remote.cost < fullestHome ? remote : undefined;
+		const home = sharedPart && options.promptHome(exchange, sharedPart.id);
+		const remote = home && remoteIn(home.region, exchange, tried);
+		return remote && remote.cost < fullestHome
+			? {...remote, members: nodeFor(home, remote.members)}
+			: undefined;
 	};
 
 	// Opening a connection takes as long as the way to another region and back.
@@ -194,3 +196,13 @@
 	*/
 	readonly cost: number;
 };
+
+// Long prompts for one server go by way of one node of its region: it knows of all of them that are
+// under way, and nodes with requests of their own would each see a server that has nothing to read.
+const nodeFor = (
+	{id: server}: PromptHolder,
+	members: readonly Member[],
+): readonly Member[] => {
+	const node = rendezvousFirst(server, members, ({id}) => id);
+	return node ? [node] : [];
+};
--- a/src/gateway/gateway-chooser.ts
+++ b/src/gateway/gateway-chooser.ts
@@ -14,7 +14,7 @@
 import type {Exchange} from './exchange.ts';
 import {peerKey} from './peer-connections.ts';
 import type {PlacementView} from './placement-view.ts';
-import {findPromptHome} from './prompt-home.ts';
+import {findPromptHome, type PromptHolder} from './prompt-home.ts';
 
 /**
 Chooses where requests go, by what this node knows of other nodes and regions.
@@ -71,7 +71,7 @@
 				mesh.usableIn(region).filter((each) => isReachable(each)),
 			regions: options.regions,
 			loadIn: (region, service) => loadIn(options, region, service),
-			promptRegion: (exchange, part) => promptRegion(options, exchange, part),
+			promptHome: (exchange, part) => promptHome(options, exchange, part),
 			hasRestingConnection: (member) =>
 				options.client.hasRestingConnection(peerKey(member)),
 			random: options.random,
@@ -100,22 +100,23 @@
 };
 
 // Servers that keep the part go before those that would have to read it, the own region's first.
-const promptRegion = (
+const promptHome = (
 	{ownRegion, placement, keeps}: GatewayChooserOptions,
 	{route, service}: Exchange,
 	part: string,
-): string | undefined => {
+): PromptHolder | undefined => {
 	const holders = placement
 		.holders(service)
 		.filter(({region}) => isRegionAllowed(route, region));
 	const keepers = holders.filter(({id}) => keeps(id, part));
-	if (keepers.some(({region}) => region === ownRegion)) {
-		return ownRegion;
+	const near = keepers.find(({region}) => region === ownRegion);
+	if (near) {
+		return near;
 	}
 
 	return findPromptHome(
 		part,
 		keepers.length > 0 ? keepers : holders,
 		placement.weights(route),
-	)?.region;
+	);
 };
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -158,3 +158,48 @@
 	});
 	assert.deepEqual(chosen, ['a', 'b']);
 });
+
+test('a long prompt that nobody keeps is read where less is to be read, one that is kept stays longer', () => {
+	const placement = placementOf({sharedPart: part, promptTokens: 17_000});
+	const other = placementOf({promptTokens: 20_000});
+	const home = idOf(setUp(['a', 'b', 'c']).choose(placement, 0));
+
+	const unknown = setUp(['a', 'b', 'c']);
+	unknown.begin(home, other, 0);
+	assert.notEqual(idOf(unknown.choose(placement, 0)), home);
+
+	const kept = setUp(['a', 'b', 'c'], {keeps: (server) => server === home});
+	kept.begin(home, other, 0);
+	assert.equal(idOf(kept.choose(placement, 0)), home);
+	kept.begin(home, other, 0);
+	assert.notEqual(idOf(kept.choose(placement, 0)), home);
+});
+
+test('where a long prompt was sent last, the next one with the same part goes too', () => {
+	const placement = placementOf({sharedPart: part, promptTokens: 17_000});
+	const fleet = setUp(['a', 'b', 'c']);
+	const home = idOf(fleet.choose(placement, 0));
+	fleet.begin(home, placementOf({promptTokens: 30_000}), 0);
+	const second = idOf(fleet.choose(placement, 0));
+	fleet.begin(second, placement, 0).started(1);
+	assert.notEqual(second, home);
+	assert.equal(idOf(fleet.choose(placement, 2)), second);
+});
+
+test('a node among many has more room for long prompts than for others', () => {
+	const short = placementOf();
+	const long = placementOf({sharedPart: part});
+	const taken = (placement: Placement) => {
+		const fleet = setUp(['a'], {nodesServing: () => 20});
+		let count = 0;
+		while (fleet.choose(placement, 0).kind === 'server') {
+			fleet.begin('a', placement, 0);
+			count += 1;
+		}
+
+		return count;
+	};
+
+	assert.equal(taken(short), 1);
+	assert.equal(taken(long), 4);
+});
--- a/tests/gateway/choose-upstream.test.ts
+++ b/tests/gateway/choose-upstream.test.ts
@@ -25,6 +25,7 @@
 	readonly localServers?: number;
 	readonly loads?: Readonly<Record<string, ServiceLoad>>;
 	readonly promptRegion?: string;
+	readonly promptServer?: string;
 	readonly members?: readonly string[];
 	readonly nodesPerRegion?: number;
 	readonly connected?: readonly string[];
@@ -67,7 +68,13 @@
 					)
 				: [],
 		loadIn: (region) => options.loads?.[region] ?? {load: 0, slots: 8},
-		promptRegion: () => options.promptRegion,
+		promptHome: () =>
+			options.promptRegion === undefined
+				? undefined
+				: {
+						id: options.promptServer ?? 'server',
+						region: options.promptRegion,
+					},
 		hasRestingConnection: ({id}) => options.connected?.includes(id) ?? false,
 		random: createRandom(1),
 	});
@@ -183,3 +190,27 @@
 	]);
 	assert.equal(chosen([]).length, 6);
 });
+
+test('long prompts for one server go by way of one node, those for others by way of others', () => {
+	const nodesFor = (promptServer: string) => {
+		const {choose} = setUp({
+			nodesPerRegion: 6,
+			promptRegion: 'far',
+			promptServer,
+			connected: ['node-far-0', 'node-far-1'],
+		});
+		const placement = placementOf({sharedPart: {id: 'p', tokens: 9000}});
+		return new Set(
+			Array.from({length: 50}, () => {
+				const choice = choose(exchangeOf(), nothingTried, placement, 0);
+				return choice.kind === 'peer' ? choice.member.id : choice.kind;
+			}),
+		);
+	};
+
+	assert.equal(nodesFor('server-1').size, 1);
+	const all = Array.from({length: 40}, (_, index) => [
+		...nodesFor(`server-${index}`),
+	]).flat();
+	assert.ok(new Set(all).size > 3);
+});
