Send long prompts for a server of the own region by way of one node too

Cause: a third of the long prompts have their server in the caller's region; their nodes still sent them straight, unseen by the node that sends all others to that server.

Change: they go to the node drawn by the server as well, one hop inside the region.

--- a/src/gateway/choose-upstream.ts
+++ b/src/gateway/choose-upstream.ts
@@ -33,6 +33,10 @@
 What the choice is made from.
 */
 export type UpstreamChooserOptions = {
+	/**
+	This node.
+	*/
+	readonly self: () => Member;
 	readonly ownRegion: string;
 	readonly fleet: BackendFleet;
 	/**
@@ -136,6 +140,18 @@
 		return best;
 	};
 
+	// Undefined where it is this node, or the node of the own region has no room.
+	const nodeNearby = (home: PromptHolder, tried: Tried): Remote | undefined => {
+		const self = options.self();
+		const others = options
+			.membersIn(ownRegion)
+			.filter(({id}) => !tried.members.has(id));
+		const [node] = nodeFor(home, [self, ...others]);
+		return !node || node.id === self.id || tried.regions.has(ownRegion)
+			? undefined
+			: {region: ownRegion, members: [node], cost: 0};
+	};
+
 	// Reading a long prompt again costs far more than the way to where it is kept.
 	const homeOfPrompt = (
 		exchange: Exchange,
@@ -143,6 +159,10 @@
 		{sharedPart}: Placement,
 	): Remote | undefined => {
 		const home = sharedPart && options.promptHome(exchange, sharedPart.id);
+		if (home?.region === ownRegion) {
+			return nodeNearby(home, tried);
+		}
+
 		const remote = home && remoteIn(home.region, exchange, tried);
 		return remote && remote.cost < fullestHome
 			? {...remote, members: nodeFor(home, remote.members)}
--- a/src/gateway/gateway-chooser.ts
+++ b/src/gateway/gateway-chooser.ts
@@ -65,6 +65,7 @@
 
 	return {
 		choose: createUpstreamChooser({
+			self: mesh.self,
 			ownRegion: options.ownRegion,
 			fleet: options.fleet,
 			membersIn: (region) =>
--- a/tests/gateway/choose-upstream.test.ts
+++ b/tests/gateway/choose-upstream.test.ts
@@ -58,6 +58,7 @@
 		0,
 	);
 	const choose = createUpstreamChooser({
+		self: () => memberOf('self', 'home'),
 		ownRegion: 'home',
 		fleet,
 		regions: ['home', 'near', 'far'],
@@ -214,3 +215,35 @@
 	]).flat();
 	assert.ok(new Set(all).size > 3);
 });
+
+test('a long prompt for a server of the own region goes by way of the node drawn by it, which may be this one', () => {
+	const placement = placementOf({sharedPart: {id: 'p', tokens: 9000}});
+	const chosen = Array.from({length: 60}, (_, index) => {
+		const {choose} = setUp({
+			members: ['home'],
+			promptRegion: 'home',
+			promptServer: `server-${index}`,
+		});
+		return regionOf(choose(exchangeOf(), nothingTried, placement, 0));
+	});
+	assert.deepEqual([...new Set(chosen)].toSorted(), ['home', 'server']);
+	const own = chosen.filter((region) => region === 'server').length;
+	assert.ok(own > 15 && own < 45);
+});
+
+test('a long prompt stays here where the node drawn for it had no room, or it was forwarded', () => {
+	const placement = placementOf({sharedPart: {id: 'p', tokens: 9000}});
+	for (let index = 0; index < 20; index += 1) {
+		const {choose} = setUp({
+			members: ['home'],
+			promptRegion: 'home',
+			promptServer: `server-${index}`,
+		});
+		const tried = {...nothingTried, regions: new Set(['home'])};
+		assert.equal(regionOf(choose(exchangeOf(), tried, placement, 0)), 'server');
+		assert.equal(
+			regionOf(choose(exchangeOf(forwarded), nothingTried, placement, 0)),
+			'server',
+		);
+	}
+});
