--- /dev/null
+++ b/src/node/node-controllers.ts
@@ -0,0 +1,119 @@
+import {
+	createControllerHost,
+	type ControllerHost,
+} from '../controllers/index.ts';
+import type {ParsedConfiguration} from '../configuration/index.ts';
+import {createConfigurationController} from './configuration-controller.ts';
+import {createFleetController} from './fleet-controller.ts';
+import {
+	createMembershipController,
+	type MembershipController,
+} from './membership-controller.ts';
+import type {NodeCore} from './node-core.ts';
+import {
+	createRecoveryController,
+	type RecoveryController,
+} from './recovery-controller.ts';
+import type {RequestPath} from './request-path.ts';
+import {createVmListController} from './vm-list-controller.ts';
+
+/**
+What keeps the state of a node up to date.
+*/
+export type NodeControllers = {
+	readonly host: ControllerHost;
+	readonly membership: MembershipController;
+	readonly recovery: RecoveryController;
+};
+
+/**
+Builds the controllers of one node and enters them with their host; none runs before the host starts.
+*/
+export const createNodeControllers = (
+	core: NodeCore,
+	path: Pick<RequestPath, 'limits' | 'capacity' | 'inFlight' | 'metrics'>,
+): NodeControllers => {
+	const {context} = core;
+	const {clock, configuration, digests, fleet} = context;
+	const {capacity, metrics, inFlight} = path;
+	const host = createControllerHost(clock, context.logger);
+	const fleetController = createFleetController({
+		context,
+		engines: core.engines,
+		limits: path.limits,
+		onCapacity: capacity.notify,
+	});
+	const membership = createMembershipController(
+		context,
+		core.codec,
+		core.translate,
+		{
+			onDigests: fleetController.heard,
+			onStamp(stamp, from) {
+				configurationController.heard(stamp, from);
+			},
+			onChanged(member) {
+				if (member.status === 'dead') {
+					fleet.handle({kind: 'peer-gone', node: member.id}, clock());
+				}
+			},
+		},
+	);
+	const configurationController = createConfigurationController(context, {
+		onAccepted(parsed: ParsedConfiguration) {
+			fleetController.configured(parsed);
+			membership.handle({kind: 'announce'});
+		},
+	});
+	const vmListController = createVmListController(context, {
+		onEntryVms(entryVms) {
+			membership.handle({kind: 'vm-list', entryVms});
+		},
+		onLeaving: fleetController.leaving,
+	});
+	const recovery = createRecoveryController({
+		context,
+		async askPlatform() {
+			const answers = await Promise.all([
+				configurationController.askPlatform(),
+				vmListController.ask(),
+			]);
+			return answers.includes('silent') ? 'silent' : 'answered';
+		},
+		onMembers(members) {
+			membership.handle({kind: 'state', members});
+		},
+		onDigests(entries) {
+			fleetController.heard(digests.apply(entries, clock()));
+		},
+		async onStamp(stamp, from) {
+			if (!configuration.isAhead(stamp)) {
+				return;
+			}
+
+			const read = await context.peers.readConfiguration(from);
+			if (read.isOk && read.value !== undefined) {
+				configurationController.offer(read.value, 'peer');
+			}
+		},
+	});
+	const waiting = {
+		name: 'waiting',
+		tick(now: number) {
+			capacity.expire(now);
+			metrics.gauge('in_flight', inFlight.count());
+		},
+	};
+	for (const controller of [
+		membership,
+		vmListController,
+		configurationController,
+		fleetController,
+		recovery,
+		waiting,
+	]) {
+		host.add(controller);
+	}
+
+	return {host, membership, recovery};
+};
--- /dev/null
+++ b/src/node/request-path.ts
@@ -0,0 +1,167 @@
+import {randomBytes} from 'node:crypto';
+import type {GatewayError} from '../errors/index.ts';
+import {createClientLimits, type ClientLimits} from '../limits/index.ts';
+import {
+	createMetrics,
+	createRecorder,
+	type Metrics,
+	type NodeReport,
+} from '../reporting/index.ts';
+import {
+	createAttempts,
+	createCapacityWait,
+	createInFlight,
+	createPermits,
+	createRequestChain,
+	createRequestExecutor,
+	createStreamRelay,
+	createTargetChooser,
+	type CapacityWait,
+	type InFlight,
+	type KeptAnswer,
+	type Permits,
+	type RequestChain,
+	type RequestExecutor,
+	type TargetChooser,
+} from '../requests/index.ts';
+import {createRetryBudget} from '../retries/index.ts';
+import type {NodeContext} from './node-context.ts';
+import type {NodeCore} from './node-core.ts';
+import {createPermitHolderCall} from './permit-holder-call.ts';
+
+/**
+What requests pass on their way through a node.
+*/
+export type RequestPath = {
+	readonly chain: RequestChain;
+	readonly executor: RequestExecutor;
+	readonly chooser: TargetChooser;
+	readonly limits: ClientLimits;
+	readonly capacity: CapacityWait;
+	readonly inFlight: InFlight;
+	readonly permits: Permits<KeptAnswer>;
+	readonly metrics: Metrics;
+	report(): NodeReport;
+};
+
+/**
+What requests wait for before they begin.
+*/
+export type RequestGate = {
+	/**
+	Why this node takes no request now; undefined where it does.
+	*/
+	readiness(): Promise<GatewayError | undefined>;
+	/**
+	Resolves once the node knows again what happened while it stood still.
+	*/
+	caughtUp(): Promise<void>;
+};
+
+const epochBytes = 8;
+const secretBytes = 32;
+
+/**
+Builds the path of one node.
+*/
+export const createRequestPath = (
+	{context, engines, random}: NodeCore,
+	gate: RequestGate,
+): RequestPath => {
+	const {settings, clock, configuration, fleet, logger} = context;
+	const wallClock = () => Date.now();
+	const current = () => configuration.current()?.configuration;
+	const epoch = randomBytes(epochBytes).toString('hex');
+	const limits = createClientLimits(
+		() => 1 + context.membership.usable().length,
+	);
+	const capacity = createCapacityWait({clock, ...settings});
+	const recorder = createRecorder(settings.nodeId);
+	const metrics = createMetrics(settings.statsdAddress, settings.nodeId);
+	const inFlight = createInFlight();
+	const permits = createPermits<KeptAnswer>({
+		node: settings.nodeId,
+		epoch,
+		secret: randomBytes(secretBytes).toString('hex'),
+	});
+	const chooser = createTargetChooser({
+		availabilityZone: settings.availabilityZone,
+		fleet,
+		random,
+		configuration: current,
+		membersIn: (zone) =>
+			context.membership
+				.usable()
+				.filter(({availabilityZone}) => availabilityZone === zone),
+		summaryOf: (zone, service, now) =>
+			findSummary(context.digests, zone, service, now),
+	});
+	let attempts = 0;
+	const budget = createRetryBudget();
+	const attemptRunner = createAttempts({
+		clock,
+		chooser,
+		fleet,
+		engines,
+		peers: context.peers,
+		budget,
+		capacity,
+		issueAttemptId() {
+			attempts += 1;
+			return `${settings.nodeId}.${epoch}.${attempts.toString(36)}`;
+		},
+		caughtUp: gate.caughtUp,
+		logger,
+	});
+	const executor = createRequestExecutor({
+		clock,
+		attempts: attemptRunner,
+		relay: createStreamRelay(attemptRunner, clock),
+		budget,
+	});
+	const chain = createRequestChain({
+		clock,
+		wallClock,
+		configuration: configuration.current,
+		ownRegion: context.ownRegion,
+		readiness: gate.readiness,
+		limits,
+		permits,
+		executor,
+		askHolder: createPermitHolderCall(context),
+		recorder,
+		metrics,
+		inFlight,
+	});
+	return {
+		chain,
+		executor,
+		chooser,
+		limits,
+		capacity,
+		inFlight,
+		permits,
+		metrics,
+		report: () => recorder.report(current()?.objectives ?? [], wallClock()),
+	};
+};
+
+const findSummary: (
+	digests: NodeContext['digests'],
+	availabilityZone: string,
+	service: string,
+	now: number,
+) => ReturnType<Parameters<typeof createTargetChooser>[0]['summaryOf']> = (
+	digests,
+	availabilityZone,
+	service,
+	now,
+) => {
+	const found = digests
+		.values('zone-summary', now)
+		.find(({value}) => value.availabilityZone === availabilityZone);
+	const summary = found?.value.services[service];
+	return found && summary
+		? {...summary, ageMs: now - found.observedAt}
+		: undefined;
+};
