--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 import type {UpstreamAnswer} from '../engines/index.ts';
 import type {Outcome} from '../errors/index.ts';
 import type {AttemptEnd} from '../fleet/index.ts';
-import type {TargetChoice} from './choose-target.ts';
+import type {TargetChoice} from './target-choice.ts';
 import type {GatewayRequest} from './gateway-request.ts';
 
 /**
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -19,7 +19,7 @@
 	type Progress,
 } from './attempt.ts';
 import type {CapacityWait} from './capacity-wait.ts';
-import type {TargetChooser} from './choose-target.ts';
+import type {TargetChooser} from './target-choice.ts';
 import type {GatewayRequest} from './gateway-request.ts';
 
 /**
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -3,6 +3,8 @@
 export * from './attempts.ts';
 export * from './capacity-wait.ts';
 export * from './choose-target.ts';
+export * from './target-choice.ts';
+export type {HeardSummary} from './judge-zone.ts';
 export * from './event-stream.ts';
 export type * from './gateway-request.ts';
 export * from './identify-client.ts';
--- /dev/null
+++ b/src/requests/no-target.ts
@@ -0,0 +1,35 @@
+import {createGatewayError, type GatewayError} from '../errors/index.ts';
+import type {GatewayRequest} from './gateway-request.ts';
+
+/**
+No backend server can take a request, for a reason.
+*/
+export const noneLeft = (reason: string): GatewayError =>
+	createGatewayError(
+		'no-candidate',
+		`No backend server can take the request: ${reason}`,
+	);
+
+/**
+Why no zone is left for a request, by how many regions it is allowed in.
+*/
+export const whyNone = (
+	request: GatewayRequest,
+	allowedRegions: number,
+): GatewayError => {
+	if (
+		request.claim.requested !== undefined ||
+		request.claim.client.residency !== undefined
+	) {
+		return createGatewayError(
+			'residency-unavailable',
+			'No region that the request may be served in can be reached or has a backend server for it now',
+		);
+	}
+
+	return noneLeft(
+		allowedRegions === 0
+			? 'no region is allowed'
+			: 'no zone with a backend server can be reached',
+	);
+};
--- /dev/null
+++ b/src/requests/target-choice.ts
@@ -0,0 +1,83 @@
+import type {BackendServer, Configuration} from '../configuration/index.ts';
+import type {GatewayError} from '../errors/index.ts';
+import type {Fleet} from '../fleet/index.ts';
+import type {Member} from '../membership/index.ts';
+import type {ClearedRegion, ZoneCandidate} from '../routing/index.ts';
+import type {Random} from '../shared/index.ts';
+import type {GatewayRequest} from './gateway-request.ts';
+import type {HeardSummary} from './judge-zone.ts';
+
+/**
+Where the next attempt of a request goes.
+*/
+export type TargetChoice =
+	| {
+			readonly kind: 'backend-server';
+			readonly server: BackendServer;
+			readonly region: string;
+			readonly cleared: ClearedRegion;
+	  }
+	| {
+			readonly kind: 'peer';
+			readonly member: Member;
+			readonly zone: ZoneCandidate;
+			readonly cleared: ClearedRegion;
+	  }
+	/**
+	There are servers, but every slot is taken.
+	*/
+	| {readonly kind: 'busy'}
+	| {readonly kind: 'none'; readonly error: GatewayError};
+
+/**
+What choosing depends on.
+*/
+export type ChooserOptions = {
+	readonly availabilityZone: string;
+	readonly fleet: Fleet;
+	readonly random: Random;
+	readonly configuration: () => Configuration | undefined;
+	/**
+	Nodes that can take a forwarded request, in one zone.
+	*/
+	readonly membersIn: (availabilityZone: string) => readonly Member[];
+	readonly summaryOf: (
+		availabilityZone: string,
+		service: string,
+		now: number,
+	) => HeardSummary | undefined;
+};
+
+/**
+What has been tried already.
+*/
+export type TriedTargets = {
+	/**
+	Ids of backend servers and nodes that failed for this request.
+	*/
+	readonly excluded: ReadonlySet<string>;
+	/**
+	Whether another zone may be chosen; never for a request that was forwarded here.
+	*/
+	readonly isForwarded: boolean;
+};
+
+/**
+Chooses targets; keeps only what smooths its choices over time.
+*/
+export type TargetChooser = {
+	choose(
+		request: GatewayRequest,
+		tried: TriedTargets,
+		now: number,
+	): TargetChoice;
+	/**
+	Share of recent requests that were sent away from their home region.
+	*/
+	awayShare(): number;
+};
+
+/**
+Nothing has been tried yet.
+*/
+export const untried: TriedTargets = {excluded: new Set(), isForwarded: false};
