--- a/features/steps/configuration-steps.ts
+++ b/features/steps/configuration-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {When, Then} from '@cucumber/cucumber';
-import {eventually} from '../../stand-ins/deployment.ts';
+import {eventually} from '../../stand-ins/eventually.ts';
 import type {GatewayWorld} from './world.ts';
 
 const versionAt = async (
--- a/features/steps/deployment-steps.ts
+++ b/features/steps/deployment-steps.ts
@@ -2,7 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {request} from 'undici';
-import {administrationKey, eventually} from '../../stand-ins/deployment.ts';
+import {administrationKey} from '../../stand-ins/node-plans.ts';
+import {eventually} from '../../stand-ins/eventually.ts';
 import {readCounts} from './auditor.ts';
 import type {GatewayWorld} from './world.ts';
 
--- a/features/steps/more-steps.ts
+++ b/features/steps/more-steps.ts
@@ -7,7 +7,8 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {request} from 'undici';
 import {createSealer} from '../../src/peers/index.ts';
-import {eventually, peerKey} from '../../stand-ins/deployment.ts';
+import {eventually} from '../../stand-ins/eventually.ts';
+import {peerKey} from '../../stand-ins/node-plans.ts';
 import type {RequestKind} from './caller.ts';
 import type {GatewayWorld} from './world.ts';
 
--- a/features/steps/request-steps.ts
+++ b/features/steps/request-steps.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {request} from 'undici';
-import {eventually} from '../../stand-ins/deployment.ts';
+import {eventually} from '../../stand-ins/eventually.ts';
 import {send, type Received, type RequestKind} from './caller.ts';
 import type {GatewayWorld} from './world.ts';
 
--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -1,14 +1,20 @@
 // Starts a whole deployment as separate processes: platform, backend servers and entry nodes,
 // with relays between the zones. Used by the quickstart, the scenarios and the benchmarks.
-import {spawn, type ChildProcess} from 'node:child_process';
-import {createSocket} from 'node:dgram';
-import {createWriteStream, mkdtempSync} from 'node:fs';
-import {createServer} from 'node:net';
+import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {request} from 'undici';
-import {openRelay, type Relay} from './relay.ts';
+import {endAll, startProcess, type Process} from './child-process.ts';
+import {eventually} from './eventually.ts';
+import {freeAddress} from './free-address.ts';
+import {
+	administrationKey,
+	environmentOf,
+	openRelays,
+	planNodes,
+} from './node-plans.ts';
+import type {Relay} from './relay.ts';
 
 /**
 A configuration document as plain data.
@@ -27,19 +33,6 @@
 	[key: string]: unknown;
 };
 
-/**
-One process of a deployment.
-*/
-export type Process = {
-	readonly name: string;
-	readonly child: ChildProcess;
-	readonly address: string;
-	/**
-	Resolves with the exit code.
-	*/
-	readonly exited: Promise<number | undefined>;
-};
-
 /**
 An entry node with its addresses.
 */
@@ -102,21 +95,6 @@
 	readonly callerAddress?: string;
 };
 
-/**
-The key of the administration API in deployments of this kind.
-*/
-export const administrationKey = 'stand-in-administration-key';
-
-/**
-The key that the nodes of such a deployment share.
-*/
-export const peerKey = 'stand-in-peer-key-0123456789';
-const host = '127.0.0.1';
-// Scenarios run side by side; each worker takes its addresses from a range of its own, below
-// the range from which the system takes those of outgoing connections.
-const portRange = 5000;
-const workerId = Number(process.env.CUCUMBER_WORKER_ID ?? 0);
-const firstPort = 10_000 + portRange * workerId;
 const startTimeoutMs = 30_000;
 
 /**
@@ -127,111 +105,6 @@
 	return bundle === undefined ? ['dist/quillford'] : [process.execPath, bundle];
 };
 
-let lastPort = firstPort + (process.pid % portRange);
-
-const canBind = async (port: number): Promise<boolean> => {
-	const isTcpFree = await new Promise<boolean>((resolve) => {
-		const server = createServer();
-		server.once('error', () => {
-			resolve(false);
-		});
-		server.listen(port, host, () => {
-			server.close(() => {
-				resolve(true);
-			});
-		});
-	});
-	if (!isTcpFree) {
-		return false;
-	}
-
-	return new Promise<boolean>((resolve) => {
-		const socket = createSocket('udp4');
-		socket.once('error', () => {
-			resolve(false);
-		});
-		socket.bind(port, host, () => {
-			socket.close(() => {
-				resolve(true);
-			});
-		});
-	});
-};
-
-/**
-An address on this machine that is free for TCP and UDP.
-*/
-export const freeAddress = async (): Promise<string> => {
-	for (;;) {
-		lastPort = firstPort + ((lastPort + 1 - firstPort) % portRange);
-		if (await canBind(lastPort)) {
-			return `${host}:${lastPort}`;
-		}
-	}
-};
-
-const pause = async (milliseconds: number) =>
-	new Promise((resolve) => {
-		setTimeout(resolve, milliseconds);
-	});
-
-/**
-Tries until it succeeds; fails with the last error once the time is up.
-*/
-export const eventually = async <Value>(
-	attempt: () => Promise<Value>,
-	timeoutMs: number,
-): Promise<Value> => {
-	const until = Date.now() + timeoutMs;
-	for (;;) {
-		try {
-			return await attempt();
-		} catch (error) {
-			if (Date.now() >= until) {
-				throw error;
-			}
-
-			await pause(50);
-		}
-	}
-};
-
-// However this process ends, what it started ends with it.
-const running = new Set<ChildProcess>();
-
-const endAll = () => {
-	for (const child of running) {
-		child.kill('SIGKILL');
-	}
-};
-
-const start = (
-	name: string,
-	address: string,
-	command: readonly string[],
-	environment: Readonly<Record<string, string>>,
-	logFolder: string,
-): Process => {
-	const [file, ...words] = command;
-	const child = spawn(file!, words, {
-		env: {...process.env, ...environment},
-		stdio: ['ignore', 'pipe', 'pipe'],
-	});
-	const log = createWriteStream(path.join(logFolder, `${name}.log`), {
-		flags: 'a',
-	});
-	child.stdout.pipe(log, {end: false});
-	child.stderr.pipe(log, {end: false});
-	running.add(child);
-	const exited = new Promise<number | undefined>((resolve) => {
-		child.once('exit', (code) => {
-			running.delete(child);
-			resolve(code ?? undefined);
-		});
-	});
-	return {name, child, address, exited};
-};
-
 const call = async (
 	url: string,
 	method: 'GET' | 'POST',
@@ -267,102 +140,52 @@
 			availabilityZones.map((zone) => [zone, name]),
 		),
 	);
-	const zones = regionOf.keys().toArray();
 	const nodes = new Map<string, EntryNode>();
 	const backendServers = new Map<string, Process>();
-	const relays = new Map<string, Relay>();
 	const authorization = {authorization: `Bearer ${administrationKey}`};
 
 	const platformAddress = await freeAddress();
-	const platform = start(
-		'platform',
-		platformAddress,
-		[process.execPath, 'stand-ins/platform.ts', '--address', platformAddress],
-		{},
+	const platform = startProcess({
+		name: 'platform',
+		address: platformAddress,
+		command: [
+			process.execPath,
+			'stand-ins/platform.ts',
+			'--address',
+			platformAddress,
+		],
 		logFolder,
-	);
+	});
 	for (const server of document.backendServers) {
 		server.address = await freeAddress();
 	}
 
-	const plans = new Map<
-		string,
-		{zone: string; caller: string; peer: string; administration: string}
-	>();
-	for (const zone of zones) {
-		for (let index = 1; index <= options.nodesPerZone; index += 1) {
-			plans.set(`${zone}-${index}`, {
-				zone,
-				caller: await freeAddress(),
-				peer: await freeAddress(),
-				administration: await freeAddress(),
-			});
-		}
-	}
-
-	for (const zone of zones) {
-		relays.set(
-			`${zone}>platform`,
-			await openRelay({
-				listen: await freeAddress(),
-				target: platformAddress,
-				delayMs: 0,
-			}),
-		);
-		const foreign = [...plans].filter(([, plan]) => plan.zone !== zone);
-		for (const [name, plan] of foreign) {
-			const delayMs =
-				regionOf.get(plan.zone) === regionOf.get(zone) ? 0 : options.delayMs;
-			relays.set(
-				`${zone}>${name}`,
-				await openRelay({
-					listen: await freeAddress(),
-					target: plan.peer,
-					delayMs,
-				}),
-			);
-		}
-	}
-
-	const environmentOf = (name: string): Readonly<Record<string, string>> => {
-		const plan = plans.get(name)!;
-		const translations = [...plans]
-			.filter(([, other]) => other.zone !== plan.zone)
-			.map(
-				([other, {peer}]) =>
-					`${peer}=${relays.get(`${plan.zone}>${other}`)!.address}`,
-			);
-		const seeds = plans
-			.values()
-			.filter((other) => other.zone === plan.zone && other !== plan)
-			.toArray();
-		return {
-			QUILLFORD_NODE_ID: name,
-			QUILLFORD_AVAILABILITY_ZONE: plan.zone,
-			QUILLFORD_CALLER_ADDRESS: plan.caller,
-			QUILLFORD_PEER_ADDRESS: plan.peer,
-			QUILLFORD_ADMINISTRATION_ADDRESS: plan.administration,
-			QUILLFORD_ADMINISTRATION_KEY: administrationKey,
-			QUILLFORD_PEER_KEY: peerKey,
-			QUILLFORD_PLATFORM_ADDRESS: relays.get(`${plan.zone}>platform`)!.address,
-			QUILLFORD_SEED_PEERS: seeds.map(({peer}) => peer).join(','),
-			QUILLFORD_ADDRESS_TRANSLATIONS: translations.join(','),
-			...options.nodeEnvironment,
-		};
-	};
+	const plans = await planNodes(
+		regionOf.keys().toArray(),
+		options.nodesPerZone,
+	);
+	const relays = await openRelays(
+		plans,
+		regionOf,
+		platformAddress,
+		options.delayMs,
+	);
 
 	const startNode = async (name: string): Promise<EntryNode> => {
 		const plan = plans.get(name)!;
-		const started = start(
+		const started = startProcess({
 			name,
-			plan.caller,
-			[...binary(), 'serve'],
-			environmentOf(name),
+			address: plan.caller,
+			command: [...binary(), 'serve'],
+			environment: {
+				...environmentOf(name, plans, relays),
+				...options.nodeEnvironment,
+			},
 			logFolder,
-		);
+		});
 		const node = {
 			...started,
-			availabilityZone: plan.zone,
+			availabilityZone: plan.availabilityZone,
 			peerAddress: plan.peer,
 			administrationAddress: plan.administration,
 		};
@@ -392,7 +215,12 @@
 			'--prefill-ms',
 			String(options.prefillMs),
 		];
-		const started = start(id, server.address, words, {}, logFolder);
+		const started = startProcess({
+			name: id,
+			address: server.address,
+			command: words,
+			logFolder,
+		});
 		backendServers.set(id, started);
 		await awaitAnswer(`http://${server.address}/load`);
 		return started;
@@ -419,7 +247,7 @@
 		const entries: VmEntry[] = [...plans].map(([id, plan]) => ({
 			kind: 'entry',
 			id,
-			availabilityZone: plan.zone,
+			availabilityZone: plan.availabilityZone,
 			state: 'live',
 			peerAddress: plan.peer,
 			callerAddress: plan.caller,
--- a/tests/acceptance/operators.test.ts
+++ b/tests/acceptance/operators.test.ts
@@ -3,8 +3,8 @@
 import {readFileSync} from 'node:fs';
 import {after, before, test} from 'node:test';
 import {parse} from 'yaml';
+import {administrationKey} from '../../stand-ins/node-plans.ts';
 import {
-	administrationKey,
 	startDeployment,
 	type ConfigurationDocument,
 	type Deployment,
--- a/tools/quickstart.ts
+++ b/tools/quickstart.ts
@@ -5,8 +5,8 @@
 import {parseArgs} from 'node:util';
 import {request} from 'undici';
 import {parse} from 'yaml';
+import {administrationKey} from '../stand-ins/node-plans.ts';
 import {
-	administrationKey,
 	startDeployment,
 	type ConfigurationDocument,
 	type Deployment,
