--- a/tests/gateway/choose-upstream.test.ts
+++ b/tests/gateway/choose-upstream.test.ts
@@ -7,20 +7,10 @@
 } from '../../src/backends/index.ts';
 import {createUpstreamChooser} from '../../src/gateway/choose-upstream.ts';
 import type {Exchange} from '../../src/gateway/exchange.ts';
-import type {Member} from '../../src/membership/index.ts';
 import {createRandom} from '../../src/shared/index.ts';
+import {memberOf} from '../fixtures.ts';
 import {exchangeOf, fleetOptionsOf, routeOf} from './fixtures.ts';
 
-const memberOf = (id: string, availabilityZone: string): Member => ({
-	id,
-	availabilityZone,
-	peerAddress: '10.0.0.1:1',
-	callerAddress: '10.0.0.1:2',
-	incarnation: 1,
-	revision: 0,
-	status: 'alive',
-});
-
 const setUp = (options: {
 	readonly localServers?: number;
 	readonly loads?: Readonly<Record<string, ServiceLoad>>;
--- a/tests/gateway/entry-members.test.ts
+++ b/tests/gateway/entry-members.test.ts
@@ -1,22 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {entriesFor} from '../../src/gateway/entry-members.ts';
-import type {Member} from '../../src/membership/index.ts';
-
-const memberOf = (id: string): Member => ({
-	id,
-	availabilityZone: id.slice(0, 2),
-	peerAddress: '10.0.0.1:1',
-	callerAddress: '10.0.0.1:2',
-	incarnation: 1,
-	revision: 0,
-	status: 'alive',
-});
+import {memberOf} from '../fixtures.ts';
 
 // Zones a1 and a2 are in region a.
 const idsFor = (ids: readonly string[], availabilityZone: string) =>
 	entriesFor({
-		members: ids.map((id) => memberOf(id)),
+		members: ids.map((id) => memberOf(id, id.slice(0, 2))),
 		regionOf: (zone) => zone.slice(0, 1),
 		region: availabilityZone.slice(0, 1),
 		availabilityZone,
--- a/tests/gateway/node-shares.test.ts
+++ b/tests/gateway/node-shares.test.ts
@@ -2,19 +2,11 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {createNodeShares, settlingMs} from '../../src/gateway/node-shares.ts';
-import type {Member} from '../../src/membership/index.ts';
 import type {Mesh} from '../../src/mesh/index.ts';
 import {createWindowRetryBudget} from '../../src/retries/index.ts';
+import {memberOf} from '../fixtures.ts';
 
-const memberOf = (index: number): Member => ({
-	id: `node-${index}`,
-	availabilityZone: 'zone',
-	peerAddress: '10.0.0.1:1',
-	callerAddress: '10.0.0.1:2',
-	incarnation: 1,
-	revision: 0,
-	status: 'alive',
-});
+const nodeOf = (index: number) => memberOf(`node-${index}`, 'zone');
 
 // A node that has heard of the others named.
 const sharesOf = (
@@ -27,8 +19,8 @@
 		ownRegion: 'region',
 		regionOf: () => 'region',
 		mesh: {
-			others: () => heardOf.map((other) => memberOf(other)),
-			usableIn: () => heardOf.map((other) => memberOf(other)),
+			others: () => heardOf.map((other) => nodeOf(other)),
+			usableIn: () => heardOf.map((other) => nodeOf(other)),
 		} as unknown as Mesh,
 		clock: now,
 	});
