--- a/src/gateway/front-listener.ts
+++ b/src/gateway/front-listener.ts
@@ -3,7 +3,6 @@
 import {
 	createServer,
 	type IncomingMessage,
-	type Server,
 	type ServerResponse,
 } from 'node:http';
 import {
@@ -11,7 +10,7 @@
 	renderError,
 	type GatewayError,
 } from '../errors/index.ts';
-import {splitAddress, type Address} from '../shared/index.ts';
+import {closeServer, splitAddress, type Address} from '../shared/index.ts';
 import type {CallerLimits} from '../routes/index.ts';
 import type {AnswerSink} from './exchange.ts';
 
@@ -123,18 +122,10 @@
 			server.close();
 			server.closeIdleConnections();
 		},
-		close: async () => closeAtOnce(server),
+		close: async () => closeServer(server),
 	};
 };
 
-const closeAtOnce = async (server: Server): Promise<void> =>
-	new Promise((resolve) => {
-		server.close(() => {
-			resolve();
-		});
-		server.closeAllConnections();
-	});
-
 /**
 Reads a body whole; nothing is called when the sender breaks off.
 */
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -9,7 +9,7 @@
 import {viewFingerprint, type Member} from '../membership/index.ts';
 import type {RegistryAnswer, RelayedAnswer} from '../registry/index.ts';
 import type {FeedAnswer, FeedQuestion} from '../prompts/index.ts';
-import {splitAddress, type Address} from '../shared/index.ts';
+import {closeServer, splitAddress, type Address} from '../shared/index.ts';
 
 /**
 Paths of the calls between nodes.
@@ -127,17 +127,6 @@
 	return server;
 };
 
-/**
-Closes a server and its connections.
-*/
-export const closeServer = async (server: Server): Promise<void> =>
-	new Promise((resolve) => {
-		server.close(() => {
-			resolve();
-		});
-		server.closeAllConnections();
-	});
-
 // How long connections between nodes rest, in milliseconds.
 const idleMs = 30_000;
 // New connections that may wait to be taken; a full queue costs a caller seconds.
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -5,3 +5,4 @@
 export * from './keyed-loops.ts';
 export * from './held-calls.ts';
 export * from './drop-body.ts';
+export * from './close-server.ts';
--- a/stand-ins/http-server.ts
+++ b/stand-ins/http-server.ts
@@ -91,14 +91,3 @@
 		server.listen(Number(port), hostname, resolve);
 	});
 };
-
-/**
-Closes a server and its connections.
-*/
-export const closeServer = async (server: Server): Promise<void> =>
-	new Promise((resolve) => {
-		server.close(() => {
-			resolve();
-		});
-		server.closeAllConnections();
-	});
--- a/stand-ins/registered-server.ts
+++ b/stand-ins/registered-server.ts
@@ -1,7 +1,8 @@
 import {createServer, type ServerResponse} from 'node:http';
 import type {WireHeaders} from '../src/gateway/index.ts';
 import type {RegisteredServer} from '../src/registry/index.ts';
-import {closeServer, listenAt} from './http-server.ts';
+import {closeServer} from '../src/shared/index.ts';
+import {listenAt} from './http-server.ts';
 import type {StandInRegistry} from './registry.ts';
 import {standInHeaders} from './stand-in-headers.ts';
 
--- a/stand-ins/registry-server.ts
+++ b/stand-ins/registry-server.ts
@@ -1,8 +1,8 @@
 import {createServer, type ServerResponse} from 'node:http';
 import {registryPaths} from '../src/registry/http-source.ts';
-import type {Address} from '../src/shared/index.ts';
+import {closeServer, type Address} from '../src/shared/index.ts';
 import type {StandInRegistry} from './registry.ts';
-import {closeServer, listenAt, sendJson} from './http-server.ts';
+import {listenAt, sendJson} from './http-server.ts';
 
 const statuses = {
 	changes: 200,
