--- a/src/gateway/choose-upstream.ts
+++ b/src/gateway/choose-upstream.ts
@@ -1,14 +1,17 @@
-import type {
-	BackendFleet,
-	LocalChoice,
-	Placement,
-	ServiceLoad,
-} from '../backends/index.ts';
+import type {BackendFleet, LocalChoice, Placement} from '../backends/index.ts';
 import type {Member} from '../membership/index.ts';
 import {isRegionAllowed} from '../routes/index.ts';
-import {rendezvousFirst, type Random} from '../shared/index.ts';
+import type {Random} from '../shared/index.ts';
+import {
+	choosePromptNode,
+	type PromptNodeOptions,
+} from './choose-prompt-node.ts';
 import type {Exchange} from './exchange.ts';
-import type {PromptHolder} from './prompt-home.ts';
+import {
+	nodesOfLeastLoaded,
+	type RegionNodes,
+	type Tried,
+} from './region-nodes.ts';
 
 /**
 Where a request goes next.
@@ -32,47 +35,15 @@
 /**
 What the choice is made from.
 */
-export type UpstreamChooserOptions = {
-	/**
-	This node.
-	*/
-	readonly self: () => Member;
-	readonly ownRegion: string;
+export type UpstreamChooserOptions = PromptNodeOptions & {
 	readonly fleet: BackendFleet;
 	/**
-	Nodes of a region that can be given work.
-	*/
-	readonly membersIn: (region: string) => readonly Member[];
-	readonly regions: readonly string[];
-	/**
-	Load and room of a service in another region, as far as known.
-	*/
-	readonly loadIn: (region: string, service: string) => ServiceLoad;
-	/**
-	The backend server by which a shared prompt part is placed, with its region.
-	*/
-	readonly promptHome: (
-		exchange: Exchange,
-		part: string,
-	) => PromptHolder | undefined;
-	/**
 	Whether a request to a node would need no new connection.
 	*/
 	readonly hasRestingConnection: (member: Member) => boolean;
 	readonly random: Random;
 };
 
-/**
-What a request has met so far.
-*/
-export type Tried = {
-	/**
-	Regions that refused it, and nodes that could not be reached.
-	*/
-	readonly regions: ReadonlySet<string>;
-	readonly members: ReadonlySet<string>;
-};
-
 /**
 Chooses between the own region and others.
 */
@@ -88,9 +59,6 @@
 const distanceCost = 0.7;
 // A region fuller than this is not sent more.
 const fullestRemote = 0.9;
-// A prompt goes to the region that holds it even when that is rather full: reading it anew would
-// load the own region by as much.
-const fullestHome = 1.3;
 // Below this cost the own region serves whatever the others hold.
 const comfortableCost = 1;
 
@@ -103,74 +71,8 @@
 ): UpstreamChooser => {
 	const {ownRegion, fleet} = options;
 
-	const remoteIn = (
-		region: string,
-		exchange: Exchange,
-		tried: Tried,
-	): Remote | undefined => {
-		const isOpen =
-			region !== ownRegion &&
-			isRegionAllowed(exchange.route, region) &&
-			!tried.regions.has(region);
-		if (!isOpen) {
-			return undefined;
-		}
-
-		const {load, slots} = options.loadIn(region, exchange.service);
-		const members = options
-			.membersIn(region)
-			.filter(({id}) => !tried.members.has(id));
-		return slots === 0 || members.length === 0
-			? undefined
-			: {region, members, cost: load / slots};
-	};
-
-	const leastLoaded = (
-		exchange: Exchange,
-		tried: Tried,
-	): Remote | undefined => {
-		let best: Remote | undefined;
-		for (const region of options.regions) {
-			const remote = remoteIn(region, exchange, tried);
-			if (remote && (!best || remote.cost < best.cost)) {
-				best = remote;
-			}
-		}
-
-		return best;
-	};
-
-	// Undefined where it is this node, or the node of the own region has no room.
-	const nodeNearby = (home: PromptHolder, tried: Tried): Remote | undefined => {
-		const self = options.self();
-		const others = options
-			.membersIn(ownRegion)
-			.filter(({id}) => !tried.members.has(id));
-		const [node] = nodeFor(home, [self, ...others]);
-		return !node || node.id === self.id || tried.regions.has(ownRegion)
-			? undefined
-			: {region: ownRegion, members: [node], cost: 0};
-	};
-
-	// Reading a long prompt again costs far more than the way to where it is kept.
-	const homeOfPrompt = (
-		exchange: Exchange,
-		tried: Tried,
-		{sharedPart}: Placement,
-	): Remote | undefined => {
-		const home = sharedPart && options.promptHome(exchange, sharedPart.id);
-		if (home?.region === ownRegion) {
-			return nodeNearby(home, tried);
-		}
-
-		const remote = home && remoteIn(home.region, exchange, tried);
-		return remote && remote.cost < fullestHome
-			? {...remote, members: nodeFor(home, remote.members)}
-			: undefined;
-	};
-
 	// Opening a connection takes as long as the way to another region and back.
-	const toPeer = ({members, region}: Remote): UpstreamChoice => {
+	const toPeer = ({members, region}: RegionNodes): UpstreamChoice => {
 		const connected = members.filter((each) =>
 			options.hasRestingConnection(each),
 		);
@@ -183,7 +85,7 @@
 		// A request that came from another node is never sent on: that rules out loops.
 		const home = exchange.hop
 			? undefined
-			: homeOfPrompt(exchange, tried, placement);
+			: choosePromptNode(options, exchange, tried, placement);
 		if (home) {
 			return toPeer(home);
 		}
@@ -195,7 +97,9 @@
 			return local;
 		}
 
-		const remote = exchange.hop ? undefined : leastLoaded(exchange, tried);
+		const remote = exchange.hop
+			? undefined
+			: nodesOfLeastLoaded(options, exchange, tried);
 		if (!remote) {
 			return local;
 		}
@@ -207,22 +111,3 @@
 		return isRemoteBetter ? toPeer(remote) : local;
 	};
 };
-
-type Remote = {
-	readonly region: string;
-	readonly members: readonly Member[];
-	/**
-	Its load by its room.
-	*/
-	readonly cost: number;
-};
-
-// Long prompts for one server go by way of one node of its region: it knows of all of them that are
-// under way, and nodes with requests of their own would each see a server that has nothing to read.
-const nodeFor = (
-	{id: server}: PromptHolder,
-	members: readonly Member[],
-): readonly Member[] => {
-	const node = rendezvousFirst(server, members, ({id}) => id);
-	return node ? [node] : [];
-};
