--- a/benchmarks/control.ts
+++ b/benchmarks/control.ts
@@ -1,11 +1,8 @@
 // What control costs a real node that serves nothing, against the number of nodes.
 import {readFileSync} from 'node:fs';
 import {parse} from 'yaml';
-import {
-	startDeployment,
-	type ConfigurationDocument,
-	type Deployment,
-} from '../stand-ins/deployment.ts';
+import type {ConfigurationDocument} from '../stand-ins/configuration-document.ts';
+import {startDeployment, type Deployment} from '../stand-ins/deployment.ts';
 import {printTable, type Row} from './table.ts';
 
 const seconds = 20;
--- a/benchmarks/overhead.ts
+++ b/benchmarks/overhead.ts
@@ -3,11 +3,8 @@
 import {performance} from 'node:perf_hooks';
 import {Agent, request} from 'undici';
 import {parse} from 'yaml';
-import {
-	startDeployment,
-	type ConfigurationDocument,
-	type Deployment,
-} from '../stand-ins/deployment.ts';
+import type {ConfigurationDocument} from '../stand-ins/configuration-document.ts';
+import {startDeployment, type Deployment} from '../stand-ins/deployment.ts';
 import {printTable, type Row} from './table.ts';
 
 const calls = 1500;
--- a/features/steps/world.ts
+++ b/features/steps/world.ts
@@ -7,11 +7,8 @@
 	World,
 } from '@cucumber/cucumber';
 import {parse} from 'yaml';
-import {
-	startDeployment,
-	type ConfigurationDocument,
-	type Deployment,
-} from '../../stand-ins/deployment.ts';
+import type {ConfigurationDocument} from '../../stand-ins/configuration-document.ts';
+import {startDeployment, type Deployment} from '../../stand-ins/deployment.ts';
 import {audit, readCounts, type ServerCounts} from './auditor.ts';
 import {send, type Received, type RequestKind, type Sending} from './caller.ts';
 
--- /dev/null
+++ b/stand-ins/configuration-document.ts
@@ -0,0 +1,16 @@
+/**
+A configuration document as plain data.
+*/
+export type ConfigurationDocument = {
+	version: number;
+	regions: Array<{name: string; availabilityZones: string[]}>;
+	services: Array<{kind: string; name: string}>;
+	backendServers: Array<{
+		id: string;
+		service: string;
+		availabilityZone: string;
+		address: string;
+		slots: number;
+	}>;
+	[key: string]: unknown;
+};
--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -4,34 +4,14 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import {request} from 'undici';
 import {endAll, startProcess, type Process} from './child-process.ts';
+import type {ConfigurationDocument} from './configuration-document.ts';
+import {askAdministration, awaitAnswer, control} from './deployment-calls.ts';
 import {eventually} from './eventually.ts';
 import {freeAddress} from './free-address.ts';
-import {
-	administrationKey,
-	environmentOf,
-	openRelays,
-	planNodes,
-} from './node-plans.ts';
+import {environmentOf, openRelays, planNodes} from './node-plans.ts';
 import type {Relay} from './relay.ts';
-
-/**
-A configuration document as plain data.
-*/
-export type ConfigurationDocument = {
-	version: number;
-	regions: Array<{name: string; availabilityZones: string[]}>;
-	services: Array<{kind: string; name: string}>;
-	backendServers: Array<{
-		id: string;
-		service: string;
-		availabilityZone: string;
-		address: string;
-		slots: number;
-	}>;
-	[key: string]: unknown;
-};
+import {vmEntriesOf, type VmEntry} from './vm-entries.ts';
 
 /**
 An entry node with its addresses.
@@ -83,18 +63,6 @@
 	stop(): Promise<void>;
 };
 
-/**
-One VM in the stand-in's list.
-*/
-export type VmEntry = {
-	readonly kind: 'entry' | 'backendServer';
-	readonly id: string;
-	readonly availabilityZone: string;
-	readonly state: 'live' | 'leaving';
-	readonly peerAddress?: string;
-	readonly callerAddress?: string;
-};
-
 const startTimeoutMs = 30_000;
 
 /**
@@ -105,27 +73,6 @@
 	return bundle === undefined ? ['dist/quillford'] : [process.execPath, bundle];
 };
 
-const call = async (
-	url: string,
-	method: 'GET' | 'POST',
-	body?: string,
-	headers: Readonly<Record<string, string>> = {},
-): Promise<string> => {
-	const answer = await request(url, {
-		method,
-		body,
-		headers,
-		signal: AbortSignal.timeout(5000),
-	});
-	return answer.body.text();
-};
-
-const awaitAnswer = async (
-	url: string,
-	headers: Readonly<Record<string, string>> = {},
-) =>
-	eventually(async () => call(url, 'GET', undefined, headers), startTimeoutMs);
-
 /**
 Starts a deployment and waits until every node is ready.
 */
@@ -142,7 +89,6 @@
 	);
 	const nodes = new Map<string, EntryNode>();
 	const backendServers = new Map<string, Process>();
-	const authorization = {authorization: `Bearer ${administrationKey}`};
 
 	const platformAddress = await freeAddress();
 	const platform = startProcess({
@@ -190,7 +136,7 @@
 			administrationAddress: plan.administration,
 		};
 		nodes.set(name, node);
-		await awaitAnswer(`http://${plan.caller}/healthz`);
+		await awaitAnswer(`http://${plan.caller}/healthz`, startTimeoutMs);
 		return node;
 	};
 
@@ -201,73 +147,30 @@
 		const service = document.services.find(
 			({name}) => name === server.service,
 		)!;
-		const words = [
-			process.execPath,
-			'stand-ins/backend-server.ts',
-			'--address',
-			server.address,
-			'--kind',
-			service.kind,
-			'--slots',
-			String(server.slots),
-			'--step-ms',
-			String(options.stepMs),
-			'--prefill-ms',
-			String(options.prefillMs),
-		];
 		const started = startProcess({
 			name: id,
 			address: server.address,
-			command: words,
+			command: backendCommand(server, service.kind, options),
 			logFolder,
 		});
 		backendServers.set(id, started);
-		await awaitAnswer(`http://${server.address}/load`);
+		await awaitAnswer(`http://${server.address}/load`, startTimeoutMs);
 		return started;
 	};
 
-	const control = async (
-		address: string,
-		where: string,
-		body: unknown = {},
-	): Promise<unknown> =>
-		JSON.parse(
-			await call(
-				`http://${address}/control/${where}`,
-				'POST',
-				typeof body === 'string' ? body : JSON.stringify(body),
-			),
-		);
-
 	const publishText = async (text: string) => {
 		await control(platformAddress, 'configuration', text);
 	};
 
 	const setVms = async (change: (vm: VmEntry) => VmEntry = (vm) => vm) => {
-		const entries: VmEntry[] = [...plans].map(([id, plan]) => ({
-			kind: 'entry',
-			id,
-			availabilityZone: plan.availabilityZone,
-			state: 'live',
-			peerAddress: plan.peer,
-			callerAddress: plan.caller,
-		}));
-		const servers: VmEntry[] = document.backendServers.map(
-			({id, availabilityZone}) => ({
-				kind: 'backendServer',
-				id,
-				availabilityZone,
-				state: 'live',
-			}),
-		);
 		await control(
 			platformAddress,
 			'vms',
-			[...entries, ...servers].map((vm) => change(vm)),
+			vmEntriesOf(plans, document).map((vm) => change(vm)),
 		);
 	};
 
-	await awaitAnswer(`http://${platformAddress}/v1/vms`);
+	await awaitAnswer(`http://${platformAddress}/v1/vms`, startTimeoutMs);
 	await publishText(JSON.stringify(document));
 	await setVms();
 	await Promise.all(
@@ -275,34 +178,11 @@
 	);
 	await Promise.all(plans.keys().map(async (name) => startNode(name)));
 
-	const administration = async (
-		node: string,
-		where: string,
-	): Promise<unknown> =>
-		JSON.parse(
-			await call(
-				`http://${nodes.get(node)!.administrationAddress}/${where}`,
-				'GET',
-				undefined,
-				authorization,
-			),
-		);
-
-	// Ready means: a configuration is in force and every node knows of all the others.
+	const administration = async (node: string, where: string) =>
+		askAdministration(nodes.get(node)!.administrationAddress, where);
 	await eventually(async () => {
 		for (const name of plans.keys()) {
-			const ready = (await administration(name, 'ready')) as {isReady: boolean};
-			const {members} = (await administration(name, 'members')) as {
-				members: Array<{status: string; incarnation: number}>;
-			};
-			const known = members.filter(
-				({status, incarnation}) => status === 'alive' && incarnation > 0,
-			).length;
-			if (!ready.isReady || known < plans.size - 1) {
-				throw new Error(
-					`node ${name} is not ready: knows ${known} others; logs in ${logFolder}`,
-				);
-			}
+			await checkReady(name, plans.size, administration, logFolder);
 		}
 	}, startTimeoutMs);
 
@@ -338,3 +218,43 @@
 		},
 	};
 };
+
+const backendCommand = (
+	{address, slots}: ConfigurationDocument['backendServers'][number],
+	kind: string,
+	{stepMs, prefillMs}: DeploymentOptions,
+): readonly string[] => [
+	process.execPath,
+	'stand-ins/backend-server.ts',
+	'--address',
+	address,
+	'--kind',
+	kind,
+	'--slots',
+	String(slots),
+	'--step-ms',
+	String(stepMs),
+	'--prefill-ms',
+	String(prefillMs),
+];
+
+// Ready means: a configuration is in force and the node knows of all the others.
+const checkReady = async (
+	name: string,
+	nodeCount: number,
+	administration: Deployment['administration'],
+	logFolder: string,
+) => {
+	const ready = (await administration(name, 'ready')) as {isReady: boolean};
+	const {members} = (await administration(name, 'members')) as {
+		members: Array<{status: string; incarnation: number}>;
+	};
+	const known = members.filter(
+		({status, incarnation}) => status === 'alive' && incarnation > 0,
+	).length;
+	if (!ready.isReady || known < nodeCount - 1) {
+		throw new Error(
+			`node ${name} is not ready: knows ${known} others; logs in ${logFolder}`,
+		);
+	}
+};
--- a/tests/acceptance/openai-client.test.ts
+++ b/tests/acceptance/openai-client.test.ts
@@ -3,11 +3,8 @@
 import {after, before, test} from 'node:test';
 import OpenAI from 'openai';
 import {parse} from 'yaml';
-import {
-	startDeployment,
-	type ConfigurationDocument,
-	type Deployment,
-} from '../../stand-ins/deployment.ts';
+import type {ConfigurationDocument} from '../../stand-ins/configuration-document.ts';
+import {startDeployment, type Deployment} from '../../stand-ins/deployment.ts';
 
 let deployment: Deployment;
 let client: OpenAI;
--- a/tests/acceptance/operators.test.ts
+++ b/tests/acceptance/operators.test.ts
@@ -4,11 +4,8 @@
 import {after, before, test} from 'node:test';
 import {parse} from 'yaml';
 import {administrationKey} from '../../stand-ins/node-plans.ts';
-import {
-	startDeployment,
-	type ConfigurationDocument,
-	type Deployment,
-} from '../../stand-ins/deployment.ts';
+import type {ConfigurationDocument} from '../../stand-ins/configuration-document.ts';
+import {startDeployment, type Deployment} from '../../stand-ins/deployment.ts';
 
 let deployment: Deployment;
 
--- a/tools/quickstart.ts
+++ b/tools/quickstart.ts
@@ -6,11 +6,8 @@
 import {request} from 'undici';
 import {parse} from 'yaml';
 import {administrationKey} from '../stand-ins/node-plans.ts';
-import {
-	startDeployment,
-	type ConfigurationDocument,
-	type Deployment,
-} from '../stand-ins/deployment.ts';
+import type {ConfigurationDocument} from '../stand-ins/configuration-document.ts';
+import {startDeployment, type Deployment} from '../stand-ins/deployment.ts';
 
 type Kind =
 	'light' | 'heavy' | 'streamed' | 'bound' | 'not-repeatable' | 'docket-page';
