--- a/benchmarks/processor.ts
+++ b/benchmarks/processor.ts
@@ -2,7 +2,6 @@
 // start anew after a loss of power spend most of their time in this state.
 import {spawn, type ChildProcess} from 'node:child_process';
 import {randomInt} from 'node:crypto';
-import {readFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent, request} from 'undici';
 import {productHeaders} from '../src/gateway/index.ts';
@@ -17,6 +16,7 @@
 	type StandInRegistry,
 } from '../stand-ins/registry.ts';
 import {startRegistryServer} from '../stand-ins/registry-server.ts';
+import {processorSeconds, residentMegabytes} from './process-figures.ts';
 import {printTable, type Row} from './table.ts';
 
 const requestsPerSecond = 60;
@@ -24,7 +24,6 @@
 const spans = 3;
 const idleSeconds = 5;
 const serversOfEach = 3;
-const ticksPerSecond = 100;
 const eventsOfStream = 20;
 const startTurns = 200;
 const turnMs = 25;
@@ -71,24 +70,6 @@
 	});
 };
 
-/**
-Seconds of processor time of a process so far, from the system's figures.
-*/
-const processorSeconds = (pid: number): number => {
-	const text = readFileSync(`/proc/${pid}/stat`, 'utf8');
-	// What follows the name, which may hold spaces; fields 14 and 15 of the line are the two times.
-	const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
-	return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
-};
-
-const residentMegabytes = (pid: number): number => {
-	const text = readFileSync(`/proc/${pid}/status`, 'utf8');
-	return (
-		Number(/VmRSS:\s+(?<kilobytes>\d+)/v.exec(text)?.groups?.kilobytes ?? 0) /
-		1024
-	);
-};
-
 const ask = async (caller: string, service: string): Promise<number> => {
 	const answer = await request(`http://${caller}/${service}/page`, {
 		dispatcher,
@@ -169,6 +150,30 @@
 	return rows;
 };
 
+const startServers = async (registry: StandInRegistry, network: string) => {
+	const servers = [];
+	for (const [service, answer] of Object.entries(answers)) {
+		for (let index = 1; index <= serversOfEach; index += 1) {
+			servers.push(
+				await startStandInServer(
+					registry,
+					{
+						id: `${service}-${index}`,
+						service,
+						address: `${network}.${10 + servers.length}:8000`,
+						availabilityZone: 'north',
+						slots: 32,
+					},
+					answer,
+					productHeaders,
+				),
+			);
+		}
+	}
+
+	return servers;
+};
+
 const startNode = (network: string): ChildProcess =>
 	spawn(
 		'dist/quillford',
@@ -194,26 +199,7 @@
 		registry,
 		`${network}.2:8000`,
 	);
-	const servers = [];
-	for (const [service, answer] of Object.entries(answers)) {
-		for (let index = 1; index <= serversOfEach; index += 1) {
-			servers.push(
-				await startStandInServer(
-					registry,
-					{
-						id: `${service}-${index}`,
-						service,
-						address: `${network}.${10 + servers.length}:8000`,
-						availabilityZone: 'north',
-						slots: 32,
-					},
-					answer,
-					productHeaders,
-				),
-			);
-		}
-	}
-
+	const servers = await startServers(registry, network);
 	enterRoutes(registry);
 	const node = startNode(network);
 	try {
