--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -4,7 +4,6 @@
 export * from './capacity-wait.ts';
 export * from './choose-target.ts';
 export * from './target-choice.ts';
-export type {HeardSummary} from './judge-zone.ts';
 export * from './event-stream.ts';
 export type * from './gateway-request.ts';
 export * from './identify-client.ts';
--- a/src/requests/judge-zone.ts
+++ b/src/requests/judge-zone.ts
@@ -4,11 +4,6 @@
 import type {GatewayRequest} from './gateway-request.ts';
 import type {ChooserOptions} from './target-choice.ts';
 
-/**
-A summary of another zone as it was heard, with its age.
-*/
-export type HeardSummary = ZoneServiceSummary & {readonly ageMs: number};
-
 const sameRegionDelayMs = 2;
 
 // Trust in a summary falls to a third in this many milliseconds.
--- a/src/requests/target-choice.ts
+++ b/src/requests/target-choice.ts
@@ -1,11 +1,16 @@
 import type {BackendServer, Configuration} from '../configuration/index.ts';
+import type {ZoneServiceSummary} from '../digests/index.ts';
 import type {GatewayError} from '../errors/index.ts';
 import type {Fleet} from '../fleet/index.ts';
 import type {Member} from '../membership/index.ts';
 import type {ClearedRegion, ZoneCandidate} from '../routing/index.ts';
 import type {Random} from '../shared/index.ts';
 import type {GatewayRequest} from './gateway-request.ts';
-import type {HeardSummary} from './judge-zone.ts';
+
+/**
+A summary of another zone as it was heard, with its age.
+*/
+export type HeardSummary = ZoneServiceSummary & {readonly ageMs: number};
 
 /**
 Where the next attempt of a request goes.
