--- a/src/gateway/peer-connections.ts
+++ b/src/gateway/peer-connections.ts
@@ -1,8 +1,8 @@
-// Connections to nodes of other regions: what names them, and how many there may be.
+// Connections to other nodes: what names them, and how many there may be.
 import type {Member} from '../membership/index.ts';
 
 /**
-Connections to one node of another region; a request holds one as long as its stream runs.
+Connections to one other node; a request holds one as long as its stream runs.
 */
 export const connectionsToPeer = 256;
 
