--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -17,6 +17,7 @@
 	createStreamRelay,
 	createTargetChooser,
 	type CapacityWait,
+	type HeardSummary,
 	type InFlight,
 	type KeptAnswer,
 	type Permits,
@@ -65,12 +66,12 @@
 Builds the path of one node.
 */
 export const createRequestPath = (
-	{context, engines, random}: NodeCore,
+	core: NodeCore,
 	gate: RequestGate,
 ): RequestPath => {
-	const {settings, clock, configuration, fleet, logger} = context;
+	const {context} = core;
+	const {settings, clock, configuration} = context;
 	const wallClock = () => Date.now();
-	const current = () => configuration.current()?.configuration;
 	const epoch = randomBytes(epochBytes).toString('hex');
 	const limits = createClientLimits(
 		() => 1 + context.membership.usable().length,
@@ -84,40 +85,12 @@
 		epoch,
 		secret: randomBytes(secretBytes).toString('hex'),
 	});
-	const chooser = createTargetChooser({
-		availabilityZone: settings.availabilityZone,
-		fleet,
-		random,
-		configuration: current,
-		membersIn: (zone) =>
-			context.membership
-				.usable()
-				.filter(({availabilityZone}) => availabilityZone === zone),
-		summaryOf: (zone, service, now) =>
-			findSummary(context.digests, zone, service, now),
-	});
-	let attempts = 0;
-	const budget = createRetryBudget();
-	const attemptRunner = createAttempts({
-		clock,
+	const chooser = createChooser(core);
+	const executor = createExecutor(core, {
 		chooser,
-		fleet,
-		engines,
-		peers: context.peers,
-		budget,
 		capacity,
-		issueAttemptId() {
-			attempts += 1;
-			return `${settings.nodeId}.${epoch}.${attempts.toString(36)}`;
-		},
+		epoch,
 		caughtUp: gate.caughtUp,
-		logger,
-	});
-	const executor = createRequestExecutor({
-		clock,
-		attempts: attemptRunner,
-		relay: createStreamRelay(attemptRunner, clock),
-		budget,
 	});
 	const chain = createRequestChain({
 		clock,
@@ -142,21 +115,72 @@
 		inFlight,
 		permits,
 		metrics,
-		report: () => recorder.report(current()?.objectives ?? [], wallClock()),
+		report: () =>
+			recorder.report(
+				configuration.current()?.configuration.objectives ?? [],
+				wallClock(),
+			),
+	};
+};
+
+const createChooser = ({context, random}: NodeCore): TargetChooser =>
+	createTargetChooser({
+		availabilityZone: context.settings.availabilityZone,
+		fleet: context.fleet,
+		random,
+		configuration: () => context.configuration.current()?.configuration,
+		membersIn: (zone) =>
+			context.membership
+				.usable()
+				.filter(({availabilityZone}) => availabilityZone === zone),
+		summaryOf: (zone, service, now) =>
+			findSummary(context.digests, zone, service, now),
+	});
+
+type ExecutorParts = Pick<RequestPath, 'chooser' | 'capacity'> &
+	Pick<RequestGate, 'caughtUp'> & {
+		/**
+		Tells the attempts of this life of the node from those of earlier ones.
+		*/
+		readonly epoch: string;
 	};
+
+const createExecutor = (
+	{context, engines}: NodeCore,
+	{chooser, capacity, epoch, caughtUp}: ExecutorParts,
+): RequestExecutor => {
+	const {settings, clock, fleet, peers, logger} = context;
+	const budget = createRetryBudget();
+	let issued = 0;
+	const attempts = createAttempts({
+		clock,
+		chooser,
+		fleet,
+		engines,
+		peers,
+		budget,
+		capacity,
+		issueAttemptId() {
+			issued += 1;
+			return `${settings.nodeId}.${epoch}.${issued.toString(36)}`;
+		},
+		caughtUp,
+		logger,
+	});
+	return createRequestExecutor({
+		clock,
+		attempts,
+		relay: createStreamRelay(attempts, clock),
+		budget,
+	});
 };
 
-const findSummary: (
+const findSummary = (
 	digests: NodeContext['digests'],
 	availabilityZone: string,
 	service: string,
 	now: number,
-) => ReturnType<Parameters<typeof createTargetChooser>[0]['summaryOf']> = (
-	digests,
-	availabilityZone,
-	service,
-	now,
-) => {
+): HeardSummary | undefined => {
 	const found = digests
 		.values('zone-summary', now)
 		.find(({value}) => value.availabilityZone === availabilityZone);
