Name the known view of members in a header

As part of the path, nodes of the version before answered the question by 404, and a new node whose seeds were all of that version could not have joined. They ignore a header. Tests of the listener for other nodes: its three answers about members and connections.

--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -25,6 +25,12 @@
 	rest: '/quillford/rest',
 } as const;
 
+/**
+Header in which a node that asks for members names its own view of them. Nodes of versions without it
+neither send nor heed it, and are told everything.
+*/
+export const knownViewHeader = 'quillford-known-view';
+
 /**
 Answers other nodes.
 */
@@ -65,8 +71,9 @@
 ): Promise<PeerListener> => {
 	const answer = (request: IncomingMessage, response: ServerResponse) => {
 		const target = request.url ?? '';
-		if (target.startsWith(`${peerPaths.members}?`)) {
-			sendPacked(response, membersBeyond(options.members(), target));
+		if (target === peerPaths.members) {
+			const known = request.headers[knownViewHeader];
+			sendPacked(response, membersBeyond(options.members(), known));
 			return;
 		}
 
@@ -139,9 +146,8 @@
 // asked for all the time.
 const membersBeyond = (
 	members: readonly Member[],
-	target: string,
-): readonly Member[] =>
-	queryOf(target).get('known') === viewFingerprint(members) ? [] : members;
+	knownView: string | string[] | undefined,
+): readonly Member[] => (knownView === viewFingerprint(members) ? [] : members);
 
 const revisionOf = (target: string): number =>
 	Number(queryOf(target).get('after'));
--- a/src/mesh/peer-questions.ts
+++ b/src/mesh/peer-questions.ts
@@ -9,7 +9,7 @@
 import type {FeedAnswer, FeedQuestion} from '../prompts/index.ts';
 import {feedWaitMs} from '../prompts/prompt-feed.ts';
 import type {Address} from '../shared/index.ts';
-import {peerPaths} from './peer-listener.ts';
+import {knownViewHeader, peerPaths} from './peer-listener.ts';
 
 /**
 Questions to other nodes.
@@ -66,9 +66,11 @@
 		peer: Address,
 		path: string,
 		timeoutMs = questionTimeoutMs,
+		headers: Readonly<Record<string, string>> = {},
 	): Promise<unknown> => {
 		const {statusCode, body} = await request(`http://${peer}${path}`, {
 			dispatcher,
+			headers,
 			signal: AbortSignal.timeout(timeoutMs),
 		});
 		const bytes = await body.bytes();
@@ -82,10 +84,9 @@
 	return {
 		async members(peer, knownView) {
 			try {
-				return (await ask(
-					peer,
-					`${peerPaths.members}?known=${knownView}`,
-				)) as readonly Member[];
+				return (await ask(peer, peerPaths.members, questionTimeoutMs, {
+					[knownViewHeader]: knownView,
+				})) as readonly Member[];
 			} catch {
 				return undefined;
 			}
--- /dev/null
+++ b/tests/mesh/peer-listener.test.ts
@@ -0,0 +1,68 @@
+import {randomInt} from 'node:crypto';
+import {test, type TestContext} from 'node:test';
+import {unpack} from 'msgpackr';
+import {request} from 'undici';
+import {viewFingerprint} from '../../src/membership/index.ts';
+import {
+	knownViewHeader,
+	peerPaths,
+	startPeerListener,
+} from '../../src/mesh/index.ts';
+import {memberOf} from '../fixtures.ts';
+
+const members = [memberOf('a1', 'a'), memberOf('b1', 'b')];
+
+const start = async (t: TestContext) => {
+	const address = `127.${randomInt(2, 250)}.${randomInt(1, 250)}.1:8001`;
+	const listener = await startPeerListener({
+		addresses: [address],
+		members: () => members,
+		registryAfter: () => ({kind: 'unavailable', reason: 'a test'}),
+		relayedAfter: async () => ({
+			answer: {kind: 'unavailable', reason: 'a test'},
+			ageMs: 0,
+		}),
+		promptsAfter: async () => ({
+			epoch: '',
+			next: 0,
+			isWhole: true,
+			changes: [],
+		}),
+		onForwarded(_request, response) {
+			response.writeHead(500).end();
+		},
+	});
+	t.after(listener.close);
+	return async (target: string, headers: Record<string, string> = {}) => {
+		const {statusCode, body} = await request(`http://${address}${target}`, {
+			headers,
+		});
+		return {status: statusCode, bytes: await body.bytes()};
+	};
+};
+
+test('members are told to a node with another view, and none to one with the same', async (t: TestContext) => {
+	const ask = await start(t);
+	const told = async (knownView: string) => {
+		const {bytes} = await ask(peerPaths.members, {
+			[knownViewHeader]: knownView,
+		});
+		return (unpack(bytes) as readonly unknown[]).length;
+	};
+
+	t.assert.strictEqual(await told('other'), 2);
+	t.assert.strictEqual(await told(viewFingerprint(members.toReversed())), 0);
+});
+
+test('a node of an older version, which names no view, is told all members', async (t: TestContext) => {
+	const ask = await start(t);
+	const {status, bytes} = await ask(peerPaths.members);
+	t.assert.strictEqual(status, 200);
+	t.assert.strictEqual((unpack(bytes) as readonly unknown[]).length, 2);
+});
+
+test('a call that only opens a connection is answered with nothing', async (t: TestContext) => {
+	const ask = await start(t);
+	const {status, bytes} = await ask(peerPaths.rest);
+	t.assert.deepStrictEqual([status, bytes.length], [204, 0]);
+});
