Name leaving nodes of a region before nodes of others

A node that is told to stop takes callers for 3.5 s more but is named no longer; with three nodes in a region stopped a second apart all three were leaving at once, and the directory named all other regions.

How many are led elsewhere hangs on the order of the stops.

Change: where no node of the region stays, those are named that began to leave within 2.5 s, a second less than they take callers. A node that has just started cannot tell who left long ago and names none; removed nodes are never named longer.

--- a/src/gateway/entry-members.ts
+++ b/src/gateway/entry-members.ts
@@ -5,7 +5,7 @@
 */
 export type EntryQuestion = {
 	/**
-	Nodes that can take requests.
+	Nodes that take requests: those that are well, and those that leave and take them a while longer.
 	*/
 	readonly members: readonly Member[];
 	readonly regionOf: (availabilityZone: string) => string;
@@ -18,9 +18,9 @@
 const minimumInZone = 2;
 
 /**
-The nodes that a caller should use: those of its zone, else those of its region. Nodes of other
-regions only where its own has none, for a request that may run in some regions only must not be
-read in another one without need.
+The nodes that a caller should use: those of its zone, else those of its region, else those of its
+region that are about to leave. Nodes of other regions only where its own has none, for a request that
+may run in some regions only must not be read in another one without need.
 */
 export const entriesFor = ({
 	members,
@@ -28,9 +28,10 @@
 	region,
 	availabilityZone,
 }: EntryQuestion): readonly Member[] => {
-	const inRegion = members.filter(
-		(member) => regionOf(member.availabilityZone) === region,
-	);
+	const staying = members.filter(({status}) => status === 'alive');
+	const isInRegion = (member: Member) =>
+		regionOf(member.availabilityZone) === region;
+	const inRegion = staying.filter((member) => isInRegion(member));
 	const inZone = inRegion.filter(
 		(member) => member.availabilityZone === availabilityZone,
 	);
@@ -38,5 +39,11 @@
 		return inZone;
 	}
 
-	return inRegion.length > 0 ? inRegion : members;
+	if (inRegion.length > 0) {
+		return inRegion;
+	}
+
+	// Where nodes are stopped one after the other, all of a small region may be leaving at once.
+	const leaving = members.filter((member) => isInRegion(member));
+	return leaving.length > 0 ? leaving : staying;
 };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -176,12 +176,10 @@
 		},
 		isReady: () => !isLeaving && mirror.routes() !== undefined,
 		entryAddresses(region, availabilityZone) {
-			const self = mesh.self();
-			const all = [self, ...mesh.usable()].filter(
-				({status}) => status === 'alive',
-			);
 			return entriesFor({
-				members: all,
+				members: [mesh.self(), ...mesh.others()].filter(
+					(member) => member.status === 'alive' || mesh.isLeavingLately(member),
+				),
 				regionOf: knowledge.regionOf,
 				region,
 				availabilityZone,
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -66,6 +66,10 @@
 	usableIn(region: string): readonly Member[];
 	usable(): readonly Member[];
 	/**
+	Whether a node has begun to leave so lately that it still takes callers.
+	*/
+	isLeavingLately(member: Member): boolean;
+	/**
 	States the load of a zone's services, if this node is the one of its zone to do so.
 	*/
 	stateLoad(
@@ -102,6 +106,18 @@
 */
 export const loadRetentionMs = 5000;
 
+/**
+How long a node that leaves is named to callers where there is no other in its region, in milliseconds:
+it takes them for a second longer.
+*/
+export const leavingNamedMs = 2500;
+
+/**
+A node that started so lately is told of nodes that left long ago, and cannot tell them from those
+that leave now, in milliseconds.
+*/
+export const newcomerMs = 2500;
+
 const seedRange = 2 ** 31;
 
 // The platform gives nodes no shared secret; the seal guards against stray datagrams only.
@@ -134,6 +150,17 @@
 		sizeOf: codec.sizeOf,
 		retention: {'zone-summary': loadRetentionMs},
 	});
+	const startedAt = clock();
+	const leavingSince = new Map<string, number>();
+	// A restart of the node is another change, which ends its leaving.
+	const noteLeaving = ({id, status}: Member) => {
+		if (status === 'leaving' && clock() - startedAt >= newcomerMs) {
+			leavingSince.set(id, clock());
+		} else {
+			leavingSince.delete(id);
+		}
+	};
+
 	const controller = createMembershipController(
 		{
 			membership,
@@ -152,7 +179,7 @@
 			onStamp({version}, from) {
 				options.onRevision(version, from);
 			},
-			onChanged: () => undefined,
+			onChanged: noteLeaving,
 		},
 	);
 
@@ -187,10 +214,14 @@
 		},
 		leave() {
 			controller.handle({kind: 'leave'});
+			leavingSince.set(options.id, clock());
 		},
 		self: membership.self,
 		others: membership.members,
 		usable,
+		isLeavingLately: ({id, status}) =>
+			status === 'leaving' &&
+			clock() - (leavingSince.get(id) ?? -Infinity) < leavingNamedMs,
 		usableIn: (region) =>
 			usable().filter(
 				({availabilityZone}) => options.regionOf(availabilityZone) === region,
--- a/tests/gateway/entry-members.test.ts
+++ b/tests/gateway/entry-members.test.ts
@@ -24,3 +24,25 @@
 	assert.deepEqual(idsFor(['a1-1', 'b1-1', 'b1-2'], 'a1'), ['a1-1']);
 	assert.deepEqual(idsFor(['b1-1', 'b1-2'], 'a1'), ['b1-1', 'b1-2']);
 });
+
+test('where all nodes of a region leave, those are named before other regions, and only then', () => {
+	const named = (...members: ReadonlyArray<[string, 'alive' | 'leaving']>) =>
+		entriesFor({
+			members: members.map(([id, status]) =>
+				memberOf(id, id.slice(0, 2), {status}),
+			),
+			regionOf: (zone) => zone.slice(0, 1),
+			region: 'a',
+			availabilityZone: 'a1',
+		}).map(({id}) => id);
+
+	assert.deepEqual(
+		named(['a1-1', 'leaving'], ['a1-2', 'leaving'], ['b1-1', 'alive']),
+		['a1-1', 'a1-2'],
+	);
+	assert.deepEqual(
+		named(['a1-1', 'leaving'], ['a1-2', 'alive'], ['b1-1', 'alive']),
+		['a1-2'],
+	);
+	assert.deepEqual(named(['b1-1', 'leaving'], ['b1-2', 'alive']), ['b1-2']);
+});
