--- a/src/gateway/prompt-sharing.ts
+++ b/src/gateway/prompt-sharing.ts
@@ -97,7 +97,10 @@
 		);
 	};
 
-	const isHolder = (): boolean =>
+	// A node that has just started does not know yet who has the duty, and reads for itself meanwhile: after
+	// a stop of all nodes it would otherwise have long prompts read again that its engines keep.
+	const isReader = (): boolean =>
+		!options.hasSettled() ||
 		holders.get(availabilityZone)?.id === options.self().id;
 
 	const enginesOfZone = (): readonly ReadEngine[] => {
@@ -115,10 +118,10 @@
 	};
 
 	const sources = (): readonly FeedSource[] => {
-		const followed = isHolder()
+		const followed = isReader()
 			? zones.filter((zone) => zone !== availabilityZone)
 			: [availabilityZone];
-		const scope = isHolder() ? 'zone' : 'all';
+		const scope = isReader() ? 'zone' : 'all';
 		return followed
 			.map((zone) => holders.get(zone))
 			.filter((holder) => holder !== undefined)
@@ -130,14 +133,13 @@
 		caches &&
 		createCacheReader({
 			source: caches,
-			engines: () =>
-				options.hasSettled() && isHolder() ? enginesOfZone() : [],
+			engines: () => (isReader() ? enginesOfZone() : []),
 			publish: feed.publish,
 			smallestTokens: smallestSharedTokens,
 			logger: options.logger,
 		});
 	const follower = createFeedFollower({
-		sources: () => (options.hasSettled() ? sources() : []),
+		sources,
 		ask: async ({address}, question) =>
 			questions.promptsAfter(address, question),
 		publish: feed.publish,
