--- a/src/backends/backend-attempt.ts
+++ b/src/backends/backend-attempt.ts
@@ -1,5 +1,6 @@
 import type {Placement} from './placement.ts';
 import {isCold, type ServerState} from './server-state.ts';
+import type {StatedLoad} from './stated-load.ts';
 
 /**
 How an attempt at a backend server ended.
@@ -35,6 +36,14 @@
 	*/
 	heard(now: number): void;
 	/**
+	To be called with what the server says of its load.
+	*/
+	stated(load: StatedLoad, now: number): void;
+	/**
+	To be called with each piece of a stream but the first, and the time since the one before.
+	*/
+	paced(intervalMs: number, now: number): void;
+	/**
 	To be called when the first event or the answer is there.
 	*/
 	started(now: number): void;
@@ -44,6 +53,9 @@
 // Weight of one more outcome in a server's failure rate.
 const failureWeight = 0.1;
 
+// Weight of one more piece in a server's pace: with fifty streams under way it follows within a second.
+const paceWeight = 0.02;
+
 // Requests to a cold server that are remembered before the latest one.
 const keptColdRequests = 100;
 
@@ -80,6 +92,16 @@
 		heard(at) {
 			state.lastHeardAt = at;
 		},
+		stated(load, at) {
+			state.stated = {
+				others: Math.max(0, load.running + load.waiting - state.inFlight),
+				at,
+			};
+		},
+		paced(intervalMs, at) {
+			state.paceMs += (intervalMs - state.paceMs) * paceWeight;
+			state.pacedAt = at;
+		},
 		started(at) {
 			state.lastHeardAt = at;
 			settle();
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -1,4 +1,5 @@
 import type {KnownServer} from '../registry/index.ts';
+import {believedLoad} from './believed-load.ts';
 import {beginAttempt, type BackendAttempt} from './backend-attempt.ts';
 import {
 	chooseServer,
@@ -56,7 +57,7 @@
 	*/
 	suspect(id: string, now: number): void;
 	isSuspect(id: string): boolean;
-	loadOf(service: string): ServiceLoad;
+	loadOf(service: string, now: number): ServiceLoad;
 	ids(): readonly string[];
 };
 
@@ -171,7 +172,7 @@
 		},
 		suspect,
 		isSuspect: (id) => states.get(id)?.isSuspect ?? false,
-		loadOf(service) {
+		loadOf(service, now) {
 			const nodes = options.nodesServing();
 			let load = 0;
 			let slots = 0;
@@ -181,7 +182,7 @@
 					continue;
 				}
 
-				load += state.inFlight * nodes;
+				load += believedLoad(state, nodes, now);
 				slots += server.slots;
 			}
 
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -1,5 +1,6 @@
 import type {Service} from '../routes/index.ts';
 import {rendezvousFirst} from '../shared/index.ts';
+import {believedLoad} from './believed-load.ts';
 import {coldShare, isWithinColdShare, type ColdBound} from './cold-limit.ts';
 import type {Placement} from './placement.ts';
 import {isCold, type ServerState} from './server-state.ts';
@@ -66,6 +67,15 @@
 // As much prompt as delays the requests behind it about as much as a full server does, in tokens.
 const promptTokensOfFull = 40_000;
 
+// A server whose streams have a piece so seldom is as bad as a full one, in milliseconds: a little less than
+// the longest pauses at which callers still take an answer for fluent. Requests that are under way say little of
+// how busy an engine is that reads long prompts between the tokens of its streams. With pace and stated load a
+// day's credit less prices rose by 0.010 (twelve pairs of plays) and 0.003 (fifteen, with the rest as it is).
+const paceOfFull = 400;
+
+// How long a pace says something, in milliseconds: about as long as a stream lasts.
+const paceTrustMs = 3000;
+
 // Reading a shared part again takes its time from the requests of the whole region, drives other parts out
 // and is paid for, so it counts for far more than the same wait behind another prompt: a part is read again
 // only where its keepers have no room. The steps from 2 to 4 and from 4 to 16 each spared 18 % of the tokens
@@ -102,16 +112,20 @@
 
 	// Asked once: it counts all nodes of the region, and there may be as many servers as nodes.
 	const nodes = options.nodesServing();
+	const sharers = placement.sharedPart
+		? Math.min(nodes, nodesOfLongPrompts)
+		: nodes;
 	const rereadFactorOf = rereadFactors(options, candidates, placement);
 	let best: {readonly state: ServerState; readonly cost: number} | undefined;
 	for (const state of candidates) {
-		const room = roomOf(options, state, nodes, placement);
-		if (state.inFlight >= room || !hasColdRoom(options, state, now)) {
+		const fullness = fullnessOf(options, state, sharers, now);
+		if (fullness > 1 || !hasColdRoom(options, state, now)) {
 			continue;
 		}
 
 		const cost =
-			costOf(options, state, room) +
+			fullness +
+			costOf(options, state, now) +
 			options.draw() * alikeCost +
 			((placement.sharedPart?.tokens ?? 0) * rereadFactorOf(state)) /
 				promptTokensOfFull;
@@ -138,17 +152,19 @@
 ): ServerState | undefined =>
 	rendezvousFirst(key, candidates, ({known}) => known.server.id);
 
-// This node's part of the requests that a server may hold.
-const roomOf = (
+// The part of the room of a server that is taken once it has one more request of this node; beyond 1
+// there is none left.
+const fullnessOf = (
 	{service}: ServerChoiceOptions,
-	{known: {server}}: ServerState,
-	nodes: number,
-	{sharedPart}: Placement,
+	state: ServerState,
+	sharers: number,
+	now: number,
 ): number => {
+	const {server} = state.known;
 	const isEngine = service(server.service)?.engine !== undefined;
 	const whole = server.slots * (isEngine ? engineRoom : plainRoom);
-	const sharers = sharedPart ? Math.min(nodes, nodesOfLongPrompts) : nodes;
-	return Math.max(1, Math.ceil(whole / sharers));
+	const room = Math.max(1, Math.ceil(whole / sharers)) * sharers;
+	return believedLoad(state, sharers, now, 1) / room;
 };
 
 const hasColdRoom = (
@@ -189,15 +205,19 @@
 const costOf = (
 	options: ServerChoiceOptions,
 	state: ServerState,
-	room: number,
+	now: number,
 ): number =>
 	(state.known.server.availabilityZone === options.availabilityZone
 		? 0
 		: otherZoneCost) +
-	(state.inFlight + 1) / room +
 	state.pendingTokens / promptTokensOfFull +
+	paceOf(state, now) / paceOfFull +
 	state.failureRate * failureCost;
 
+// Without streams to tell it by, a server's pace is taken to get better.
+const paceOf = ({paceMs, pacedAt}: ServerState, now: number): number =>
+	paceMs * Math.max(0, 1 - (now - pacedAt) / paceTrustMs);
+
 // What a server without the part counts for. What this node sent lately counts as kept, for engines tell
 // of their memory late.
 const rereadFactors = (
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -11,6 +11,15 @@
 	*/
 	inFlight: number;
 	/**
+	Requests of other nodes by what the server said last, and when it said so.
+	*/
+	stated: {readonly others: number; readonly at: number} | undefined;
+	/**
+	Milliseconds between two pieces of a stream of this server, the latest ones counting most.
+	*/
+	paceMs: number;
+	pacedAt: number;
+	/**
 	Tokens of prompts that this node sent and that have not begun to be answered.
 	*/
 	pendingTokens: number;
@@ -70,6 +79,9 @@
 ): ServerState => ({
 	known,
 	inFlight: 0,
+	stated: undefined,
+	paceMs: 0,
+	pacedAt: -Infinity,
 	pendingTokens: 0,
 	pending: new Set(),
 	lastHeardAt: now,
--- a/src/gateway/delivery-context.ts
+++ b/src/gateway/delivery-context.ts
@@ -48,6 +48,10 @@
 	*/
 	readonly onServerFailure: (server: string, reason: string) => void;
 	/**
+	Says that a backend server stated a load that makes no sense.
+	*/
+	readonly onBadLoad: (server: string, reason: string) => void;
+	/**
 	Says that a request has begun to wait for room; ticks must follow that refuse it on time.
 	*/
 	readonly onWaiting: () => void;
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -12,6 +12,10 @@
 	*/
 	rejected(requestId: string, reason: string, status: number): void;
 	/**
+	A backend server stated a load that makes no sense.
+	*/
+	badLoad(server: string, reason: string): void;
+	/**
 	Counts and lines that bound themselves by time; called at each tick.
 	*/
 	tick(now: number): void;
@@ -69,6 +73,11 @@
 		labelNames: ['status'],
 		registers: [registry],
 	});
+	const badLoads = new Counter({
+		name: 'quillford_bad_loads_total',
+		help: 'Statements of load by backend servers that make no sense',
+		registers: [registry],
+	});
 	const droppedLines = new Counter({
 		name: 'quillford_log_lines_dropped_total',
 		help: 'Log lines about requests that were left out to bound the volume',
@@ -191,6 +200,15 @@
 				droppedLines.inc();
 			}
 		},
+		badLoad(server, reason) {
+			badLoads.inc();
+			if (linesLeft <= linesPerSecond / 2) {
+				return;
+			}
+
+			linesLeft -= 1;
+			logger.warn({server, reason}, 'load of a backend server ignored');
+		},
 		tick(now) {
 			if (!(now - refilledAt >= secondMs)) {
 				return;
--- a/src/gateway/load-statement.ts
+++ b/src/gateway/load-statement.ts
@@ -38,7 +38,7 @@
 				[
 					name,
 					{
-						...fleet.loadOf(name),
+						...fleet.loadOf(name, now),
 						firstTokenMs: firstTokenUnknown,
 						costPerThousandTokens: costUnknown,
 					},
--- a/src/gateway/pass-answer.ts
+++ b/src/gateway/pass-answer.ts
@@ -1,5 +1,9 @@
 import {Buffer} from 'node:buffer';
-import type {UpstreamHead, UpstreamListener} from '../backends/index.ts';
+import {
+	parseStatedLoad,
+	type UpstreamHead,
+	type UpstreamListener,
+} from '../backends/index.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import {
 	hasAttemptLeft,
@@ -40,6 +44,7 @@
 
 			head = given;
 			current.attempt?.heard(context.clock());
+			noteLoad(context, current, given);
 			isStream = takeHead(context, run, current, given) === 'stream';
 		},
 		onData(chunk) {
@@ -79,6 +84,25 @@
 	};
 };
 
+// The load of a server in another region comes by way of a node there, which has taken it in.
+const noteLoad = (
+	{clock, headers, onBadLoad}: DeliveryContext,
+	{attempt}: CurrentCall,
+	{header}: UpstreamHead,
+): void => {
+	const text = attempt && header(headers.load);
+	if (text === undefined) {
+		return;
+	}
+
+	const load = parseStatedLoad(text);
+	if (load.isOk) {
+		attempt?.stated(load.value, clock());
+	} else {
+		onBadLoad(attempt?.server ?? '', load.error);
+	}
+};
+
 const takeHead = (
 	context: DeliveryContext,
 	run: DeliveryRun,
@@ -169,7 +193,7 @@
 ): boolean => {
 	const now = context.clock();
 	current.attempt?.started(now);
-	notePiece(run, now);
+	notePiece(run, current, now);
 	const passed = run.relay ? run.relay.push(chunk) : chunk;
 	if (passed === undefined) {
 		answerIsFaulty(context, run, 'An event of the stream is missing');
@@ -187,8 +211,17 @@
 };
 
 // Engines that read long prompts between the tokens of a stream show in its pauses.
-const notePiece = (run: DeliveryRun, now: number): void => {
-	run.longestPauseMs = Math.max(run.longestPauseMs, now - (run.pieceAt ?? now));
+const notePiece = (
+	run: DeliveryRun,
+	{attempt}: CurrentCall,
+	now: number,
+): void => {
+	if (run.pieceAt !== undefined) {
+		const pauseMs = now - run.pieceAt;
+		run.longestPauseMs = Math.max(run.longestPauseMs, pauseMs);
+		attempt?.paced(pauseMs, now);
+	}
+
 	run.pieceAt = now;
 };
 
--- a/src/gateway/product-headers.ts
+++ b/src/gateway/product-headers.ts
@@ -11,6 +11,7 @@
 	notRun: 'x-gateway-not-run',
 	promptParts: 'x-gateway-prompt-parts',
 	tokenUsage: 'x-gateway-tokens',
+	load: 'x-gateway-server-load',
 	urgency: 'x-gateway-urgency',
 	coldMs: 'x-gateway-cold-ms',
 	serverId: 'x-gateway-server-id',
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -78,6 +78,9 @@
 			fleet.suspect(server, clock());
 			logger.warn({server, reason}, 'backend server suspected');
 		},
+		onBadLoad(server, reason) {
+			observer.badLoad(server, reason);
+		},
 		onWaiting() {
 			if (deliveries.waiting() === 1) {
 				onFirstWaiting();
--- a/src/gateway/wire-headers.ts
+++ b/src/gateway/wire-headers.ts
@@ -32,6 +32,10 @@
 	*/
 	readonly tokenUsage: string;
 	/**
+	What a backend server says of its load in its answers, as `RUNNING,WAITING,SLOTS`.
+	*/
+	readonly load: string;
+	/**
 	How urgent a request is to a backend server that works on the more urgent ones first: 0 is the most
 	urgent, `leastUrgent` the least.
 	*/
--- a/stand-ins/stand-in-headers.ts
+++ b/stand-ins/stand-in-headers.ts
@@ -11,6 +11,7 @@
 	notRun: 'x-test-not-run',
 	promptParts: 'x-test-parts',
 	tokenUsage: 'x-test-tokens',
+	load: 'x-test-load',
 	urgency: 'x-test-urgency',
 	coldMs: 'x-test-cold',
 	serverId: 'x-test-server',
--- /dev/null
+++ b/tests/backends/stated-load.test.ts
@@ -0,0 +1,46 @@
+import {test, type TestContext} from 'node:test';
+import fc from 'fast-check';
+import {parseStatedLoad} from '../../src/backends/index.ts';
+
+test('three counts are read', (t: TestContext) => {
+	t.assert.deepStrictEqual(parseStatedLoad('12, 3,64').unwrapOr(undefined), {
+		running: 12,
+		waiting: 3,
+		slots: 64,
+	});
+});
+
+for (const text of [
+	'',
+	'1',
+	'1,2',
+	'1,2,3,4',
+	'1,,3',
+	'-1,0,3',
+	'1,0,-3',
+	'1.5,0,3',
+	'1e2,0,300',
+	'0x1,0,3',
+	'many,0,3',
+	'1,99999999999999999999,3',
+	// More run than there are slots.
+	'4,0,3',
+]) {
+	test(`"${text}" is no load`, (t: TestContext) => {
+		t.assert.ok(parseStatedLoad(text).isErr);
+	});
+}
+
+test('no text ends in anything but counts or an error', (t: TestContext) => {
+	fc.assert(
+		fc.property(fc.string(), (text) => {
+			const load = parseStatedLoad(text);
+			t.assert.ok(
+				load.isErr ||
+					Object.values(load.value).every((count) =>
+						Number.isSafeInteger(count),
+					),
+			);
+		}),
+	);
+});
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -80,6 +80,7 @@
 		isServedHere: () => true,
 		onPeerFailure: () => undefined,
 		onServerFailure: () => undefined,
+		onBadLoad: () => undefined,
 		onWaiting: () => undefined,
 		onRecord(record) {
 			records.push(record);
