--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -3,7 +3,7 @@
 import {believedLoad} from './believed-load.ts';
 import {coldShare, isWithinColdShare, type ColdBound} from './cold-limit.ts';
 import type {Placement} from './placement.ts';
-import {isCold, type ServerState} from './server-state.ts';
+import {isCold, silentFor, type ServerState} from './server-state.ts';
 
 /**
 Where a request could go in the own region.
@@ -214,9 +214,13 @@
 	paceOf(state, now) / paceOfFull +
 	state.failureRate * failureCost;
 
-// Without streams to tell it by, a server's pace is taken to get better.
-const paceOf = ({paceMs, pacedAt}: ServerState, now: number): number =>
-	paceMs * Math.max(0, 1 - (now - pacedAt) / paceTrustMs);
+// Without streams to tell it by, a server's pace is taken to get better; one that owes answers has no better
+// pace than the silence that it has kept.
+const paceOf = (state: ServerState, now: number): number => {
+	const {paceMs, pacedAt} = state;
+	const trust = Math.max(0, 1 - (now - pacedAt) / paceTrustMs);
+	return Math.max(paceMs * trust, silentFor(state, now));
+};
 
 // What a server without the part counts for. What this node sent lately counts as kept, for engines tell
 // of their memory late.
--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -15,6 +15,10 @@
 	The most connections under the key; used when its first call is made.
 	*/
 	readonly maximumConnections: number;
+	/**
+	How long a connection may take to come up, in milliseconds; used when its first call is made.
+	*/
+	readonly connectTimeoutMs: number;
 	readonly method: string;
 	readonly target: string;
 	/**
@@ -92,9 +96,17 @@
 };
 
 /**
-How long a connection may take to come up, in milliseconds: several round trips between regions.
+How long a connection to another node may take to come up, in milliseconds: several round trips between
+regions.
 */
-export const connectTimeoutMs = 800;
+export const farConnectTimeoutMs = 800;
+
+/**
+How long a connection to a backend server may take to come up, in milliseconds. Servers are of the own
+region, where it takes a few; one that has gone dark lets each attempt hang, and the requests that wait for it
+have a second or so in all.
+*/
+export const nearConnectTimeoutMs = 300;
 
 /**
 How long a connection without a stated time rests at most, in milliseconds. Backend servers that
@@ -116,35 +128,51 @@
 export const createUpstreamClient = (): UpstreamClient => {
 	const pools = new Map<string, Pool>();
 	let opened = 0;
-	const connect = buildConnector({timeout: connectTimeoutMs});
+	const connectors = new Map<number, buildConnector.connector>();
 
-	const connector: buildConnector.connector = (connectOptions, callback) => {
-		opened += 1;
-		connect(connectOptions, (error, socket) => {
-			if (error) {
-				callback(error, null);
-				return;
-			}
+	const connectorFor = (timeout: number): buildConnector.connector => {
+		const known = connectors.get(timeout);
+		if (known) {
+			return known;
+		}
 
-			// The library takes an answer without a length that is cut by a reset for whole. Under
-			// another code the same error fails the call, and this listener runs before the library's.
-			socket.on('error', (failure: NodeJS.ErrnoException) => {
-				if (failure.code === resetCode) {
-					failure.code = 'ERR_CONNECTION_RESET_BY_PEER';
+		const connect = buildConnector({timeout});
+		const connector: buildConnector.connector = (connectOptions, callback) => {
+			opened += 1;
+			connect(connectOptions, (error, socket) => {
+				if (error) {
+					callback(error, null);
+					return;
 				}
+
+				// The library takes an answer without a length that is cut by a reset for whole. Under
+				// another code the same error fails the call, and this listener runs before the library's.
+				socket.on('error', (failure: NodeJS.ErrnoException) => {
+					if (failure.code === resetCode) {
+						failure.code = 'ERR_CONNECTION_RESET_BY_PEER';
+					}
+				});
+				callback(null, socket);
 			});
-			callback(null, socket);
-		});
+		};
+
+		connectors.set(timeout, connector);
+		return connector;
 	};
 
-	const poolFor = ({key, address, maximumConnections}: UpstreamCall): Pool => {
+	const poolFor = ({
+		key,
+		address,
+		maximumConnections,
+		connectTimeoutMs,
+	}: UpstreamCall): Pool => {
 		const known = pools.get(key);
 		if (known) {
 			return known;
 		}
 
 		const pool = new Pool(`http://${address}`, {
-			connect: connector,
+			connect: connectorFor(connectTimeoutMs),
 			connections: Math.max(1, maximumConnections),
 			pipelining: 1,
 			headersTimeout: 0,
--- a/src/gateway/connection-warmer.ts
+++ b/src/gateway/connection-warmer.ts
@@ -1,4 +1,8 @@
-import type {OpenCall, UpstreamClient} from '../backends/index.ts';
+import {
+	farConnectTimeoutMs,
+	type OpenCall,
+	type UpstreamClient,
+} from '../backends/index.ts';
 import type {Member} from '../membership/index.ts';
 import {peerPaths} from '../mesh/index.ts';
 import type {Random} from '../shared/index.ts';
@@ -58,6 +62,7 @@
 				key: peerKey(member),
 				address: member.peerAddress,
 				maximumConnections: connectionsToPeer,
+				connectTimeoutMs: farConnectTimeoutMs,
 				method: 'GET',
 				target: peerPaths.rest,
 				headers: ['host', member.peerAddress],
--- a/src/gateway/send-run.ts
+++ b/src/gateway/send-run.ts
@@ -1,4 +1,8 @@
-import type {UpstreamCall} from '../backends/index.ts';
+import {
+	farConnectTimeoutMs,
+	nearConnectTimeoutMs,
+	type UpstreamCall,
+} from '../backends/index.ts';
 import type {Member} from '../membership/index.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
@@ -144,6 +148,7 @@
 			key: `server ${id}`,
 			address: fleet.server(id)!.address,
 			maximumConnections: connectionsTo(run.exchange.service),
+			connectTimeoutMs: nearConnectTimeoutMs,
 			headers: onwardHeaders(context, run, [
 				headers.expectedServer,
 				id,
@@ -180,6 +185,7 @@
 			key: peerKey(member),
 			address: member.peerAddress,
 			maximumConnections: connectionsToPeer,
+			connectTimeoutMs: farConnectTimeoutMs,
 			headers: onwardHeaders(context, run, hopCall),
 		},
 	);
--- a/src/gateway/server-probes.ts
+++ b/src/gateway/server-probes.ts
@@ -48,6 +48,7 @@
 				key,
 				address: server.address,
 				maximumConnections: 1,
+				connectTimeoutMs: probeTimeoutMs,
 				method: 'GET',
 				target: options.healthPath(server.service),
 				headers: ['host', server.address, headers.expectedServer, id],
--- a/tests/backends/upstream-client.test.ts
+++ b/tests/backends/upstream-client.test.ts
@@ -3,6 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import {
 	createUpstreamClient,
+	farConnectTimeoutMs,
 	type UpstreamCall,
 	type UpstreamHead,
 } from '../../src/backends/index.ts';
@@ -47,6 +48,7 @@
 	key: address,
 	address,
 	maximumConnections: 1,
+	connectTimeoutMs: farConnectTimeoutMs,
 	method: 'GET',
 	target: '/',
 	headers: ['host', 'x'],
