--- a/main.ts
+++ b/main.ts
@@ -16,7 +16,7 @@
 	const words = process.argv.slice(firstArgument);
 	if (words[0] === platformCommand) {
 		const {runNode} = await import('./platform/run-node.ts');
-		process.exit(await runNode());
+		process.exit(await runNode(words.slice(1)));
 	}
 
 	const {runCommandLine} = await loadCommandLine();
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -116,6 +116,10 @@
 			beginAttempt(states.get(id)!, placement, now),
 		server: (id) => states.get(id)?.known.server,
 		tick(now) {
+			if (options.without.has('silence')) {
+				return [];
+			}
+
 			const silent = [...states]
 				.filter(([, state]) => !state.isSuspect && isFoundSilent(state, now))
 				.map(([id]) => id);
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -1,3 +1,4 @@
+import type {Without} from '../mechanisms/index.ts';
 import type {Service} from '../routes/index.ts';
 import {rendezvousFirst} from '../shared/index.ts';
 import {believedLoad} from './believed-load.ts';
@@ -27,6 +28,7 @@
 What servers are chosen by.
 */
 export type ServerChoiceOptions = {
+	readonly without: Without;
 	readonly self: string;
 	readonly availabilityZone: string;
 	/**
@@ -210,9 +212,11 @@
 	(state.known.server.availabilityZone === options.availabilityZone
 		? 0
 		: otherZoneCost) +
-	state.pendingTokens / promptTokensOfFull +
-	paceOf(state, now) / paceOfFull +
-	state.failureRate * failureCost;
+	(options.without.has('reading-cost')
+		? 0
+		: state.pendingTokens / promptTokensOfFull) +
+	(options.without.has('pace') ? 0 : paceOf(state, now) / paceOfFull) +
+	(options.without.has('failure-cost') ? 0 : state.failureRate * failureCost);
 
 // Without streams to tell it by, a server's pace is taken to get better; one that owes answers has no better
 // pace than the silence that it has kept.
@@ -225,11 +229,11 @@
 // What a server without the part counts for. What this node sent lately counts as kept, for engines tell
 // of their memory late.
 const rereadFactors = (
-	{keeps}: ServerChoiceOptions,
+	{keeps, without}: ServerChoiceOptions,
 	candidates: readonly ServerState[],
 	{sharedPart}: Placement,
 ): ((state: ServerState) => number) => {
-	if (!sharedPart) {
+	if (!sharedPart || without.has('reread-cost')) {
 		return () => 0;
 	}
 
--- a/src/gateway/choose-prompt-node.ts
+++ b/src/gateway/choose-prompt-node.ts
@@ -1,4 +1,5 @@
 import type {Placement} from '../backends/index.ts';
+import type {Without} from '../mechanisms/index.ts';
 import type {Member} from '../membership/index.ts';
 import {rendezvousFirst} from '../shared/index.ts';
 import type {Exchange} from './exchange.ts';
@@ -15,6 +16,7 @@
 What the choice for a long prompt is made from.
 */
 export type PromptNodeOptions = RegionNodesOptions & {
+	readonly without: Without;
 	/**
 	This node.
 	*/
@@ -44,14 +46,17 @@
 	tried: Tried,
 	{sharedPart}: Placement,
 ): RegionNodes | undefined => {
-	const home = sharedPart && options.promptHome(exchange, sharedPart.id);
+	const home =
+		sharedPart && !options.without.has('prompt-homes')
+			? options.promptHome(exchange, sharedPart.id)
+			: undefined;
 	if (home?.region === options.ownRegion) {
 		return nodeNearby(options, home, tried);
 	}
 
 	const remote = home && nodesOfRegion(options, home.region, exchange, tried);
 	return remote && remote.cost < fullestHome
-		? {...remote, members: nodeFor(home, remote.members)}
+		? {...remote, members: nodesFor(options, home, remote.members)}
 		: undefined;
 };
 
@@ -61,10 +66,14 @@
 	home: PromptHolder,
 	tried: Tried,
 ): RegionNodes | undefined => {
-	const {ownRegion} = options;
+	const {ownRegion, without} = options;
+	if (without.has('prompt-nodes')) {
+		return undefined;
+	}
+
 	const self = options.self();
 	const others = untriedIn(options, ownRegion, tried);
-	const [node] = nodeFor(home, [self, ...others]);
+	const [node] = nodesFor(options, home, [self, ...others]);
 	return !node || node.id === self.id || tried.regions.has(ownRegion)
 		? undefined
 		: {region: ownRegion, members: [node], cost: 0};
@@ -72,10 +81,15 @@
 
 // Long prompts for one server go by way of one node of its region: it knows of all of them that are
 // under way, and nodes with requests of their own would each see a server that has nothing to read.
-const nodeFor = (
+const nodesFor = (
+	{without}: PromptNodeOptions,
 	{id: server}: PromptHolder,
 	members: readonly Member[],
 ): readonly Member[] => {
+	if (without.has('prompt-nodes')) {
+		return members;
+	}
+
 	const node = rendezvousFirst(server, members, ({id}) => id);
 	return node ? [node] : [];
 };
--- a/src/gateway/choose-upstream.ts
+++ b/src/gateway/choose-upstream.ts
@@ -69,7 +69,7 @@
 export const createUpstreamChooser = (
 	options: UpstreamChooserOptions,
 ): UpstreamChooser => {
-	const {ownRegion, fleet} = options;
+	const {ownRegion, fleet, without} = options;
 
 	// Opening a connection takes as long as the way to another region and back.
 	const toPeer = ({members, region}: RegionNodes): UpstreamChoice => {
@@ -106,7 +106,8 @@
 
 		const isRemoteBetter =
 			local.kind === 'none' ||
-			(remote.cost < fullestRemote &&
+			(!without.has('overflow') &&
+				remote.cost < fullestRemote &&
 				(local.kind === 'full' || remote.cost + distanceCost < local.cost));
 		return isRemoteBetter ? toPeer(remote) : local;
 	};
--- a/src/gateway/delivery-context.ts
+++ b/src/gateway/delivery-context.ts
@@ -1,4 +1,5 @@
 import type {BackendFleet, UpstreamClient} from '../backends/index.ts';
+import type {Without} from '../mechanisms/index.ts';
 import type {Member} from '../membership/index.ts';
 import type {RetryYield, WindowRetryBudget} from '../retries/index.ts';
 import type {Route} from '../routes/index.ts';
@@ -18,6 +19,7 @@
 	*/
 	readonly clock: () => number;
 	readonly headers: WireHeaders;
+	readonly without: Without;
 	readonly fleet: BackendFleet;
 	readonly client: UpstreamClient;
 	readonly choose: UpstreamChooser;
--- a/src/gateway/fail-call.ts
+++ b/src/gateway/fail-call.ts
@@ -47,7 +47,7 @@
 
 	// A retry is taken from the budget last, for only one that will be sent may use it up.
 	const isSentAgain =
-		isRetryable(run, fault) &&
+		isRetryable(context, run, fault) &&
 		hasAttemptLeft(run, context.clock()) &&
 		isRetryPaid(context, run, fault);
 	if (isSentAgain) {
@@ -116,9 +116,15 @@
 	});
 };
 
-const isRetryable = (run: DeliveryRun, {outcome}: CallFault): boolean =>
+const isRetryable = (
+	{without}: DeliveryContext,
+	run: DeliveryRun,
+	{outcome}: CallFault,
+): boolean =>
 	run.hasBegun
-		? run.isRepeatable && run.exchange.route.isResumable
+		? run.isRepeatable &&
+			run.exchange.route.isResumable &&
+			!without.has('resumption')
 		: run.isRepeatable || outcome === 'not-run';
 
 const isRetryPaid = (
--- a/src/gateway/gateway-chooser.ts
+++ b/src/gateway/gateway-chooser.ts
@@ -3,6 +3,7 @@
 	ServiceLoad,
 	UpstreamClient,
 } from '../backends/index.ts';
+import type {Without} from '../mechanisms/index.ts';
 import type {Member} from '../membership/index.ts';
 import type {Mesh} from '../mesh/index.ts';
 import {isRegionAllowed} from '../routes/index.ts';
@@ -46,6 +47,7 @@
 	readonly keeps: (server: string, part: string) => boolean;
 	readonly client: Pick<UpstreamClient, 'hasRestingConnection'>;
 	readonly random: Random;
+	readonly without: Without;
 	readonly clock: () => number;
 };
 
@@ -76,6 +78,7 @@
 			hasRestingConnection: (member) =>
 				options.client.hasRestingConnection(peerKey(member)),
 			random: options.random,
+			without: options.without,
 		}),
 		peerFailed({id}) {
 			unreachableUntil.set(id, clock() + peerPauseMs);
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -1,4 +1,5 @@
 import type {Logger} from '../logging/index.ts';
+import type {Without} from '../mechanisms/index.ts';
 import type {CacheSource} from '../prompts/index.ts';
 import type {RegistrySource} from '../registry/index.ts';
 import type {Address} from '../shared/index.ts';
@@ -34,6 +35,10 @@
 	readonly caches: CacheSource | undefined;
 	readonly headers: WireHeaders;
 	readonly bounds: GatewayBounds;
+	/**
+	What is switched off, to see what it is worth.
+	*/
+	readonly without: Without;
 	readonly logger: Logger;
 };
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -37,7 +37,7 @@
 Builds a gateway; nothing runs before `start`.
 */
 export const createGateway = (options: GatewayOptions): Gateway => {
-	const {logger, headers} = options;
+	const {logger, headers, without} = options;
 	const knowledge = createNodeKnowledge(options, {
 		onLimits(limits) {
 			listeners.limit(limits);
@@ -114,7 +114,9 @@
 		observer.tick(now);
 		joiner.tick(now);
 		loadStatement.tick(now);
-		warmer.tick(now);
+		if (!without.has('connection-warming')) {
+			warmer.tick(now);
+		}
 	});
 
 	let isLeaving = false;
@@ -156,7 +158,10 @@
 			await listeners.start();
 			ticks.start();
 			joiner.askNow();
-			logger.info({node: options.id, ownRegion}, 'gateway started');
+			logger.info(
+				{node: options.id, ownRegion, without: [...without].join(' ')},
+				'gateway started',
+			);
 		},
 		async drain(timeoutMs) {
 			const leftAt = clock();
--- a/src/gateway/node-knowledge.ts
+++ b/src/gateway/node-knowledge.ts
@@ -113,6 +113,7 @@
 	});
 	const prompts = createPromptSharing({
 		caches: options.caches,
+		without: options.without,
 		mirror,
 		questions,
 		availabilityZone,
@@ -133,6 +134,7 @@
 		mayUseCold: shares.hasSettled,
 		keeps: prompts.keeps,
 		draw: random.fraction,
+		without: options.without,
 	});
 	const placement = createPlacementView({mirror, regions, regionOf});
 	const takeIn = createRegistryChanges({
@@ -149,6 +151,7 @@
 	const registry = createRegistrySharing({
 		mirror,
 		source: options.registry,
+		without: options.without,
 		mesh,
 		questions,
 		ownRegion,
--- a/src/gateway/pass-answer.ts
+++ b/src/gateway/pass-answer.ts
@@ -86,12 +86,12 @@
 
 // The load of a server in another region comes by way of a node there, which has taken it in.
 const noteLoad = (
-	{clock, headers, onBadLoad}: DeliveryContext,
+	{clock, headers, onBadLoad, without}: DeliveryContext,
 	{attempt}: CurrentCall,
 	{header}: UpstreamHead,
 ): void => {
 	const text = attempt && header(headers.load);
-	if (text === undefined) {
+	if (text === undefined || without.has('stated-load')) {
 		return;
 	}
 
@@ -146,13 +146,15 @@
 };
 
 const canRetry = (
-	{clock, retryYield}: DeliveryContext,
+	{clock, retryYield, without}: DeliveryContext,
 	run: DeliveryRun,
 	{status}: UpstreamHead,
 ): boolean =>
 	run.isRepeatable &&
 	hasAttemptLeft(run, clock()) &&
-	(status < 500 || retryYield.isWorthwhile(run.exchange.route.name));
+	(status < 500 ||
+		without.has('retry-yield') ||
+		retryYield.isWorthwhile(run.exchange.route.name));
 
 const noteRetry = (
 	{retryYield}: DeliveryContext,
--- a/src/gateway/prompt-sharing.ts
+++ b/src/gateway/prompt-sharing.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {Logger} from '../logging/index.ts';
+import type {Without} from '../mechanisms/index.ts';
 import type {Member} from '../membership/index.ts';
 import type {PeerQuestions} from '../mesh/index.ts';
 import {
@@ -45,6 +46,7 @@
 	Undefined where engines do not tell of their memory.
 	*/
 	readonly caches: CacheSource | undefined;
+	readonly without: Without;
 	readonly mirror: RegistryMirror;
 	readonly questions: PeerQuestions;
 	readonly availabilityZone: string;
@@ -72,7 +74,7 @@
 export const createPromptSharing = (
 	options: PromptSharingOptions,
 ): PromptSharing => {
-	const {mirror, questions, availabilityZone, zones} = options;
+	const {mirror, questions, availabilityZone, zones, without} = options;
 	const map = createPromptMap();
 	const zoneOf = (server: string) =>
 		mirror.servers().get(server)?.server.availabilityZone;
@@ -100,7 +102,7 @@
 	// A node that has just started does not know yet who has the duty, and reads for itself meanwhile: after
 	// a stop of all nodes it would otherwise have long prompts read again that its engines keep.
 	const isReader = (): boolean =>
-		!options.hasSettled() ||
+		(!options.hasSettled() && !without.has('early-cache-events')) ||
 		holders.get(availabilityZone)?.id === options.self().id;
 
 	const enginesOfZone = (): readonly ReadEngine[] => {
@@ -128,7 +130,7 @@
 			.map(({id, peerAddress: address}) => ({id, address, scope}));
 	};
 
-	const {caches} = options;
+	const caches = without.has('cache-events') ? undefined : options.caches;
 	const reader =
 		caches &&
 		createCacheReader({
--- a/src/gateway/registry-sharing.ts
+++ b/src/gateway/registry-sharing.ts
@@ -1,3 +1,4 @@
+import type {Without} from '../mechanisms/index.ts';
 import type {Logger} from '../logging/index.ts';
 import {dutyHolders} from '../membership/index.ts';
 import type {Mesh, PeerQuestions} from '../mesh/index.ts';
@@ -41,6 +42,7 @@
 What sharing is built from.
 */
 export type RegistrySharingOptions = {
+	readonly without: Without;
 	readonly mirror: RegistryMirror;
 	readonly source: RegistrySource;
 	readonly mesh: Mesh;
@@ -84,6 +86,10 @@
 	};
 
 	const relayToAsk = (): Address | undefined => {
+		if (options.without.has('registry-relay')) {
+			return undefined;
+		}
+
 		const self = mesh.self();
 		const holders = options.hasSettled()
 			? dutyHolders(duty, self, mesh.usable(), readersPerZone)
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -48,6 +48,7 @@
 	const {choose, peerFailed} = createGatewayChooser({
 		...knowledge,
 		zones: options.zones,
+		without: options.without,
 		keeps: knowledge.prompts.keeps,
 	});
 	const admission = createLeavingAdmission();
@@ -55,6 +56,7 @@
 		self: options.id,
 		clock,
 		headers,
+		without: options.without,
 		fleet,
 		client,
 		choose,
@@ -112,6 +114,7 @@
 		deliveries,
 		observer,
 		admission,
+		without: options.without,
 		readContext: () => ({
 			names: headers,
 			routes: mirror.routes(),
--- a/src/gateway/request-intake.ts
+++ b/src/gateway/request-intake.ts
@@ -5,6 +5,7 @@
 	createGatewayError,
 	type GatewayError,
 } from '../errors/index.ts';
+import type {Without} from '../mechanisms/index.ts';
 import type {Deliveries} from './delivery.ts';
 import type {AnswerSink, Exchange} from './exchange.ts';
 import {
@@ -50,6 +51,7 @@
 	Asked for each request of a caller.
 	*/
 	readonly admission: LeavingAdmission;
+	readonly without: Without;
 	readonly readContext: () => ReadContext;
 };
 
@@ -71,6 +73,7 @@
 	deliveries,
 	observer,
 	admission,
+	without,
 	readContext,
 }: RequestIntakeOptions): RequestIntake => {
 	// A request that another node forwards is cut with this node's end as well, but its origin knows of
@@ -78,7 +81,10 @@
 	const admitted = (
 		read: Result<Exchange, GatewayError>,
 	): Result<Exchange, GatewayError> =>
-		read.isErr || read.value.hop !== undefined || admission.mayTake(read.value)
+		read.isErr ||
+		read.value.hop !== undefined ||
+		without.has('leaving-admission') ||
+		admission.mayTake(read.value)
 			? read
 			: Result.err(
 					createGatewayError(
@@ -112,7 +118,8 @@
 
 	// Runs once routes are known, or when the patience for them is over.
 	const afterRoutes = (run: () => void): (() => void) => {
-		const isReady = readContext().routes !== undefined;
+		const isReady =
+			readContext().routes !== undefined || without.has('early-requests');
 		if (isReady || early.size >= maximumEarlyRequests) {
 			run();
 			return () => undefined;
--- a/src/gateway/send-run.ts
+++ b/src/gateway/send-run.ts
@@ -42,7 +42,8 @@
 	}
 
 	const {hop} = run.exchange;
-	if (hop && !hop.canWait) {
+	const isRefused = hop ? !hop.canWait : context.without.has('waiting');
+	if (isRefused) {
 		giveUpRun(context, run, noRoom);
 		return;
 	}
@@ -82,7 +83,7 @@
 };
 
 const longestWaitUntil = (
-	{hasSettled}: DeliveryContext,
+	{hasSettled, without}: DeliveryContext,
 	{exchange}: DeliveryRun,
 ): number => {
 	const {route, receivedAt, expiresAt} = exchange;
@@ -91,7 +92,8 @@
 		startPatienceMs,
 		(expiresAt - receivedAt) * startPatiencePart,
 	);
-	return receivedAt + (hasSettled() ? usual : Math.max(usual, patience));
+	const isPatient = !hasSettled() && !without.has('start-patience');
+	return receivedAt + (isPatient ? Math.max(usual, patience) : usual);
 };
 
 // False without room anywhere. A request that is over needs none.
@@ -134,7 +136,7 @@
 	run: DeliveryRun,
 	id: string,
 ): void => {
-	const {clock, connectionsTo, fleet, headers} = context;
+	const {clock, connectionsTo, fleet, headers, without} = context;
 	const attempt = fleet.begin(id, run.placement, clock());
 	run.excluded.add(id);
 	run.tried.push(id);
@@ -152,8 +154,7 @@
 			headers: onwardHeaders(context, run, [
 				headers.expectedServer,
 				id,
-				headers.urgency,
-				String(urgency),
+				...(without.has('urgency') ? [] : [headers.urgency, String(urgency)]),
 			]),
 		},
 	);
--- /dev/null
+++ b/src/mechanisms/index.ts
@@ -0,0 +1,1 @@
+export * from './mechanisms.ts';
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -1,5 +1,6 @@
 import {Result} from 'true-myth';
 import {logLevelNames} from '../logging/index.ts';
+import {mechanisms, parseWithout, type Without} from '../mechanisms/index.ts';
 import {nodeSettings} from './node-settings.ts';
 import {createSetting, type SettingValue} from './setting.ts';
 import {
@@ -48,6 +49,16 @@
 		0,
 		3_600_000,
 	),
+	without: createSetting<Without>(
+		{
+			flag: '--without',
+			description:
+				'Mechanisms to switch off, to see what each is worth; for diagnosis only',
+			fallback: '',
+		},
+		`names separated by commas, or empty, of ${mechanisms.join(', ')}`,
+		parseWithout,
+	),
 	logLevel: choiceSetting(
 		{
 			flag: '--log-level',
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -61,6 +61,7 @@
 		registry: registry.source(),
 		caches: undefined,
 		headers: standInHeaders,
+		without: new Set(),
 		bounds: {
 			retryRatio: 0.2,
 			retryWindowMs: 10_000,
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -30,6 +30,7 @@
 		mayUseCold: () => true,
 		keeps: () => false,
 		draw: () => 0,
+		without: new Set(),
 		...change,
 	});
 	fleet.sync(
--- a/tests/gateway/choose-upstream.test.ts
+++ b/tests/gateway/choose-upstream.test.ts
@@ -50,6 +50,7 @@
 	const choose = createUpstreamChooser({
 		self: () => memberOf('self', 'home'),
 		ownRegion: 'home',
+		without: new Set(),
 		fleet,
 		regions: ['home', 'near', 'far'],
 		membersIn: (region) =>
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery.test.ts
@@ -52,6 +52,7 @@
 		self: 'node-1',
 		clock,
 		headers: names,
+		without: new Set(),
 		fleet,
 		client: {
 			call(call, listener): OpenCall {
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -94,5 +94,6 @@
 	mayUseCold: () => true,
 	keeps: () => false,
 	draw: () => 0,
+	without: new Set(),
 	...change,
 });
--- /dev/null
+++ b/tools/account.ts
@@ -0,0 +1,119 @@
+// Says why requests were lost and late, from the lines of nodes and a count of requests by the second.
+// Usage: npm run account -- LOG [REPORT] [PICTURE.svg]
+// LOG holds the standard output of nodes. REPORT is a JSON file with `windows`, each with its first second as
+// `name`, and `late`, `refused` and `failed`; without it the lines are counted. With a PICTURE the account is
+// drawn.
+import {readFileSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import * as z from 'zod';
+import {accountFor, sumBy, type CountedSpan} from './account/account.ts';
+import {causeOf, type RequestLine} from './account/cause.ts';
+import {readRequestLines} from './account/read-lines.ts';
+import {drawBars} from './plots/draw-bars.ts';
+
+// Seconds of a span where the lines themselves are counted.
+const spanSeconds = 2;
+
+const reportSchema = z.object({
+	windows: z.array(
+		z.object({
+			name: z.string(),
+			late: z.number(),
+			refused: z.number(),
+			failed: z.number(),
+		}),
+	),
+});
+
+const spansOfReport = (file: string): readonly CountedSpan[] =>
+	reportSchema
+		.parse(JSON.parse(readFileSync(file, 'utf8')))
+		.windows.map(({name, late, refused, failed}) => ({
+			from: Number(name),
+			late,
+			lost: refused + failed,
+		}));
+
+const spansOfLines = (
+	lines: readonly RequestLine[],
+): readonly CountedSpan[] => {
+	const spans = new Map<number, {late: number; lost: number}>();
+	for (const line of lines) {
+		const cause = causeOf(line);
+		const cameAt = line.at - line.totalMs / 1000;
+		const from = Math.floor(cameAt / spanSeconds) * spanSeconds;
+		const span = spans.get(from) ?? {late: 0, lost: 0};
+		spans.set(from, span);
+		if (cause === undefined) {
+			continue;
+		}
+
+		if (cause.startsWith('late ')) {
+			span.late += 1;
+		} else {
+			span.lost += 1;
+		}
+	}
+
+	return [...spans]
+		.map(([from, counts]) => ({from, ...counts}))
+		.toSorted((left, right) => left.from - right.from);
+};
+
+const table = (title: string, rows: ReturnType<typeof sumBy>): string =>
+	[
+		`| ${title} | lost | late |`,
+		'| --- | --- | --- |',
+		...rows.map(
+			({key, lost, late}) =>
+				`| ${key} | ${lost.toFixed(0)} | ${late.toFixed(0)} |`,
+		),
+		'',
+	].join('\n');
+
+const main = async ([log, report, picture]: readonly string[]) => {
+	if (log === undefined) {
+		process.stderr.write(
+			'No log: name a file with the output of nodes, as in npm run account -- LOG [REPORT] [PICTURE.svg]\n',
+		);
+		process.exitCode = 1;
+		return;
+	}
+
+	const lines = await readRequestLines(log);
+	const spans =
+		report === undefined ? spansOfLines(lines) : spansOfReport(report);
+	const rows = accountFor(spans, lines);
+	const total = sumBy(rows, () => 'all');
+	const bySecond = sumBy(rows, ({from}) => String(from)).toSorted(
+		(left, right) => Number(left.key) - Number(right.key),
+	);
+	process.stdout.write(
+		[
+			table('cause', [...total, ...sumBy(rows, ({cause}) => cause)]),
+			table('from second', bySecond),
+			table(
+				'second and cause',
+				sumBy(rows, ({from, cause}) => `${from} ${cause}`).slice(0, 15),
+			),
+		].join('\n'),
+	);
+	if (picture === undefined) {
+		return;
+	}
+
+	const svg = await drawBars({
+		title: 'Requests lost and late, by the second in which they came',
+		values: rows.map(({from, cause, lost, late}) => ({
+			second: from,
+			cause,
+			requests: lost + late,
+		})),
+		x: 'second',
+		y: 'requests',
+		color: 'cause',
+	});
+	writeFileSync(picture, svg);
+};
+
+await main(process.argv.slice(2));
--- /dev/null
+++ b/tools/account/cause.ts
@@ -0,0 +1,115 @@
+/**
+Why a request was lost or late, as a node's line about it tells.
+*/
+export const causes = [
+	'no room',
+	'this node was leaving or not ready',
+	'no connection to a server or node',
+	'server broke off before the first event',
+	'server broke off midway',
+	'silent server',
+	'too slow to end in time',
+	'fault of a server',
+	'late by waiting for room',
+	'late by a second try',
+	'late at the server',
+	'late by way of another node',
+	'seen by no line',
+] as const;
+
+/**
+One of the causes.
+*/
+export type Cause = (typeof causes)[number];
+
+/**
+What a node writes about a request that it took from a caller; times in milliseconds.
+*/
+export type RequestLine = {
+	/**
+	When the line was written, in seconds.
+	*/
+	readonly at: number;
+	readonly node: string;
+	readonly route: string;
+	readonly result: string;
+	readonly outcome: string;
+	readonly reason: string;
+	readonly steps: string;
+	readonly firstByteMs: number | undefined;
+	readonly waitedMs: number;
+	readonly totalMs: number;
+	readonly targetMs: number;
+	readonly status: number;
+};
+
+const brokenConnection = /closed|reset|ended in the middle|is missing/iv;
+const noConnection = /connect|timeout/iv;
+// A request that waited for this part of its delay is late for want of room.
+const waitingPart = 0.5;
+
+/**
+The cause of a request that was not answered with a success; undefined for one that came in time.
+*/
+export const causeOf = (line: RequestLine): Cause | undefined =>
+	line.result === 'answered' && line.status < 500
+		? causeOfDelay(line)
+		: causeOfLoss(line);
+
+const causeOfLoss = ({
+	result,
+	outcome,
+	reason,
+	firstByteMs,
+}: RequestLine): Cause => {
+	if (result === 'rejected') {
+		return 'this node was leaving or not ready';
+	}
+
+	if (/no backend server ha[ds]|room/iv.test(reason)) {
+		return 'no room';
+	}
+
+	if (outcome === 'not-run' && noConnection.test(reason)) {
+		return 'no connection to a server or node';
+	}
+
+	const hasBegun = firstByteMs !== undefined;
+	if (result !== 'caller-left' && brokenConnection.test(reason)) {
+		return hasBegun
+			? 'server broke off midway'
+			: 'server broke off before the first event';
+	}
+
+	if (/answered|signature|too long|belongs/iv.test(reason)) {
+		return 'fault of a server';
+	}
+
+	return hasBegun ? 'too slow to end in time' : 'silent server';
+};
+
+const causeOfDelay = ({
+	firstByteMs,
+	waitedMs,
+	targetMs,
+	steps,
+}: RequestLine): Cause | undefined => {
+	if (firstByteMs === undefined || firstByteMs <= targetMs) {
+		return undefined;
+	}
+
+	if (waitedMs > (firstByteMs - targetMs) * waitingPart) {
+		return 'late by waiting for room';
+	}
+
+	const tries = steps
+		.split(' | ')
+		.filter((step) => /^(?:server|node) /v.test(step));
+	if (tries.length > 1) {
+		return 'late by a second try';
+	}
+
+	return steps.startsWith('node ')
+		? 'late by way of another node'
+		: 'late at the server';
+};
--- /dev/null
+++ b/tools/account/read-lines.ts
@@ -0,0 +1,95 @@
+import {createReadStream} from 'node:fs';
+import {createInterface} from 'node:readline';
+import type {RequestLine} from './cause.ts';
+
+type Context = Readonly<Record<string, unknown>>;
+
+const secondMs = 1000;
+
+/**
+Reads the lines about callers' requests out of the output of nodes. A line may have the time in seconds and
+the node before it; without a time, that of the line itself counts, from the first line on.
+
+Lines that are no JSON, and lines about requests that another node forwarded, are passed over.
+*/
+export const readRequestLines = async (
+	file: string,
+): Promise<readonly RequestLine[]> => {
+	const lines: RequestLine[] = [];
+	let firstTime: number | undefined;
+	const input = createInterface({input: createReadStream(file, 'utf8')});
+	for await (const text of input) {
+		const start = text.indexOf('{');
+		const parsed = start === -1 ? undefined : parse(text.slice(start));
+		if (!parsed) {
+			continue;
+		}
+
+		firstTime ??= parsed.time;
+		const seconds = /^\s*(?<seconds>-?[\d.]+)\s/v.exec(text)?.groups?.seconds;
+		const stated = Number(seconds ?? NaN);
+		const at = Number.isNaN(stated)
+			? (parsed.time - firstTime) / secondMs
+			: stated;
+		const line = toLine(parsed.context, parsed.message, at);
+		if (line) {
+			lines.push(line);
+		}
+	}
+
+	return lines;
+};
+
+const parse = (text: string) => {
+	try {
+		const {context, message, time} = JSON.parse(text) as {
+			context?: Context;
+			message?: string;
+			time?: number;
+		};
+		return context && message !== undefined && time !== undefined
+			? {context, message, time}
+			: undefined;
+	} catch {
+		return undefined;
+	}
+};
+
+const toLine = (
+	context: Context,
+	message: string,
+	at: number,
+): RequestLine | undefined => {
+	const text = (name: string) => {
+		const value = context[name];
+		return typeof value === 'string' ? value : '';
+	};
+
+	const count = (name: string) => {
+		const value = context[name];
+		return typeof value === 'number' ? value : 0;
+	};
+
+	const isAboutRequest = message.startsWith('request ');
+	// A path without a route is the caller's fault, and no request of a route was lost with it.
+	const isOwnFault = message === 'request rejected' && count('status') !== 503;
+	if (!isAboutRequest || isOwnFault || context.origin !== undefined) {
+		return undefined;
+	}
+
+	return {
+		at,
+		node: text('node'),
+		route: text('route'),
+		result: message === 'request rejected' ? 'rejected' : text('result'),
+		outcome: text('outcome'),
+		reason: text('reason'),
+		steps: text('steps'),
+		firstByteMs:
+			context.firstByteMs === undefined ? undefined : count('firstByteMs'),
+		waitedMs: count('waitedMs'),
+		totalMs: count('totalMs'),
+		targetMs: count('targetMs'),
+		status: count('status'),
+	};
+};
