--- a/src/gateway/delivery-context.ts
+++ b/src/gateway/delivery-context.ts
@@ -6,6 +6,8 @@
 import type {UpstreamChooser} from './choose-upstream.ts';
 import type {DeliveryRun} from './delivery-run.ts';
 import type {DeliveryRecord} from './exchange.ts';
+import type {RoomOutlook} from './room-outlook.ts';
+import type {RouteDurations} from './route-durations.ts';
 import type {WaitingRequests} from './waiting-requests.ts';
 import type {WireHeaders} from './wire-headers.ts';
 
@@ -28,6 +30,7 @@
 	Nodes that share the retry budget, this one included.
 	*/
 	readonly nodes: () => number;
+	readonly durations: RouteDurations;
 	/**
 	Whether this node had time to hear of the others.
 	*/
@@ -66,6 +69,7 @@
 export type DeliveryContext = DeliveryOptions & {
 	readonly runs: Set<DeliveryRun>;
 	readonly line: WaitingRequests;
+	readonly outlook: RoomOutlook;
 	readonly retryYield: RetryYield;
 	/**
 	Sends a request to the best place that it may still go to, or lets it wait for room.
--- a/src/gateway/delivery-run.ts
+++ b/src/gateway/delivery-run.ts
@@ -98,6 +98,10 @@
 	The longest time between two pieces of the stream so far, in milliseconds.
 	*/
 	longestPauseMs: number;
+	/**
+	Whether there was no server at all that it might go to when it was last looked for, whatever was tried.
+	*/
+	hasNowhereToGo: boolean;
 	isOver: boolean;
 	/**
 	Whether the caller left while the request is left to end.
@@ -154,6 +158,7 @@
 		status: 0,
 		pieceAt: undefined,
 		longestPauseMs: 0,
+		hasNowhereToGo: false,
 		isOver: false,
 		isDeserted: false,
 	};
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -14,6 +14,7 @@
 } from './end-run.ts';
 import type {AnswerSink, Exchange} from './exchange.ts';
 import {failCall} from './fail-call.ts';
+import {createRoomOutlook} from './room-outlook.ts';
 import {sendOrWait} from './send-run.ts';
 import {createWaitingRequests} from './waiting-requests.ts';
 
@@ -60,6 +61,7 @@
 		...options,
 		runs: new Set(),
 		line: createWaitingRequests(),
+		outlook: createRoomOutlook(),
 		retryYield: createRetryYield(),
 		sendOrWait(run) {
 			sendOrWait(context, run);
@@ -77,8 +79,10 @@
 			};
 		},
 		tick(now) {
-			line.pump();
-			line.expire(now);
+			line.pump(now);
+			line.expire(now, ({service, until}, before) =>
+				isHopeless(context.outlook.waitMs(service, before, now), until - now),
+			);
 		},
 		serverSilent(server) {
 			for (const run of runs) {
@@ -92,6 +96,10 @@
 	};
 };
 
+// Predictions waver; who was let into the line is sent away only where it would take twice what is left.
+const isHopeless = (waitMs: number, leftMs: number): boolean =>
+	waitMs > leftMs * 2;
+
 const startRun = (
 	context: DeliveryContext,
 	exchange: Exchange,
--- a/src/gateway/end-run.ts
+++ b/src/gateway/end-run.ts
@@ -11,10 +11,10 @@
 export const shortestRetryAfterSeconds = 0.3;
 
 /**
-Requests of the line that one backend server takes in a second, by which refused callers are told
-when to come back.
+Seconds after which a refused caller should come back at the most: callers heed a longer time up to a third of
+what they have left only, and servers come back sooner than this can be foreseen.
 */
-export const takenPerServerSecond = 10;
+export const longestRetryAfterSeconds = 3;
 
 /**
 States how a request ended.
@@ -70,7 +70,7 @@
 Ends the current call, if there is one, and gives its room to what waits.
 */
 export const endCurrentCall = (
-	{clock, line}: DeliveryContext,
+	{clock, line, outlook}: DeliveryContext,
 	run: DeliveryRun,
 	how: BackendAttemptEnd,
 	shouldAbort: boolean,
@@ -87,7 +87,12 @@
 		current.open().abort();
 	}
 
-	line.pump();
+	const now = clock();
+	if (current.attempt) {
+		outlook.freed(run.exchange.service, now);
+	}
+
+	line.pump(now);
 };
 
 /**
@@ -107,7 +112,7 @@
 	const error = createGatewayError(kind, reason, {
 		outcome: run.outcome,
 		retryAfterSeconds:
-			run.outcome === 'not-run' ? retryAfterSeconds(context) : undefined,
+			run.outcome === 'not-run' ? retryAfterSeconds(context, run) : undefined,
 	});
 	run.sink.refuse(error, run.tried);
 	recordRun(context, run, {result: 'refused', status: 0, reason});
@@ -143,7 +148,22 @@
 	refuseRun(context, run, kind, reason);
 };
 
-// The fuller the line, the longer it takes until a newcomer would get through.
-const retryAfterSeconds = ({fleet, line}: DeliveryContext): number =>
-	shortestRetryAfterSeconds +
-	line.length() / Math.max(1, takenPerServerSecond * fleet.ids().length);
+// When the caller would get room if it stood last in the line, those that were refused before it included. So
+// callers come back in the order in which they were refused, and spread out.
+const retryAfterSeconds = (
+	{clock, line, outlook}: DeliveryContext,
+	{exchange, hasNowhereToGo}: DeliveryRun,
+): number => {
+	if (hasNowhereToGo) {
+		return longestRetryAfterSeconds;
+	}
+
+	const now = clock();
+	const {service} = exchange;
+	const waitMs = outlook.waitMs(service, line.before(service, Infinity), now);
+	outlook.refused(service, now);
+	return Math.min(
+		longestRetryAfterSeconds,
+		Math.max(shortestRetryAfterSeconds, waitMs / 1000),
+	);
+};
--- a/src/gateway/leaving-admission.ts
+++ b/src/gateway/leaving-admission.ts
@@ -1,14 +1,10 @@
-import {quantile} from 'simple-statistics';
-import type {DeliveryRecord, Exchange} from './exchange.ts';
+import type {Exchange} from './exchange.ts';
+import type {RouteDurations} from './route-durations.ts';
 
 /**
 Decides which requests a node that is about to end still takes.
 */
 export type LeavingAdmission = {
-	/**
-	Enters how long a request took.
-	*/
-	note(record: DeliveryRecord): void;
 	/**
 	The node is leaving, and ends at this time; both by its clock in milliseconds.
 	*/
@@ -19,14 +15,6 @@
 	mayTake(exchange: Exchange): boolean;
 };
 
-/**
-Requests of a route by which the time of the next one is told.
-*/
-export const rememberedRequests = 64;
-
-// With fewer requests seen a route is taken to need all the time that it may.
-const fewestRequests = 8;
-
 // While callers are still led here a request is taken where all but one in twenty of its route would be
 // answered in time. With the whole time limit of the route, a stream that may take 12 s was refused from
 // the first moment on, though half of them end within 2 s.
@@ -40,27 +28,15 @@
 /**
 Builds the admission of a node that is not leaving.
 */
-export const createLeavingAdmission = (): LeavingAdmission => {
-	const durations = new Map<string, number[]>();
+export const createLeavingAdmission = (
+	durations: RouteDurations,
+): LeavingAdmission => {
 	let leaving: {readonly since: number; readonly endsAt: number} | undefined;
 
-	const expectedMs = ({route}: Exchange): number => {
-		const seen = durations.get(route.name) ?? [];
-		return seen.length < fewestRequests
-			? route.timeoutMs
-			: quantile(seen, answeredPart);
-	};
+	const expectedMs = ({route}: Exchange): number =>
+		durations.within(route.name, answeredPart) ?? route.timeoutMs;
 
 	return {
-		note({exchange, result, totalMs}) {
-			if (result !== 'answered') {
-				return;
-			}
-
-			const {name} = exchange.route;
-			const seen = durations.get(name) ?? [];
-			durations.set(name, [...seen.slice(1 - rememberedRequests), totalMs]);
-		},
 		leave(now, endsAt) {
 			leaving = {since: now, endsAt};
 		},
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -12,6 +12,7 @@
 	type LeavingAdmission,
 } from './leaving-admission.ts';
 import type {NodeKnowledge} from './node-knowledge.ts';
+import {createRouteDurations} from './route-durations.ts';
 import {createRequestIntake, type RequestIntake} from './request-intake.ts';
 
 /**
@@ -51,7 +52,8 @@
 		without: options.without,
 		keeps: knowledge.prompts.keeps,
 	});
-	const admission = createLeavingAdmission();
+	const durations = createRouteDurations();
+	const admission = createLeavingAdmission(durations);
 	const deliveries = createDeliveries({
 		self: options.id,
 		clock,
@@ -67,6 +69,7 @@
 		}),
 		nodes: shares.retrySharers,
 		hasSettled: shares.hasSettled,
+		durations,
 		connectionsTo: (service) =>
 			shares.connectionsTo(mirror.routes()?.service(service)),
 		routesVersion,
@@ -89,7 +92,10 @@
 			}
 		},
 		onRecord(record) {
-			admission.note(record);
+			if (record.result === 'answered') {
+				durations.note(record.exchange.route.name, record.totalMs);
+			}
+
 			observer.record(record);
 		},
 	});
--- a/src/gateway/send-run.ts
+++ b/src/gateway/send-run.ts
@@ -14,36 +14,24 @@
 import {lastEventIdHeader, leastUrgent} from './wire-headers.ts';
 
 /**
-The part of the target latency that a request may wait for room; with the way to the caller it is
-refused within a quarter of it.
-*/
-export const waitingPart = 0.2;
-
-/**
-How long a request may wait for room at a node that has just started, in milliseconds. After a loss of
-power the first node that is back is sent what the others will take a second later, and callers that
-were cut off have no try left after a refusal.
-*/
-export const startPatienceMs = 1500;
-
-// At a node that has just started a request waits for this part of its time at the most.
-const startPatiencePart = 0.4;
-
-/**
-Sends a request to the best place that it may still go to. Without room anywhere it waits, unless
-the node that forwarded it may know a better place.
+Sends a request to the best place that it may still go to. Without room anywhere it waits for as long as it
+is predicted to be served in time for its caller; it is refused at once otherwise, and where the node that
+forwarded it may know a better place.
 */
 export const sendOrWait = (
 	context: DeliveryContext,
 	run: DeliveryRun,
 ): void => {
-	if (isSent(context, run)) {
+	const sent = trySend(context, run);
+	if (sent === 'sent') {
 		return;
 	}
 
+	const hasNoPlace = sent === 'none' && run.regions.size === 0;
+	run.hasNowhereToGo = hasNoPlace && run.excluded.size === 0;
 	const {hop} = run.exchange;
-	const isRefused = hop ? !hop.canWait : context.without.has('waiting');
-	if (isRefused) {
+	const isWanted = hop ? hop.canWait : !context.without.has('waiting');
+	if (!isWanted || !canWaitHere(context, run, hasNoPlace)) {
 		giveUpRun(context, run, noRoom);
 		return;
 	}
@@ -56,25 +44,42 @@
 
 const noRoom = 'No backend server has room';
 
+// With nowhere to go there is nothing to wait for, but at a node that knows little yet, and where another
+// region has only just refused.
+const canWaitHere = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	hasNoPlace: boolean,
+): boolean => {
+	const {clock, hasSettled, line, outlook} = context;
+	if (run.hasBegun) {
+		return true;
+	}
+
+	if (hasNoPlace && hasSettled()) {
+		return false;
+	}
+
+	const now = clock();
+	const {service, route} = run.exchange;
+	const before = line.before(service, route.priority);
+	return now + outlook.waitMs(service, before, now) < lastStart(context, run);
+};
+
 const createWaitingRequest = (
 	context: DeliveryContext,
 	run: DeliveryRun,
 ): WaitingRequest => {
 	const now = context.clock();
-	const {route} = run.exchange;
+	const {route, service, receivedAt} = run.exchange;
 	return {
 		priority: route.priority,
 		since: now,
-		until: run.hasBegun
-			? now + route.targetLatencyMs
-			: Math.max(now, longestWaitUntil(context, run)),
-		roomKey: [
-			run.exchange.service,
-			route.name,
-			...run.excluded,
-			...run.regions,
-		].join(' '),
-		attempt: () => isSent(context, run),
+		lateAt: receivedAt + route.targetLatencyMs,
+		until: lastStart(context, run),
+		service,
+		roomKey: [service, route.name, ...run.excluded, ...run.regions].join(' '),
+		attempt: () => trySend(context, run) === 'sent',
 		giveUp() {
 			run.steps.push('gave-up-waiting');
 			giveUpRun(context, run, noRoom);
@@ -82,24 +87,34 @@
 	};
 };
 
-const longestWaitUntil = (
-	{hasSettled, without}: DeliveryContext,
-	{exchange}: DeliveryRun,
+// The part of a route's requests that are to end in time if they start at the last moment. With half of them,
+// streams that started last were cut by their deadline after they had kept a place for seconds.
+const endedPart = 0.9;
+
+// Nine in ten of a route's requests that start then are over in time. Of a route of which nothing is known, half
+// of the time is left for the answer. Callers of a stream that has begun do not bear a longer pause than they
+// hope to wait for its beginning.
+const lastStart = (
+	{durations, clock}: DeliveryContext,
+	{exchange, hasBegun}: DeliveryRun,
 ): number => {
 	const {route, receivedAt, expiresAt} = exchange;
-	const usual = route.targetLatencyMs * waitingPart;
-	const patience = Math.min(
-		startPatienceMs,
-		(expiresAt - receivedAt) * startPatiencePart,
-	);
-	const isPatient = !hasSettled() && !without.has('start-patience');
-	return receivedAt + (isPatient ? Math.max(usual, patience) : usual);
+	if (hasBegun) {
+		return clock() + route.targetLatencyMs;
+	}
+
+	const usualMs =
+		durations.within(route.name, endedPart) ?? (expiresAt - receivedAt) / 2;
+	return expiresAt - usualMs;
 };
 
-// False without room anywhere. A request that is over needs none.
-const isSent = (context: DeliveryContext, run: DeliveryRun): boolean => {
+// A request that is over needs no room.
+const trySend = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+): 'sent' | 'full' | 'none' => {
 	if (run.isOver) {
-		return true;
+		return 'sent';
 	}
 
 	const choice = context.choose(
@@ -112,18 +127,18 @@
 		case 'server': {
 			leaveLine(context, run);
 			callServer(context, run, choice.id);
-			return true;
+			return 'sent';
 		}
 
 		case 'peer': {
 			leaveLine(context, run);
 			callNode(context, run, choice.member, choice.region);
-			return true;
+			return 'sent';
 		}
 
 		case 'full':
 		case 'none': {
-			return false;
+			return choice.kind;
 		}
 	}
 };
--- a/src/gateway/waiting-requests.ts
+++ b/src/gateway/waiting-requests.ts
@@ -8,9 +8,14 @@
 	readonly priority: number;
 	readonly since: number;
 	/**
-	When it is refused at the latest, by the node's clock in milliseconds.
+	When an answer comes late, by the node's clock in milliseconds.
+	*/
+	readonly lateAt: number;
+	/**
+	When it is refused at the latest.
 	*/
 	readonly until: number;
+	readonly service: string;
 	/**
 	Requests with the same key have the same servers to go to.
 	*/
@@ -23,7 +28,8 @@
 };
 
 /**
-Requests in the order of their urgency, and then of their arrival.
+Requests in the order of their urgency; of equals those first that may still come in time, and then those
+that came first.
 */
 export type WaitingRequests = {
 	add(request: WaitingRequest): void;
@@ -31,11 +37,20 @@
 	/**
 	Sends those for which there is room.
 	*/
-	pump(): void;
+	pump(now: number): void;
+	/**
+	Refuses those that have waited for as long as they may, and those that will not get room in time.
+
+	@param isHopeless Judges a request by how many of its service are before it.
+	*/
+	expire(
+		now: number,
+		isHopeless: (request: WaitingRequest, before: number) => boolean,
+	): void;
 	/**
-	Refuses those that have waited for as long as they may.
+	How many requests of a service go before a new one of this priority.
 	*/
-	expire(now: number): void;
+	before(service: string, priority: number): number;
 	length(): number;
 };
 
@@ -52,20 +67,17 @@
 
 	return {
 		add(request) {
-			line = [...line, request].toSorted((left, right) =>
-				left.priority === right.priority
-					? left.since - right.since
-					: left.priority - right.priority,
-			);
+			line = [...line, request];
 		},
 		leave,
-		pump() {
+		pump(now) {
 			// An attempt may free a place at once and so call back in here.
 			if (isPumping || line.length === 0) {
 				return;
 			}
 
 			isPumping = true;
+			line = inOrder(line, now);
 			// Where the first of a kind finds no room the others find none, and each try looks at all
 			// servers: under load the line is long and is gone through at every end of a request.
 			const full = new Set<string>();
@@ -83,13 +95,39 @@
 
 			isPumping = false;
 		},
-		expire(now) {
-			const expired = line.filter(({until}) => until <= now);
-			for (const request of expired) {
-				leave(request);
-				request.giveUp();
+		expire(now, isHopeless) {
+			const before = new Map<string, number>();
+			for (const request of inOrder(line, now)) {
+				const count = before.get(request.service) ?? 0;
+				if (request.until <= now || isHopeless(request, count)) {
+					leave(request);
+					request.giveUp();
+				} else {
+					before.set(request.service, count + 1);
+				}
 			}
 		},
+		before: (service, priority) =>
+			line.filter(
+				(each) => each.service === service && each.priority <= priority,
+			).length,
 		length: () => line.length,
 	};
 };
+
+// Who is late already stands back: served before the others it would make those late too.
+const inOrder = (
+	line: readonly WaitingRequest[],
+	now: number,
+): readonly WaitingRequest[] => {
+	const rankOf = ({lateAt}: WaitingRequest) => (lateAt <= now ? 1 : 0);
+	return line.toSorted((left, right) => {
+		const byPriority = left.priority - right.priority;
+		const byRank = rankOf(left) - rankOf(right);
+		return byPriority === 0
+			? byRank === 0
+				? left.since - right.since
+				: byRank
+			: byPriority;
+	});
+};
--- a/src/mechanisms/mechanisms.ts
+++ b/src/mechanisms/mechanisms.ts
@@ -58,10 +58,6 @@
 	*/
 	'waiting',
 	/**
-	Requests wait longer for room at a node that has just started.
-	*/
-	'start-patience',
-	/**
 	Requests that come before the first routes wait for them.
 	*/
 	'early-requests',
--- /dev/null
+++ b/tests/gateway/route-durations.test.ts
@@ -0,0 +1,31 @@
+import {test, type TestContext} from 'node:test';
+import {
+	createRouteDurations,
+	rememberedRequests,
+} from '../../src/gateway/route-durations.ts';
+
+test('nothing is said of a route that was hardly seen', (t: TestContext) => {
+	const durations = createRouteDurations();
+	for (let index = 0; index < 7; index += 1) {
+		durations.note('route', 10);
+	}
+
+	t.assert.strictEqual(durations.within('route', 0.5), undefined);
+	durations.note('route', 10);
+	t.assert.strictEqual(durations.within('route', 0.5), 10);
+	t.assert.strictEqual(durations.within('other', 0.5), undefined);
+});
+
+test('the latest requests count, and the part that is asked for', (t: TestContext) => {
+	const durations = createRouteDurations();
+	for (let index = 0; index < 500; index += 1) {
+		durations.note('route', 9000);
+	}
+
+	for (let index = 1; index <= rememberedRequests; index += 1) {
+		durations.note('route', index);
+	}
+
+	t.assert.strictEqual(durations.within('route', 1), rememberedRequests);
+	t.assert.strictEqual(durations.within('route', 0.5), 32.5);
+});
