--- a/src/gateway/choose-prompt-node.ts
+++ b/src/gateway/choosing/choose-prompt-node.ts
@@ -1,8 +1,8 @@
-import type {Placement} from '../backends/index.ts';
-import type {Without} from '../mechanisms/index.ts';
-import type {Member} from '../membership/index.ts';
-import {rendezvousFirst} from '../shared/index.ts';
-import type {Exchange} from './exchange.ts';
+import type {Placement} from '../../backends/index.ts';
+import type {Without} from '../../mechanisms/index.ts';
+import type {Member} from '../../membership/index.ts';
+import {rendezvousFirst} from '../../shared/index.ts';
+import type {Exchange} from '../exchange.ts';
 import type {PromptHolder} from './prompt-home.ts';
 import {
 	nodesOfRegion,
--- a/src/gateway/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -1,12 +1,16 @@
-import type {BackendFleet, LocalChoice, Placement} from '../backends/index.ts';
-import type {Member} from '../membership/index.ts';
-import {isRegionAllowed} from '../routes/index.ts';
-import type {Random} from '../shared/index.ts';
+import type {
+	BackendFleet,
+	LocalChoice,
+	Placement,
+} from '../../backends/index.ts';
+import type {Member} from '../../membership/index.ts';
+import {isRegionAllowed} from '../../routes/index.ts';
+import type {Random} from '../../shared/index.ts';
+import type {Exchange} from '../exchange.ts';
 import {
 	choosePromptNode,
 	type PromptNodeOptions,
 } from './choose-prompt-node.ts';
-import type {Exchange} from './exchange.ts';
 import {
 	nodesOfLeastLoaded,
 	type RegionNodes,
--- a/src/gateway/gateway-chooser.ts
+++ b/src/gateway/choosing/gateway-chooser.ts
@@ -2,18 +2,18 @@
 	BackendFleet,
 	ServiceLoad,
 	UpstreamClient,
-} from '../backends/index.ts';
-import type {Without} from '../mechanisms/index.ts';
-import type {Member} from '../membership/index.ts';
-import type {Mesh} from '../mesh/index.ts';
-import {isRegionAllowed} from '../routes/index.ts';
-import type {Random} from '../shared/index.ts';
+} from '../../backends/index.ts';
+import type {Without} from '../../mechanisms/index.ts';
+import type {Member} from '../../membership/index.ts';
+import type {Mesh} from '../../mesh/index.ts';
+import {isRegionAllowed} from '../../routes/index.ts';
+import type {Random} from '../../shared/index.ts';
+import type {Exchange} from '../exchange.ts';
+import {peerKey} from '../delivery/index.ts';
 import {
 	createUpstreamChooser,
 	type UpstreamChooser,
 } from './choose-upstream.ts';
-import type {Exchange} from './exchange.ts';
-import {peerKey} from './peer-connections.ts';
 import type {PlacementView} from './placement-view.ts';
 import {findPromptHome, type PromptHolder} from './prompt-home.ts';
 
--- a/src/gateway/placement-view.ts
+++ b/src/gateway/choosing/placement-view.ts
@@ -1,5 +1,5 @@
-import type {RegistryMirror} from '../registry/index.ts';
-import type {Route} from '../routes/index.ts';
+import type {RegistryMirror} from '../../registry/index.ts';
+import type {Route} from '../../routes/index.ts';
 import {
 	weighRegions,
 	type PromptHolder,
--- a/src/gateway/prompt-home.ts
+++ b/src/gateway/choosing/prompt-home.ts
@@ -1,5 +1,5 @@
-import {isRegionAllowed, type Route} from '../routes/index.ts';
-import {keyedWeight} from '../shared/index.ts';
+import {isRegionAllowed, type Route} from '../../routes/index.ts';
+import {keyedWeight} from '../../shared/index.ts';
 
 /**
 A backend server that may hold a prompt.
--- a/src/gateway/region-nodes.ts
+++ b/src/gateway/choosing/region-nodes.ts
@@ -1,7 +1,7 @@
-import type {ServiceLoad} from '../backends/index.ts';
-import type {Member} from '../membership/index.ts';
-import {isRegionAllowed} from '../routes/index.ts';
-import type {Exchange} from './exchange.ts';
+import type {ServiceLoad} from '../../backends/index.ts';
+import type {Member} from '../../membership/index.ts';
+import {isRegionAllowed} from '../../routes/index.ts';
+import type {Exchange} from '../exchange.ts';
 
 /**
 What a request has met so far.
--- a/src/gateway/connection-warmer.ts
+++ b/src/gateway/delivery/connection-warmer.ts
@@ -2,10 +2,10 @@
 	farConnectTimeoutMs,
 	type OpenCall,
 	type UpstreamClient,
-} from '../backends/index.ts';
-import type {Member} from '../membership/index.ts';
-import {peerPaths} from '../mesh/index.ts';
-import type {Random} from '../shared/index.ts';
+} from '../../backends/index.ts';
+import type {Member} from '../../membership/index.ts';
+import {peerPaths} from '../../mesh/index.ts';
+import type {Random} from '../../shared/index.ts';
 import {connectionsToPeer, peerKey} from './peer-connections.ts';
 
 /**
--- a/src/gateway/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -1,15 +1,15 @@
-import type {BackendFleet, UpstreamClient} from '../backends/index.ts';
-import type {Without} from '../mechanisms/index.ts';
-import type {Member} from '../membership/index.ts';
-import type {RetryYield, WindowRetryBudget} from '../retries/index.ts';
-import type {Route} from '../routes/index.ts';
-import type {UpstreamChooser} from './choose-upstream.ts';
+import type {BackendFleet, UpstreamClient} from '../../backends/index.ts';
+import type {Without} from '../../mechanisms/index.ts';
+import type {Member} from '../../membership/index.ts';
+import type {RetryYield, WindowRetryBudget} from '../../retries/index.ts';
+import type {Route} from '../../routes/index.ts';
+import type {UpstreamChooser} from '../choosing/index.ts';
+import type {DeliveryRecord} from '../exchange.ts';
+import type {WireHeaders} from '../wire-headers.ts';
 import type {DeliveryRun} from './delivery-run.ts';
-import type {DeliveryRecord} from './exchange.ts';
 import type {RoomOutlook} from './room-outlook.ts';
 import type {RouteDurations} from './route-durations.ts';
 import type {WaitingRequests} from './waiting-requests.ts';
-import type {WireHeaders} from './wire-headers.ts';
 
 /**
 What deliveries are made with.
--- a/src/gateway/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -3,12 +3,12 @@
 	BackendAttemptEnd,
 	OpenCall,
 	Placement,
-} from '../backends/index.ts';
-import type {Outcome} from '../errors/index.ts';
-import type {Member} from '../membership/index.ts';
-import {isRepeatable, placementPart} from '../routes/index.ts';
+} from '../../backends/index.ts';
+import type {Outcome} from '../../errors/index.ts';
+import type {Member} from '../../membership/index.ts';
+import {isRepeatable, placementPart} from '../../routes/index.ts';
+import type {AnswerSink, Exchange} from '../exchange.ts';
 import type {EventRelay} from './event-relay.ts';
-import type {AnswerSink, Exchange} from './exchange.ts';
 import type {WaitingRequest} from './waiting-requests.ts';
 
 /**
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -1,4 +1,5 @@
-import {createRetryYield} from '../retries/index.ts';
+import {createRetryYield} from '../../retries/index.ts';
+import type {AnswerSink, Exchange} from '../exchange.ts';
 import type {DeliveryContext, DeliveryOptions} from './delivery-context.ts';
 import {
 	createDeliveryRun,
@@ -12,7 +13,6 @@
 	recordRun,
 	refuseRun,
 } from './end-run.ts';
-import type {AnswerSink, Exchange} from './exchange.ts';
 import {failCall} from './fail-call.ts';
 import {createRoomOutlook} from './room-outlook.ts';
 import {sendOrWait} from './send-run.ts';
--- a/src/gateway/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -1,8 +1,8 @@
-import type {BackendAttemptEnd} from '../backends/index.ts';
-import {createGatewayError, type ErrorKind} from '../errors/index.ts';
+import type {BackendAttemptEnd} from '../../backends/index.ts';
+import {createGatewayError, type ErrorKind} from '../../errors/index.ts';
+import type {DeliveryRecord} from '../exchange.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {DeliveryRun} from './delivery-run.ts';
-import type {DeliveryRecord} from './exchange.ts';
 
 /**
 Seconds after which a refused caller should come back at the least. A place in an engine becomes
--- a/src/gateway/fail-call.ts
+++ b/src/gateway/delivery/fail-call.ts
@@ -1,5 +1,5 @@
-import type {UpstreamFailure} from '../backends/index.ts';
-import type {Outcome} from '../errors/index.ts';
+import type {UpstreamFailure} from '../../backends/index.ts';
+import type {Outcome} from '../../errors/index.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import {
 	hasAttemptLeft,
--- a/src/gateway/hop.ts
+++ b/src/gateway/delivery/hop.ts
@@ -1,5 +1,5 @@
-import type {Outcome} from '../errors/index.ts';
-import type {Hop} from './exchange.ts';
+import type {Outcome} from '../../errors/index.ts';
+import type {Hop} from '../exchange.ts';
 
 /**
 Headers between two nodes about a forwarded request; never sent to callers or backend servers.
--- /dev/null
+++ b/src/gateway/delivery/index.ts
@@ -0,0 +1,6 @@
+export * from './connection-warmer.ts';
+export * from './delivery.ts';
+export * from './hop.ts';
+export * from './peer-connections.ts';
+export * from './route-durations.ts';
+export * from './server-probes.ts';
--- a/src/gateway/judge-head.ts
+++ b/src/gateway/delivery/judge-head.ts
@@ -1,7 +1,7 @@
-import type {UpstreamHead} from '../backends/index.ts';
-import type {Outcome} from '../errors/index.ts';
-import type {Exchange} from './exchange.ts';
-import type {WireHeaders} from './wire-headers.ts';
+import type {UpstreamHead} from '../../backends/index.ts';
+import type {Outcome} from '../../errors/index.ts';
+import type {Exchange} from '../exchange.ts';
+import type {WireHeaders} from '../wire-headers.ts';
 
 /**
 What the head of a backend server's answer amounts to.
--- a/src/gateway/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -3,7 +3,8 @@
 	parseStatedLoad,
 	type UpstreamHead,
 	type UpstreamListener,
-} from '../backends/index.ts';
+} from '../../backends/index.ts';
+import {forwardableHeaders} from '../wire-headers.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import {
 	hasAttemptLeft,
@@ -15,7 +16,6 @@
 import {callBroke, failCall, nodeRefused, notAtFault} from './fail-call.ts';
 import {decodeHopResult, hopHeaderNames} from './hop.ts';
 import {judgeHead} from './judge-head.ts';
-import {forwardableHeaders} from './wire-headers.ts';
 
 /**
 The longest plain answer that is kept until it is whole, in bytes.
--- a/src/gateway/peer-connections.ts
+++ b/src/gateway/delivery/peer-connections.ts
@@ -1,5 +1,5 @@
 // Connections to other nodes: what names them, and how many there may be.
-import type {Member} from '../membership/index.ts';
+import type {Member} from '../../membership/index.ts';
 
 /**
 Connections to one other node; a request holds one as long as its stream runs.
--- a/src/gateway/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -2,8 +2,9 @@
 	farConnectTimeoutMs,
 	nearConnectTimeoutMs,
 	type UpstreamCall,
-} from '../backends/index.ts';
-import type {Member} from '../membership/index.ts';
+} from '../../backends/index.ts';
+import type {Member} from '../../membership/index.ts';
+import {lastEventIdHeader, leastUrgent} from '../wire-headers.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
 import {giveUpRun, leaveLine} from './end-run.ts';
@@ -11,7 +12,6 @@
 import {connectionsToPeer, peerKey} from './peer-connections.ts';
 import {createAnswerListener} from './pass-answer.ts';
 import type {WaitingRequest} from './waiting-requests.ts';
-import {lastEventIdHeader, leastUrgent} from './wire-headers.ts';
 
 /**
 Sends a request to the best place that it may still go to. Without room anywhere it waits for as long as it
--- a/src/gateway/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -1,6 +1,6 @@
-import type {BackendFleet, UpstreamClient} from '../backends/index.ts';
-import type {Logger} from '../logging/index.ts';
-import type {WireHeaders} from './wire-headers.ts';
+import type {BackendFleet, UpstreamClient} from '../../backends/index.ts';
+import type {Logger} from '../../logging/index.ts';
+import type {WireHeaders} from '../wire-headers.ts';
 
 /**
 Asks backend servers for their health when there is reason to doubt it.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,14 +1,17 @@
 import type {Address} from '../shared/index.ts';
-import {createConnectionWarmer} from './connection-warmer.ts';
-import {entriesFor} from './entry-members.ts';
-import {createGatewayListeners} from './gateway-listeners.ts';
+import {createConnectionWarmer, createServerProbes} from './delivery/index.ts';
+import {
+	entriesFor,
+	createGatewayListeners,
+	createGuideLog,
+} from './intake/index.ts';
 import type {GatewayOptions} from './gateway-options.ts';
-import {createGuideLog} from './guide-log.ts';
-import {createLoadStatement} from './load-statement.ts';
-import {createNodeJoiner} from './node-joiner.ts';
-import {createNodeKnowledge} from './node-knowledge.ts';
+import {
+	createLoadStatement,
+	createNodeJoiner,
+	createNodeKnowledge,
+} from './sharing/index.ts';
 import {createRequestHandling} from './request-handling.ts';
-import {createServerProbes} from './server-probes.ts';
 import {createTickSchedule, gatewayTickMs} from './tick-schedule.ts';
 
 /**
--- a/src/gateway/entry-members.ts
+++ b/src/gateway/intake/entry-members.ts
@@ -1,4 +1,4 @@
-import type {Member} from '../membership/index.ts';
+import type {Member} from '../../membership/index.ts';
 
 /**
 Whom a caller asks for.
--- a/src/gateway/front-listener.ts
+++ b/src/gateway/intake/front-listener.ts
@@ -9,10 +9,10 @@
 	createGatewayError,
 	renderError,
 	type GatewayError,
-} from '../errors/index.ts';
-import {closeServer, splitAddress, type Address} from '../shared/index.ts';
-import type {CallerLimits} from '../routes/index.ts';
-import type {AnswerSink} from './exchange.ts';
+} from '../../errors/index.ts';
+import {closeServer, splitAddress, type Address} from '../../shared/index.ts';
+import type {CallerLimits} from '../../routes/index.ts';
+import type {AnswerSink} from '../exchange.ts';
 
 /**
 A request that was read whole.
--- a/src/gateway/gateway-listeners.ts
+++ b/src/gateway/intake/gateway-listeners.ts
@@ -2,8 +2,8 @@
 	startPeerListener,
 	type PeerListener,
 	type PeerListenerOptions,
-} from '../mesh/index.ts';
-import type {CallerLimits} from '../routes/index.ts';
+} from '../../mesh/index.ts';
+import type {CallerLimits} from '../../routes/index.ts';
 import {
 	startFrontListener,
 	type FrontListener,
--- a/src/gateway/guide-log.ts
+++ b/src/gateway/intake/guide-log.ts
@@ -1,5 +1,5 @@
-import type {Logger} from '../logging/index.ts';
-import type {Member} from '../membership/index.ts';
+import type {Logger} from '../../logging/index.ts';
+import type {Member} from '../../membership/index.ts';
 
 /**
 Writes down when callers of a region begin to be led to other regions, and when that ends.
--- a/src/gateway/hop-sink.ts
+++ b/src/gateway/intake/hop-sink.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
-import type {AnswerSink} from './exchange.ts';
+import type {AnswerSink} from '../exchange.ts';
+import {encodeHopResult} from '../delivery/index.ts';
 import {createResponseSink} from './front-listener.ts';
-import {encodeHopResult} from './hop.ts';
 
 /**
 Builds what answers a request that another node forwarded: with the headers that tell it how the
--- /dev/null
+++ b/src/gateway/intake/index.ts
@@ -0,0 +1,5 @@
+export * from './entry-members.ts';
+export * from './gateway-listeners.ts';
+export * from './guide-log.ts';
+export * from './leaving-admission.ts';
+export * from './request-intake.ts';
--- a/src/gateway/leaving-admission.ts
+++ b/src/gateway/intake/leaving-admission.ts
@@ -1,5 +1,5 @@
-import type {Exchange} from './exchange.ts';
-import type {RouteDurations} from './route-durations.ts';
+import type {Exchange} from '../exchange.ts';
+import type {RouteDurations} from '../delivery/index.ts';
 
 /**
 Decides which requests a node that is about to end still takes.
--- a/src/gateway/read-exchange.ts
+++ b/src/gateway/intake/read-exchange.ts
@@ -1,19 +1,23 @@
 import {Result} from 'true-myth';
-import {createGatewayError, type GatewayError} from '../errors/index.ts';
+import {createGatewayError, type GatewayError} from '../../errors/index.ts';
 import {
 	parsePromptParts,
 	pickService,
 	type Prompt,
 	type RouteTable,
-} from '../routes/index.ts';
-import type {Exchange} from './exchange.ts';
-import type {ReadRequest} from './front-listener.ts';
-import {decodeHopCall, hopHeaderNames, type HopCall} from './hop.ts';
+} from '../../routes/index.ts';
+import type {Exchange} from '../exchange.ts';
+import {
+	decodeHopCall,
+	hopHeaderNames,
+	type HopCall,
+} from '../delivery/index.ts';
 import {
 	forwardableHeaders,
 	lastEventIdHeader,
 	type WireHeaders,
-} from './wire-headers.ts';
+} from '../wire-headers.ts';
+import type {ReadRequest} from './front-listener.ts';
 
 /**
 What requests are read with.
--- a/src/gateway/request-intake.ts
+++ b/src/gateway/intake/request-intake.ts
@@ -4,17 +4,17 @@
 	answerTable,
 	createGatewayError,
 	type GatewayError,
-} from '../errors/index.ts';
-import type {Without} from '../mechanisms/index.ts';
-import type {Deliveries} from './delivery.ts';
-import type {AnswerSink, Exchange} from './exchange.ts';
+} from '../../errors/index.ts';
+import type {Without} from '../../mechanisms/index.ts';
+import type {Deliveries} from '../delivery/index.ts';
+import type {AnswerSink, Exchange} from '../exchange.ts';
+import type {GatewayObserver} from '../gateway-observer.ts';
 import {
 	onCallerLeft,
 	readBody,
 	toRead,
 	type ReadRequest,
 } from './front-listener.ts';
-import type {GatewayObserver} from './gateway-observer.ts';
 import {createHopSink} from './hop-sink.ts';
 import type {LeavingAdmission} from './leaving-admission.ts';
 import {
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -1,7 +1,11 @@
 import {createWindowRetryBudget} from '../retries/index.ts';
 import {isRegionAllowed} from '../routes/index.ts';
-import {createDeliveries, type Deliveries} from './delivery.ts';
-import {createGatewayChooser} from './gateway-chooser.ts';
+import {
+	createDeliveries,
+	type Deliveries,
+	createRouteDurations,
+} from './delivery/index.ts';
+import {createGatewayChooser} from './choosing/index.ts';
 import {
 	createGatewayObserver,
 	type GatewayObserver,
@@ -10,10 +14,10 @@
 import {
 	createLeavingAdmission,
 	type LeavingAdmission,
-} from './leaving-admission.ts';
-import type {NodeKnowledge} from './node-knowledge.ts';
-import {createRouteDurations} from './route-durations.ts';
-import {createRequestIntake, type RequestIntake} from './request-intake.ts';
+	createRequestIntake,
+	type RequestIntake,
+} from './intake/index.ts';
+import type {NodeKnowledge} from './sharing/index.ts';
 
 /**
 What takes requests in, delivers them and writes down what became of them.
--- a/src/gateway/load-statement.ts
+++ b/src/gateway/sharing/load-statement.ts
@@ -1,6 +1,6 @@
-import type {BackendFleet} from '../backends/index.ts';
-import type {Mesh} from '../mesh/index.ts';
-import type {RegistryMirror} from '../registry/index.ts';
+import type {BackendFleet} from '../../backends/index.ts';
+import type {Mesh} from '../../mesh/index.ts';
+import type {RegistryMirror} from '../../registry/index.ts';
 
 /**
 States the load of the own zone to the other nodes.
--- a/src/gateway/node-joiner.ts
+++ b/src/gateway/sharing/node-joiner.ts
@@ -1,6 +1,6 @@
-import {viewFingerprint} from '../membership/index.ts';
-import type {Mesh, PeerQuestions} from '../mesh/index.ts';
-import type {Address, Random} from '../shared/index.ts';
+import {viewFingerprint} from '../../membership/index.ts';
+import type {Mesh, PeerQuestions} from '../../mesh/index.ts';
+import type {Address, Random} from '../../shared/index.ts';
 
 /**
 Finds other nodes by asking seeds for the members that they know.
--- a/src/gateway/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -5,19 +5,22 @@
 	createUpstreamClient,
 	type BackendFleet,
 	type UpstreamClient,
-} from '../backends/index.ts';
+} from '../../backends/index.ts';
 import {
 	createMesh,
 	createPeerQuestions,
 	type Mesh,
 	type PeerQuestions,
-} from '../mesh/index.ts';
-import {createRegistryMirror, type RegistryMirror} from '../registry/index.ts';
-import type {CallerLimits} from '../routes/index.ts';
-import {createRandom, type Random} from '../shared/index.ts';
-import type {GatewayOptions} from './gateway-options.ts';
+} from '../../mesh/index.ts';
+import {
+	createRegistryMirror,
+	type RegistryMirror,
+} from '../../registry/index.ts';
+import type {CallerLimits} from '../../routes/index.ts';
+import {createRandom, type Random} from '../../shared/index.ts';
+import type {GatewayOptions} from '../gateway-options.ts';
+import {createPlacementView, type PlacementView} from '../choosing/index.ts';
 import {createNodeShares, type NodeShares} from './node-shares.ts';
-import {createPlacementView, type PlacementView} from './placement-view.ts';
 import {createPromptSharing, type PromptSharing} from './prompt-sharing.ts';
 import {createRegistryChanges} from './registry-changes.ts';
 import {
--- a/src/gateway/node-shares.ts
+++ b/src/gateway/sharing/node-shares.ts
@@ -1,5 +1,5 @@
-import type {Mesh} from '../mesh/index.ts';
-import type {Service} from '../routes/index.ts';
+import type {Mesh} from '../../mesh/index.ts';
+import type {Service} from '../../routes/index.ts';
 
 /**
 This node's part of what all nodes share.
--- a/src/gateway/prompt-sharing.ts
+++ b/src/gateway/sharing/prompt-sharing.ts
@@ -1,8 +1,8 @@
 import {randomUUID} from 'node:crypto';
-import type {Logger} from '../logging/index.ts';
-import type {Without} from '../mechanisms/index.ts';
-import type {Member} from '../membership/index.ts';
-import type {PeerQuestions} from '../mesh/index.ts';
+import type {Logger} from '../../logging/index.ts';
+import type {Without} from '../../mechanisms/index.ts';
+import type {Member} from '../../membership/index.ts';
+import type {PeerQuestions} from '../../mesh/index.ts';
 import {
 	createCacheReader,
 	createFeedFollower,
@@ -13,10 +13,10 @@
 	type FeedQuestion,
 	type FeedSource,
 	type ReadEngine,
-} from '../prompts/index.ts';
-import type {RegistryMirror} from '../registry/index.ts';
-import {smallestSharedTokens} from '../routes/index.ts';
-import {rendezvousFirst} from '../shared/index.ts';
+} from '../../prompts/index.ts';
+import type {RegistryMirror} from '../../registry/index.ts';
+import {smallestSharedTokens} from '../../routes/index.ts';
+import {rendezvousFirst} from '../../shared/index.ts';
 
 /**
 What this node knows of the prompts that engines keep, and its part in passing that on.
--- a/src/gateway/registry-changes.ts
+++ b/src/gateway/sharing/registry-changes.ts
@@ -1,8 +1,8 @@
-import type {BackendFleet, UpstreamClient} from '../backends/index.ts';
-import type {Logger} from '../logging/index.ts';
-import type {MirrorChange, RegistryMirror} from '../registry/index.ts';
-import type {CallerLimits} from '../routes/index.ts';
-import type {PlacementView} from './placement-view.ts';
+import type {BackendFleet, UpstreamClient} from '../../backends/index.ts';
+import type {Logger} from '../../logging/index.ts';
+import type {MirrorChange, RegistryMirror} from '../../registry/index.ts';
+import type {CallerLimits} from '../../routes/index.ts';
+import type {PlacementView} from '../choosing/index.ts';
 
 /**
 What takes in changes of the registry.
--- a/src/gateway/registry-sharing.ts
+++ b/src/gateway/sharing/registry-sharing.ts
@@ -1,7 +1,7 @@
-import type {Without} from '../mechanisms/index.ts';
-import type {Logger} from '../logging/index.ts';
-import {dutyHolders} from '../membership/index.ts';
-import type {Mesh, PeerQuestions} from '../mesh/index.ts';
+import type {Without} from '../../mechanisms/index.ts';
+import type {Logger} from '../../logging/index.ts';
+import {dutyHolders} from '../../membership/index.ts';
+import type {Mesh, PeerQuestions} from '../../mesh/index.ts';
 import {
 	createRegistryFollower,
 	createRegistryRelay,
@@ -10,8 +10,12 @@
 	type RegistryMirror,
 	type RegistrySource,
 	type RelayedAnswer,
-} from '../registry/index.ts';
-import {rendezvousFirst, type Address, type Random} from '../shared/index.ts';
+} from '../../registry/index.ts';
+import {
+	rendezvousFirst,
+	type Address,
+	type Random,
+} from '../../shared/index.ts';
 
 /**
 Keeps this node's copy of the registry up to date, and its part in passing it on to other nodes.
--- a/tests/gateway/choose-upstream.test.ts
+++ b/tests/gateway/choosing/choose-upstream.test.ts
@@ -4,12 +4,12 @@
 	createBackendFleet,
 	type Placement,
 	type ServiceLoad,
-} from '../../src/backends/index.ts';
-import {createUpstreamChooser} from '../../src/gateway/choose-upstream.ts';
-import type {Exchange} from '../../src/gateway/exchange.ts';
-import {createRandom} from '../../src/shared/index.ts';
-import {memberOf} from '../fixtures.ts';
-import {exchangeOf, fleetOptionsOf, routeOf} from './fixtures.ts';
+} from '../../../src/backends/index.ts';
+import {createUpstreamChooser} from '../../../src/gateway/choosing/choose-upstream.ts';
+import type {Exchange} from '../../../src/gateway/exchange.ts';
+import {createRandom} from '../../../src/shared/index.ts';
+import {memberOf} from '../../fixtures.ts';
+import {exchangeOf, fleetOptionsOf, routeOf} from '../fixtures.ts';
 
 const setUp = (options: {
 	readonly localServers?: number;
--- a/tests/gateway/prompt-home.test.ts
+++ b/tests/gateway/choosing/prompt-home.test.ts
@@ -4,8 +4,8 @@
 	findPromptHome,
 	weighRegions,
 	type PromptHolder,
-} from '../../src/gateway/prompt-home.ts';
-import {routeOf} from './fixtures.ts';
+} from '../../../src/gateway/choosing/prompt-home.ts';
+import {routeOf} from '../fixtures.ts';
 
 const holders: readonly PromptHolder[] = ['a', 'a', 'b', 'b', 'c', 'c'].map(
 	(region, index) => ({id: `server-${index}`, region}),
--- a/tests/gateway/connection-warmer.test.ts
+++ b/tests/gateway/delivery/connection-warmer.test.ts
@@ -1,13 +1,16 @@
 import {test, type TestContext} from 'node:test';
-import type {UpstreamCall, UpstreamListener} from '../../src/backends/index.ts';
+import type {
+	UpstreamCall,
+	UpstreamListener,
+} from '../../../src/backends/index.ts';
 import {
 	createConnectionWarmer,
 	restingPerRegion,
 	warmEveryMs,
 	warmTimeoutMs,
-} from '../../src/gateway/connection-warmer.ts';
-import {createRandom} from '../../src/shared/index.ts';
-import {memberOf} from '../fixtures.ts';
+} from '../../../src/gateway/delivery/connection-warmer.ts';
+import {createRandom} from '../../../src/shared/index.ts';
+import {memberOf} from '../../fixtures.ts';
 
 type Opened = {
 	readonly call: UpstreamCall;
--- a/tests/gateway/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -6,29 +6,29 @@
 	type OpenCall,
 	type UpstreamCall,
 	type UpstreamListener,
-} from '../../src/backends/index.ts';
-import type {GatewayError} from '../../src/errors/index.ts';
-import type {UpstreamChooser} from '../../src/gateway/choose-upstream.ts';
-import {leastUrgent} from '../../src/gateway/wire-headers.ts';
-import {createDeliveries} from '../../src/gateway/delivery.ts';
+} from '../../../src/backends/index.ts';
+import type {GatewayError} from '../../../src/errors/index.ts';
+import type {UpstreamChooser} from '../../../src/gateway/choosing/choose-upstream.ts';
+import {leastUrgent} from '../../../src/gateway/wire-headers.ts';
+import {createDeliveries} from '../../../src/gateway/delivery/delivery.ts';
 import type {
 	AnswerSink,
 	DeliveryRecord,
 	Exchange,
-} from '../../src/gateway/exchange.ts';
-import {createWindowRetryBudget} from '../../src/retries/index.ts';
-import type {Route} from '../../src/routes/index.ts';
-import {hopHeaders} from '../../src/gateway/hop.ts';
-import {assumedPerSecond} from '../../src/gateway/room-outlook.ts';
-import {createRouteDurations} from '../../src/gateway/route-durations.ts';
-import {memberOf} from '../fixtures.ts';
+} from '../../../src/gateway/exchange.ts';
+import {createWindowRetryBudget} from '../../../src/retries/index.ts';
+import type {Route} from '../../../src/routes/index.ts';
+import {hopHeaders} from '../../../src/gateway/delivery/hop.ts';
+import {assumedPerSecond} from '../../../src/gateway/delivery/room-outlook.ts';
+import {createRouteDurations} from '../../../src/gateway/delivery/route-durations.ts';
+import {memberOf} from '../../fixtures.ts';
 import {
 	exchangeOf,
 	fleetOptionsOf,
 	knownServerOf,
 	names,
 	routeOf,
-} from './fixtures.ts';
+} from '../fixtures.ts';
 
 type Sent = {
 	readonly call: UpstreamCall;
--- a/tests/gateway/event-relay.test.ts
+++ b/tests/gateway/delivery/event-relay.test.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {createEventRelay} from '../../src/gateway/event-relay.ts';
+import {createEventRelay} from '../../../src/gateway/delivery/event-relay.ts';
 
 const eventsFrom = (first: number, last: number, end = '\n') =>
 	Array.from(
--- a/tests/gateway/hop.test.ts
+++ b/tests/gateway/delivery/hop.test.ts
@@ -6,7 +6,7 @@
 	decodeHopResult,
 	encodeHopCall,
 	encodeHopResult,
-} from '../../src/gateway/hop.ts';
+} from '../../../src/gateway/delivery/hop.ts';
 
 const isPrintable = (text: string) =>
 	[...text].every((sign) => sign >= ' ' && sign <= '~');
--- a/tests/gateway/judge-head.test.ts
+++ b/tests/gateway/delivery/judge-head.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {judgeHead} from '../../src/gateway/judge-head.ts';
-import {exchangeOf, names, routeOf} from './fixtures.ts';
+import {judgeHead} from '../../../src/gateway/delivery/judge-head.ts';
+import {exchangeOf, names, routeOf} from '../fixtures.ts';
 
 const judge = (
 	status: number,
--- a/tests/gateway/room-outlook.test.ts
+++ b/tests/gateway/delivery/room-outlook.test.ts
@@ -4,7 +4,7 @@
 	assumedPerSecond,
 	createRoomOutlook,
 	outlookMs,
-} from '../../src/gateway/room-outlook.ts';
+} from '../../../src/gateway/delivery/room-outlook.ts';
 
 test('room is expected as often as it became free lately', (t: TestContext) => {
 	const outlook = createRoomOutlook();
--- a/tests/gateway/route-durations.test.ts
+++ b/tests/gateway/delivery/route-durations.test.ts
@@ -2,7 +2,7 @@
 import {
 	createRouteDurations,
 	rememberedRequests,
-} from '../../src/gateway/route-durations.ts';
+} from '../../../src/gateway/delivery/route-durations.ts';
 
 test('nothing is said of a route that was hardly seen', (t: TestContext) => {
 	const durations = createRouteDurations();
--- a/tests/gateway/waiting-requests.test.ts
+++ b/tests/gateway/delivery/waiting-requests.test.ts
@@ -3,7 +3,7 @@
 import {
 	createWaitingRequests,
 	type WaitingRequest,
-} from '../../src/gateway/waiting-requests.ts';
+} from '../../../src/gateway/delivery/waiting-requests.ts';
 
 const waiterOf = (change: Partial<WaitingRequest> = {}): WaitingRequest => ({
 	priority: 0,
--- a/tests/gateway/entry-members.test.ts
+++ b/tests/gateway/intake/entry-members.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {entriesFor} from '../../src/gateway/entry-members.ts';
-import {memberOf} from '../fixtures.ts';
+import {entriesFor} from '../../../src/gateway/intake/entry-members.ts';
+import {memberOf} from '../../fixtures.ts';
 
 // Zones a1 and a2 are in region a.
 const idsFor = (ids: readonly string[], availabilityZone: string) =>
--- a/tests/gateway/guide-log.test.ts
+++ b/tests/gateway/intake/guide-log.test.ts
@@ -1,7 +1,7 @@
 import {test, type TestContext} from 'node:test';
-import {createGuideLog} from '../../src/gateway/guide-log.ts';
-import type {Logger} from '../../src/logging/index.ts';
-import {memberOf} from '../fixtures.ts';
+import {createGuideLog} from '../../../src/gateway/intake/guide-log.ts';
+import type {Logger} from '../../../src/logging/index.ts';
+import {memberOf} from '../../fixtures.ts';
 
 test('a line is written when callers begin to be led elsewhere and when that ends, not between', (t: TestContext) => {
 	const targets: unknown[] = [];
--- a/tests/gateway/leaving-admission.test.ts
+++ b/tests/gateway/intake/leaving-admission.test.ts
@@ -1,8 +1,8 @@
 import {test, type TestContext} from 'node:test';
 import fc from 'fast-check';
-import {createLeavingAdmission} from '../../src/gateway/leaving-admission.ts';
-import {createRouteDurations} from '../../src/gateway/route-durations.ts';
-import {exchangeOf, routeOf} from './fixtures.ts';
+import {createLeavingAdmission} from '../../../src/gateway/intake/leaving-admission.ts';
+import {createRouteDurations} from '../../../src/gateway/delivery/route-durations.ts';
+import {exchangeOf, routeOf} from '../fixtures.ts';
 
 const endsAt = 1000;
 
--- a/tests/gateway/read-exchange.test.ts
+++ b/tests/gateway/intake/read-exchange.test.ts
@@ -1,15 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import type {ReadRequest} from '../../src/gateway/front-listener.ts';
-import {encodeHopCall} from '../../src/gateway/hop.ts';
+import type {ReadRequest} from '../../../src/gateway/intake/front-listener.ts';
+import {encodeHopCall} from '../../../src/gateway/delivery/hop.ts';
 import {
 	readExchange,
 	readForwarded,
 	type ReadContext,
-} from '../../src/gateway/read-exchange.ts';
-import {createRouteTable} from '../../src/routes/index.ts';
-import {documentOf, names, routeOf} from './fixtures.ts';
+} from '../../../src/gateway/intake/read-exchange.ts';
+import {createRouteTable} from '../../../src/routes/index.ts';
+import {documentOf, names, routeOf} from '../fixtures.ts';
 
 const requestOf = (
 	headers: readonly string[],
--- a/tests/gateway/node-shares.test.ts
+++ b/tests/gateway/sharing/node-shares.test.ts
@@ -1,10 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {createNodeShares, settlingMs} from '../../src/gateway/node-shares.ts';
-import type {Mesh} from '../../src/mesh/index.ts';
-import {createWindowRetryBudget} from '../../src/retries/index.ts';
-import {memberOf} from '../fixtures.ts';
+import {
+	createNodeShares,
+	settlingMs,
+} from '../../../src/gateway/sharing/node-shares.ts';
+import type {Mesh} from '../../../src/mesh/index.ts';
+import {createWindowRetryBudget} from '../../../src/retries/index.ts';
+import {memberOf} from '../../fixtures.ts';
 
 const nodeOf = (index: number) => memberOf(`node-${index}`, 'zone');
 
--- a/tests/gateway/prompt-sharing.test.ts
+++ b/tests/gateway/sharing/prompt-sharing.test.ts
@@ -1,12 +1,12 @@
 import {test, type TestContext} from 'node:test';
-import {createPromptSharing} from '../../src/gateway/prompt-sharing.ts';
-import {createLogger} from '../../src/logging/index.ts';
-import type {PeerQuestions} from '../../src/mesh/index.ts';
-import type {FeedAnswer} from '../../src/prompts/index.ts';
-import {createRegistryMirror} from '../../src/registry/index.ts';
-import {memberOf} from '../fixtures.ts';
-import {until} from '../until.ts';
-import {documentOf, serviceOf} from './fixtures.ts';
+import {createPromptSharing} from '../../../src/gateway/sharing/prompt-sharing.ts';
+import {createLogger} from '../../../src/logging/index.ts';
+import type {PeerQuestions} from '../../../src/mesh/index.ts';
+import type {FeedAnswer} from '../../../src/prompts/index.ts';
+import {createRegistryMirror} from '../../../src/registry/index.ts';
+import {memberOf} from '../../fixtures.ts';
+import {until} from '../../until.ts';
+import {documentOf, serviceOf} from '../fixtures.ts';
 
 const mirrorWithEngine = () => {
 	const mirror = createRegistryMirror();
