--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -1,10 +1,9 @@
 import type {Without} from '../mechanisms/index.ts';
 import type {Service} from '../routes/index.ts';
-import {rendezvousFirst} from '../shared/index.ts';
-import {believedLoad} from './believed-load.ts';
 import {coldShare, isWithinColdShare, type ColdBound} from './cold-limit.ts';
 import type {Placement} from './placement.ts';
-import {isCold, silentFor, type ServerState} from './server-state.ts';
+import {fullnessOf, rereadCosts, sharersOf, stateCost} from './server-cost.ts';
+import {isCold, type ServerState} from './server-state.ts';
 
 /**
 Where a request could go in the own region.
@@ -56,48 +55,10 @@
 	readonly draw: () => number;
 };
 
-// Requests that all nodes together hold at a server, by its slots: engines queue what does not
-// fit their batch at little cost, plain servers answer it later.
-const engineRoom = 1.5;
-const plainRoom = 2;
-
-// Long prompts for one server come by way of few nodes: the one that other regions send them to, and
-// those of its own region that have callers for the same part. With room by the number of all nodes
-// half of the prompts met a server that this node had no room at, and were read again elsewhere.
-const nodesOfLongPrompts = 3;
-
-// As much prompt as delays the requests behind it about as much as a full server does, in tokens.
-const promptTokensOfFull = 40_000;
-
-// A server whose streams have a piece so seldom is as bad as a full one, in milliseconds: a little less than
-// the longest pauses at which callers still take an answer for fluent. Requests that are under way say little of
-// how busy an engine is that reads long prompts between the tokens of its streams. With pace and stated load a
-// day's credit less prices rose by 0.010 (twelve pairs of plays) and 0.003 (fifteen, with the rest as it is).
-const paceOfFull = 400;
-
-// How long a pace says something, in milliseconds: about as long as a stream lasts.
-const paceTrustMs = 3000;
-
-// Reading a shared part again takes its time from the requests of the whole region, drives other parts out
-// and is paid for, so it counts for far more than the same wait behind another prompt: a part is read again
-// only where its keepers have no room. The steps from 2 to 4 and from 4 to 16 each spared 18 % of the tokens
-// that were read again and raised a day's credit less prices by 0.020 and 0.013 (eight pairs of plays each).
-const anotherReadFactor = 16;
-
-// Where no server keeps a part one has to read it: the first in the order of its hash, for there the
-// other nodes look for it, unless another is less busy by more than this counts.
-const firstReadFactor = 0.5;
-
-// What a server of another zone of the region is worse by: the bytes between zones are paid for.
-const otherZoneCost = 0.15;
-
 // Servers whose costs differ by less look alike. Nodes see their own requests only, so without a draw
 // all of them would send to the first server of the list.
 const alikeCost = 0.1;
 
-// What a server that fails every request is worse by than a sound one.
-const failureCost = 3;
-
 /**
 Chooses the server that costs a request least, among those that have room for it.
 */
@@ -113,11 +74,8 @@
 	}
 
 	// Asked once: it counts all nodes of the region, and there may be as many servers as nodes.
-	const nodes = options.nodesServing();
-	const sharers = placement.sharedPart
-		? Math.min(nodes, nodesOfLongPrompts)
-		: nodes;
-	const rereadFactorOf = rereadFactors(options, candidates, placement);
+	const sharers = sharersOf(placement, options.nodesServing());
+	const rereadCostOf = rereadCosts(options, candidates, placement);
 	let best: {readonly state: ServerState; readonly cost: number} | undefined;
 	for (const state of candidates) {
 		const fullness = fullnessOf(options, state, sharers, now);
@@ -127,10 +85,9 @@
 
 		const cost =
 			fullness +
-			costOf(options, state, now) +
-			options.draw() * alikeCost +
-			((placement.sharedPart?.tokens ?? 0) * rereadFactorOf(state)) /
-				promptTokensOfFull;
+			stateCost(options, state, now) +
+			rereadCostOf(state) +
+			options.draw() * alikeCost;
 		if (!best || cost < best.cost) {
 			best = {state, cost};
 		}
@@ -147,28 +104,6 @@
 ): boolean =>
 	!isSuspect && server.service === service && !excluded.has(server.id);
 
-// The first server in the order of the key's hash.
-const heaviest = (
-	candidates: readonly ServerState[],
-	key: string,
-): ServerState | undefined =>
-	rendezvousFirst(key, candidates, ({known}) => known.server.id);
-
-// The part of the room of a server that is taken once it has one more request of this node; beyond 1
-// there is none left.
-const fullnessOf = (
-	{service}: ServerChoiceOptions,
-	state: ServerState,
-	sharers: number,
-	now: number,
-): number => {
-	const {server} = state.known;
-	const isEngine = service(server.service)?.engine !== undefined;
-	const whole = server.slots * (isEngine ? engineRoom : plainRoom);
-	const room = Math.max(1, Math.ceil(whole / sharers)) * sharers;
-	return believedLoad(state, sharers, now, 1) / room;
-};
-
 const hasColdRoom = (
 	options: ServerChoiceOptions,
 	state: ServerState,
@@ -203,48 +138,3 @@
 			}
 		: undefined;
 };
-
-const costOf = (
-	options: ServerChoiceOptions,
-	state: ServerState,
-	now: number,
-): number =>
-	(state.known.server.availabilityZone === options.availabilityZone
-		? 0
-		: otherZoneCost) +
-	(options.without.has('reading-cost')
-		? 0
-		: state.pendingTokens / promptTokensOfFull) +
-	(options.without.has('pace') ? 0 : paceOf(state, now) / paceOfFull) +
-	(options.without.has('failure-cost') ? 0 : state.failureRate * failureCost);
-
-// Without streams to tell it by, a server's pace is taken to get better; one that owes answers has no better
-// pace than the silence that it has kept.
-const paceOf = (state: ServerState, now: number): number => {
-	const {paceMs, pacedAt} = state;
-	const trust = Math.max(0, 1 - (now - pacedAt) / paceTrustMs);
-	return Math.max(paceMs * trust, silentFor(state, now));
-};
-
-// What a server without the part counts for. What this node sent lately counts as kept, for engines tell
-// of their memory late.
-const rereadFactors = (
-	{keeps, without}: ServerChoiceOptions,
-	candidates: readonly ServerState[],
-	{sharedPart}: Placement,
-): ((state: ServerState) => number) => {
-	if (!sharedPart || without.has('reread-cost')) {
-		return () => 0;
-	}
-
-	const {id} = sharedPart;
-	const isKeeper = ({known, memory}: ServerState) =>
-		keeps(known.server.id, id) || memory.has(id);
-	const keepers = new Set(candidates.filter((state) => isKeeper(state)));
-	if (keepers.size > 0) {
-		return (state) => (keepers.has(state) ? 0 : anotherReadFactor);
-	}
-
-	const first = heaviest(candidates, id);
-	return (state) => (state === first ? 0 : firstReadFactor);
-};
--- /dev/null
+++ b/src/backends/server-cost.ts
@@ -0,0 +1,120 @@
+import {rendezvousFirst} from '../shared/index.ts';
+import {believedLoad} from './believed-load.ts';
+import type {ServerChoiceOptions} from './choose-server.ts';
+import type {Placement} from './placement.ts';
+import {silentFor, type ServerState} from './server-state.ts';
+
+// Requests that all nodes together hold at a server, by its slots: engines queue what does not
+// fit their batch at little cost, plain servers answer it later.
+const engineRoom = 1.5;
+const plainRoom = 2;
+
+// Long prompts for one server come by way of few nodes: the one that other regions send them to, and
+// those of its own region that have callers for the same part. With room by the number of all nodes
+// half of the prompts met a server that this node had no room at, and were read again elsewhere.
+const nodesOfLongPrompts = 3;
+
+// As much prompt as delays the requests behind it about as much as a full server does, in tokens.
+const promptTokensOfFull = 40_000;
+
+// A server whose streams have a piece so seldom is as bad as a full one, in milliseconds: a little less than
+// the longest pauses at which callers still take an answer for fluent. Requests that are under way say little of
+// how busy an engine is that reads long prompts between the tokens of its streams. With pace and stated load a
+// day's credit less prices rose by 0.010 (twelve pairs of plays) and 0.003 (fifteen, with the rest as it is).
+const paceOfFull = 400;
+
+// How long a pace says something, in milliseconds: about as long as a stream lasts.
+const paceTrustMs = 3000;
+
+// Reading a shared part again takes its time from the requests of the whole region, drives other parts out
+// and is paid for, so it counts for far more than the same wait behind another prompt: a part is read again
+// only where its keepers have no room. The steps from 2 to 4 and from 4 to 16 each spared 18 % of the tokens
+// that were read again and raised a day's credit less prices by 0.020 and 0.013 (eight pairs of plays each).
+const anotherReadFactor = 16;
+
+// Where no server keeps a part one has to read it: the first in the order of its hash, for there the
+// other nodes look for it, unless another is less busy by more than this counts.
+const firstReadFactor = 0.5;
+
+// What a server of another zone of the region is worse by: the bytes between zones are paid for.
+const otherZoneCost = 0.15;
+
+// What a server that fails every request is worse by than a sound one.
+const failureCost = 3;
+
+/**
+How many nodes share the room of a server for a request.
+*/
+export const sharersOf = (
+	{sharedPart}: Placement,
+	nodesServing: number,
+): number =>
+	sharedPart ? Math.min(nodesServing, nodesOfLongPrompts) : nodesServing;
+
+/**
+The part of the room of a server that is taken once it has one more request of this node; beyond 1
+there is none left.
+*/
+export const fullnessOf = (
+	{service}: ServerChoiceOptions,
+	state: ServerState,
+	sharers: number,
+	now: number,
+): number => {
+	const {server} = state.known;
+	const isEngine = service(server.service)?.engine !== undefined;
+	const whole = server.slots * (isEngine ? engineRoom : plainRoom);
+	const room = Math.max(1, Math.ceil(whole / sharers)) * sharers;
+	return believedLoad(state, sharers, now, 1) / room;
+};
+
+/**
+What a server's state counts for, whatever the request, in parts of a full server.
+*/
+export const stateCost = (
+	options: ServerChoiceOptions,
+	state: ServerState,
+	now: number,
+): number =>
+	(state.known.server.availabilityZone === options.availabilityZone
+		? 0
+		: otherZoneCost) +
+	(options.without.has('reading-cost')
+		? 0
+		: state.pendingTokens / promptTokensOfFull) +
+	(options.without.has('pace') ? 0 : paceOf(state, now) / paceOfFull) +
+	(options.without.has('failure-cost') ? 0 : state.failureRate * failureCost);
+
+/**
+What reading the shared part of a prompt counts for at each server. What this node sent lately counts as
+kept, for engines tell of their memory late.
+*/
+export const rereadCosts = (
+	{keeps, without}: ServerChoiceOptions,
+	candidates: readonly ServerState[],
+	{sharedPart}: Placement,
+): ((state: ServerState) => number) => {
+	if (!sharedPart || without.has('reread-cost')) {
+		return () => 0;
+	}
+
+	const {id, tokens} = sharedPart;
+	const readCost = tokens / promptTokensOfFull;
+	const isKeeper = ({known, memory}: ServerState) =>
+		keeps(known.server.id, id) || memory.has(id);
+	const keepers = new Set(candidates.filter((state) => isKeeper(state)));
+	if (keepers.size > 0) {
+		return (state) => (keepers.has(state) ? 0 : readCost * anotherReadFactor);
+	}
+
+	const first = rendezvousFirst(id, candidates, ({known}) => known.server.id);
+	return (state) => (state === first ? 0 : readCost * firstReadFactor);
+};
+
+// Without streams to tell it by, a server's pace is taken to get better; one that owes answers has no better
+// pace than the silence that it has kept.
+const paceOf = (state: ServerState, now: number): number => {
+	const {paceMs, pacedAt} = state;
+	const trust = Math.max(0, 1 - (now - pacedAt) / paceTrustMs);
+	return Math.max(paceMs * trust, silentFor(state, now));
+};
