--- a/tests/tools/account.test.ts
+++ b/tests/tools/account.test.ts
@@ -27,7 +27,12 @@
 
 const expected: ReadonlyArray<[Partial<RequestLine>, Cause | undefined]> = [
 	[{reason: 'No backend server has room', outcome: 'not-run'}, 'no room'],
-	[{result: 'rejected'}, 'this node was leaving or not ready'],
+	[{result: 'rejected'}, 'this node was not ready'],
+	[
+		{result: 'rejected', reason: 'This node ends before the request would'},
+		undefined,
+	],
+	[{result: 'answered', status: 500, firstByteMs: 20}, 'fault of a server'],
 	[
 		{reason: 'Connect Timeout Error (10.0.0.1:80)', outcome: 'not-run'},
 		'no connection to a server or node',
--- a/tools/account/cause.ts
+++ b/tools/account/cause.ts
@@ -3,7 +3,7 @@
 */
 export const causes = [
 	'no room',
-	'this node was leaving or not ready',
+	'this node was not ready',
 	'no connection to a server or node',
 	'server broke off before the first event',
 	'server broke off midway',
@@ -51,10 +51,19 @@
 /**
 The cause of a request that was not answered with a success; undefined for one that came in time.
 */
-export const causeOf = (line: RequestLine): Cause | undefined =>
-	line.result === 'answered' && line.status < 500
-		? causeOfDelay(line)
-		: causeOfLoss(line);
+export const causeOf = (line: RequestLine): Cause | undefined => {
+	if (line.result === 'answered') {
+		return line.status < failureStatus
+			? causeOfDelay(line)
+			: 'fault of a server';
+	}
+
+	return sentElsewhere.test(line.reason) ? undefined : causeOfLoss(line);
+};
+
+const failureStatus = 500;
+// A leaving node's word to come back at once: the next try, under another id, tells what became of it.
+const sentElsewhere = /ends before the request/iv;
 
 const causeOfLoss = ({
 	result,
@@ -63,7 +72,7 @@
 	firstByteMs,
 }: RequestLine): Cause => {
 	if (result === 'rejected') {
-		return 'this node was leaving or not ready';
+		return 'this node was not ready';
 	}
 
 	if (/no backend server ha[ds]|room/iv.test(reason)) {
