--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -32,7 +32,7 @@
 	const {hop} = run.exchange;
 	const isWanted = hop ? hop.canWait : !context.without.has('waiting');
 	if (!isWanted || !canWaitHere(context, run, hasNoPlace)) {
-		giveUpRun(context, run, noRoom);
+		giveUpRun(context, run, run.hasNowhereToGo ? noServer : noRoom);
 		return;
 	}
 
@@ -43,6 +43,7 @@
 };
 
 const noRoom = 'No backend server has room';
+const noServer = 'No backend server that may serve it is in use';
 
 // With nowhere to go there is nothing to wait for, but at a node that knows little yet, and where another
 // region has only just refused.
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -288,6 +288,10 @@
 		const {sink, seen} = createSink();
 		deliveries.deliver(exchangeFor({}), sink);
 		assert.equal(seen.error?.kind, hasSettled ? 'overloaded' : undefined);
+		assert.equal(
+			seen.error?.message,
+			hasSettled ? 'No backend server that may serve it is in use' : undefined,
+		);
 		assert.equal(deliveries.waiting(), hasSettled ? 0 : 1);
 	}
 });
--- a/tests/tools/account.test.ts
+++ b/tests/tools/account.test.ts
@@ -27,6 +27,10 @@
 
 const expected: ReadonlyArray<[Partial<RequestLine>, Cause | undefined]> = [
 	[{reason: 'No backend server has room', outcome: 'not-run'}, 'no room'],
+	[
+		{reason: 'No backend server that may serve it is in use'},
+		'no server that may serve it',
+	],
 	[{result: 'rejected'}, 'this node was not ready'],
 	[
 		{result: 'rejected', reason: 'This node ends before the request would'},
--- a/tools/account/cause.ts
+++ b/tools/account/cause.ts
@@ -3,6 +3,7 @@
 */
 export const causes = [
 	'no room',
+	'no server that may serve it',
 	'this node was not ready',
 	'no connection to a server or node',
 	'server broke off before the first event',
@@ -75,6 +76,10 @@
 		return 'this node was not ready';
 	}
 
+	if (/no backend server that/iv.test(reason)) {
+		return 'no server that may serve it';
+	}
+
 	if (/no backend server ha[ds]|room/iv.test(reason)) {
 		return 'no room';
 	}
