Guess what other nodes hold at servers from this node's mean, not from its one request of the moment

Cause: without a recent statement of a server, each other node was taken to hold as many requests there as this one. The load that a zone states to others was 0 or 65 by the same reckoning.

Change: servers are compared, and zones state their load, by what others are likely to hold: this node's mean over all servers of the service in the last two seconds, times the other nodes, spread evenly. The equal share of a server's room that a node keeps to stays, and a server is full by either reckoning. Long prompts come by way of few nodes and are reckoned as before. Switch: smoothed-load.

--- a/src/backends/backend-attempt.ts
+++ b/src/backends/backend-attempt.ts
@@ -70,6 +70,7 @@
 	const waiting = {since: now};
 	const tokens = tokensToRead(state, placement);
 	state.inFlight += 1;
+	state.ownOfService.add(1, now);
 	state.pendingTokens += tokens;
 	state.pending.add(waiting);
 	if (placement.sharedPart) {
@@ -114,6 +115,7 @@
 			isEnded = true;
 			settle();
 			state.inFlight -= 1;
+			state.ownOfService.add(-1, at);
 			if (how === 'answered' || how === 'refused') {
 				state.lastHeardAt = at;
 			}
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -1,5 +1,5 @@
 import type {KnownServer} from '../registry/index.ts';
-import {believedLoad} from './believed-load.ts';
+import {heldByOthers, believedLoad} from './believed-load.ts';
 import {beginAttempt, type BackendAttempt} from './backend-attempt.ts';
 import {
 	chooseServer,
@@ -7,6 +7,7 @@
 	type ServerChoiceOptions,
 } from './choose-server.ts';
 import type {Placement} from './placement.ts';
+import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 import {
 	createServerState,
 	doubtMs,
@@ -78,10 +79,17 @@
 	options: BackendFleetOptions,
 ): BackendFleet => {
 	const states = new Map<string, ServerState>();
+	const ownByService = new Map<string, SmoothedCount>();
 
 	const memoryTokensOf = ({server}: KnownServer): number =>
 		options.service(server.service)?.engine?.memoryTokens ?? 0;
 
+	const ownOf = (service: string): SmoothedCount => {
+		const known = ownByService.get(service) ?? createSmoothedCount();
+		ownByService.set(service, known);
+		return known;
+	};
+
 	const suspect = (id: string, now: number) => {
 		const state = states.get(id);
 		if (!state) {
@@ -106,7 +114,15 @@
 				if (state) {
 					state.known = known;
 				} else {
-					states.set(id, createServerState(known, memoryTokensOf(known), now));
+					states.set(
+						id,
+						createServerState(
+							known,
+							memoryTokensOf(known),
+							now,
+							ownOf(known.server.service),
+						),
+					);
 				}
 			}
 		},
@@ -177,17 +193,24 @@
 		suspect,
 		isSuspect: (id) => states.get(id)?.isSuspect ?? false,
 		loadOf(service, now) {
+			const usable = states
+				.values()
+				.filter(
+					({known, isSuspect}) =>
+						known.server.service === service && !isSuspect,
+				)
+				.toArray();
 			const nodes = options.nodesServing();
+			const others = heldByOthers(
+				ownOf(service).mean(now),
+				nodes,
+				usable.length,
+			);
 			let load = 0;
 			let slots = 0;
-			for (const state of states.values()) {
-				const {server} = state.known;
-				if (server.service !== service || state.isSuspect) {
-					continue;
-				}
-
-				load += believedLoad(state, nodes, now);
-				slots += server.slots;
+			for (const state of usable) {
+				load += believedLoad(state, nodes, now, {others});
+				slots += state.known.server.slots;
 			}
 
 			return {load, slots};
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -2,7 +2,13 @@
 import type {Service} from '../routes/index.ts';
 import {coldShare, isWithinColdShare, type ColdBound} from './cold-limit.ts';
 import type {Placement} from './placement.ts';
-import {fullnessOf, rereadCosts, sharersOf, stateCost} from './server-cost.ts';
+import {
+	comparedLoads,
+	fullnessOf,
+	rereadCosts,
+	sharersOf,
+	stateCost,
+} from './server-cost.ts';
 import {isCold, type ServerState} from './server-state.ts';
 
 /**
@@ -76,15 +82,17 @@
 	// Asked once: it counts all nodes of the region, and there may be as many servers as nodes.
 	const sharers = sharersOf(placement, options.nodesServing());
 	const rereadCostOf = rereadCosts(options, candidates, placement);
+	const loadOf = comparedLoads(options, candidates, placement, now);
 	let best: {readonly state: ServerState; readonly cost: number} | undefined;
 	for (const state of candidates) {
 		const fullness = fullnessOf(options, state, sharers, now);
-		if (fullness > 1 || !hasColdRoom(options, state, now)) {
+		const load = loadOf(state, fullness);
+		if (fullness > 1 || load > 1 || !hasColdRoom(options, state, now)) {
 			continue;
 		}
 
 		const cost =
-			fullness +
+			load +
 			stateCost(options, state, now) +
 			rereadCostOf(state) +
 			options.draw() * alikeCost;
--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -4,6 +4,7 @@
 export type * from './placement.ts';
 export * from './server-state.ts';
 export * from './stated-load.ts';
+export * from './smoothed-count.ts';
 export * from './believed-load.ts';
 export * from './backend-attempt.ts';
 export * from './choose-server.ts';
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -1,5 +1,5 @@
 import {rendezvousFirst} from '../shared/index.ts';
-import {believedLoad} from './believed-load.ts';
+import {believedLoad, heldByOthers} from './believed-load.ts';
 import type {ServerChoiceOptions} from './choose-server.ts';
 import type {Placement} from './placement.ts';
 import {silentFor, type ServerState} from './server-state.ts';
@@ -52,22 +52,54 @@
 	sharedPart ? Math.min(nodesServing, nodesOfLongPrompts) : nodesServing;
 
 /**
-The part of the room of a server that is taken once it has one more request of this node; beyond 1
-there is none left.
+The part of the room of a server that is taken once it has one more request of this node, with each node
+keeping to an equal share of it; beyond 1 there is none left.
 */
 export const fullnessOf = (
-	{service}: ServerChoiceOptions,
+	options: ServerChoiceOptions,
 	state: ServerState,
 	sharers: number,
 	now: number,
 ): number => {
-	const {server} = state.known;
-	const isEngine = service(server.service)?.engine !== undefined;
-	const whole = server.slots * (isEngine ? engineRoom : plainRoom);
-	const room = Math.max(1, Math.ceil(whole / sharers)) * sharers;
-	return believedLoad(state, sharers, now, 1) / room;
+	const room =
+		Math.max(1, Math.ceil(wholeRoom(options, state) / sharers)) * sharers;
+	return believedLoad(state, sharers, now, {more: 1}) / room;
+};
+
+/**
+The load of a server once it has one more request of this node, 1 being full, by what the other nodes are
+likely to hold there; what servers are compared by.
+
+Where 65 nodes of a region share 21 servers, with each node's one request taken for 65, half of the light requests
+of a calm day went to other regions: 154 ms in the median in place of 28 (plain requests, 195 nodes, 8 s).
+*/
+export const comparedLoads = (
+	options: ServerChoiceOptions,
+	candidates: readonly ServerState[],
+	{sharedPart}: Placement,
+	now: number,
+): ((state: ServerState, fullness: number) => number) => {
+	// Long prompts for one server come by way of so few nodes that what this one holds tells of the others.
+	const isKnown = sharedPart !== undefined;
+	if (isKnown || options.without.has('smoothed-load')) {
+		return (_state, fullness) => fullness;
+	}
+
+	const nodes = options.nodesServing();
+	const mean = candidates[0]?.ownOfService.mean(now) ?? 0;
+	const others = heldByOthers(mean, nodes, candidates.length);
+	return (state) =>
+		believedLoad(state, nodes, now, {more: 1, others}) /
+		wholeRoom(options, state);
 };
 
+const wholeRoom = (
+	{service}: ServerChoiceOptions,
+	{known: {server}}: ServerState,
+): number =>
+	server.slots *
+	(service(server.service)?.engine === undefined ? plainRoom : engineRoom);
+
 /**
 What a server's state counts for, whatever the request, in parts of a full server.
 */
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -1,5 +1,6 @@
 import type {KnownServer} from '../registry/index.ts';
 import {createPromptMemory, type PromptMemory} from './prompt-memory.ts';
+import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 
 /**
 What this node knows of one backend server.
@@ -11,6 +12,10 @@
 	*/
 	inFlight: number;
 	/**
+	This node's requests that are under way at all servers of the service.
+	*/
+	readonly ownOfService: SmoothedCount;
+	/**
 	Requests of other nodes by what the server said last, and when it said so.
 	*/
 	stated: {readonly others: number; readonly at: number} | undefined;
@@ -76,9 +81,11 @@
 	known: KnownServer,
 	memoryTokens: number,
 	now: number,
+	ownOfService = createSmoothedCount(),
 ): ServerState => ({
 	known,
 	inFlight: 0,
+	ownOfService,
 	stated: undefined,
 	paceMs: 0,
 	pacedAt: -Infinity,
--- a/src/mechanisms/mechanisms.ts
+++ b/src/mechanisms/mechanisms.ts
@@ -34,6 +34,10 @@
 	*/
 	'stated-load',
 	/**
+	What other nodes hold at a server is guessed from this node's mean over all of them.
+	*/
+	'smoothed-load',
+	/**
 	The pace of a server's streams, and the silence that it keeps, count against it.
 	*/
 	'pace',
