Let a late node see closes before it takes requests; a request's time runs from its arrival

What a test on sockets shows: a loop that is late reads a request and, one turn later, the close that lies behind it in the same socket; meanwhile the request was sent on. The runtime tells of the close of a connection some turns after the end of what the caller sends.

The time of a request runs from its arrival also where it waits for the first routes, and nothing is sent whose time is over. A newcomer without routes asks the registry as often as before.

Ruled out: an abort that a waiting line or a connection that is being opened ignores (both end with the run).

Tests: a request and its close that arrive while the loop stands, taken without the turns and not taken with them.

--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -119,7 +119,13 @@
 		budget.earn(exchange.service, clock());
 	}
 
-	sendOrWait(context, run);
+	// A late node may come to a request only when its caller's time is over.
+	if (clock() < exchange.expiresAt) {
+		sendOrWait(context, run);
+	} else {
+		expireRun(context, run);
+	}
+
 	return run;
 };
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -63,8 +63,11 @@
 	const {intake, deliveries, observer, admission} = createRequestHandling(
 		options,
 		knowledge,
-		() => {
-			ticks.reschedule();
+		{
+			onFirstWaiting() {
+				ticks.reschedule();
+			},
+			lagMs: () => ticks.lagMs(),
 		},
 	);
 	const probes = createServerProbes({
@@ -102,7 +105,7 @@
 		members: () => [mesh.self(), ...mesh.others()],
 	});
 
-	const ticks = createTickSchedule(deliveries.waiting, () => {
+	const tick = () => {
 		const now = clock();
 		mesh.tick(now);
 		registry.tick(now);
@@ -120,7 +123,9 @@
 		if (!without.has('connection-warming')) {
 			warmer.tick(now);
 		}
-	});
+	};
+
+	const ticks = createTickSchedule(deliveries.waiting, tick, clock);
 
 	let isLeaving = false;
 	const listeners = createGatewayListeners({
--- a/src/gateway/intake/front-listener.ts
+++ b/src/gateway/intake/front-listener.ts
@@ -154,16 +154,25 @@
 };
 
 /**
-Calls `callerLeft` when the connection closes before the whole answer was written.
+Calls `callerLeft` when the caller closes the connection before the whole answer was written.
+
+The end of what the caller sends is seen some turns of the loop before the connection is closed on both sides.
 */
 export const onCallerLeft = (
 	response: ServerResponse,
 	callerLeft: () => void,
 ): void => {
-	response.once('close', () => {
+	const {socket} = response;
+	const leave = () => {
 		if (!response.writableFinished) {
 			callerLeft();
 		}
+	};
+
+	socket?.once('end', leave);
+	response.once('close', () => {
+		socket?.off('end', leave);
+		leave();
 	});
 };
 
--- a/src/gateway/intake/index.ts
+++ b/src/gateway/intake/index.ts
@@ -1,3 +1,4 @@
+export * from './closes-first.ts';
 export * from './entry-members.ts';
 export * from './gateway-listeners.ts';
 export * from './guide-log.ts';
--- a/src/gateway/intake/request-intake.ts
+++ b/src/gateway/intake/request-intake.ts
@@ -16,6 +16,7 @@
 	type ReadRequest,
 } from './front-listener.ts';
 import {createHopSink} from './hop-sink.ts';
+import type {ClosesFirst} from './closes-first.ts';
 import type {LeavingAdmission} from './leaving-admission.ts';
 import {
 	readExchange,
@@ -51,6 +52,7 @@
 	Asked for each request of a caller.
 	*/
 	readonly admission: LeavingAdmission;
+	readonly closesFirst: ClosesFirst;
 	readonly without: Without;
 	readonly readContext: () => ReadContext;
 };
@@ -73,6 +75,7 @@
 	deliveries,
 	observer,
 	admission,
+	closesFirst,
 	without,
 	readContext,
 }: RequestIntakeOptions): RequestIntake => {
@@ -97,8 +100,10 @@
 		read: typeof readExchange,
 		request: ReadRequest,
 		sink: AnswerSink,
+		arrivedAt: number,
 	): (() => void) => {
-		const context = readContext();
+		// Its time runs from its arrival, however long it waited for the first routes.
+		const context = {...readContext(), now: arrivedAt};
 		const exchange = admitted(read(request, context));
 		if (exchange.isErr) {
 			const {kind, message} = exchange.error;
@@ -140,14 +145,26 @@
 		return forget;
 	};
 
-	const takeReady: typeof takeBy = (read, request, sink) => {
-		let callerLeft: () => void = () => undefined;
-		const forget = afterRoutes(() => {
-			callerLeft = takeBy(read, request, sink);
+	const takeReady = (
+		read: typeof readExchange,
+		request: ReadRequest,
+		sink: AnswerSink,
+	): (() => void) => {
+		const arrivedAt = readContext().now;
+		let cancel: () => void = () => undefined;
+		const skip = closesFirst.take(() => {
+			let callerLeft: () => void = () => undefined;
+			const forget = afterRoutes(() => {
+				callerLeft = takeBy(read, request, sink, arrivedAt);
+			});
+			cancel = () => {
+				forget();
+				callerLeft();
+			};
 		});
 		return () => {
-			forget();
-			callerLeft();
+			skip();
+			cancel();
 		};
 	};
 
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -12,6 +12,7 @@
 } from './gateway-observer.ts';
 import type {GatewayOptions} from './gateway-options.ts';
 import {
+	createClosesFirst,
 	createLeavingAdmission,
 	type LeavingAdmission,
 	createRequestIntake,
@@ -29,6 +30,20 @@
 	readonly admission: LeavingAdmission;
 };
 
+/**
+What the handling of requests and the ticks of a node have to do with each other.
+*/
+export type HandlingSchedule = {
+	/**
+	Told when a request waits for room and no other does.
+	*/
+	readonly onFirstWaiting: () => void;
+	/**
+	How late the event loop is, in milliseconds.
+	*/
+	readonly lagMs: () => number;
+};
+
 /**
 Routes confirmed within this time are taken as complete, in milliseconds.
 */
@@ -39,12 +54,12 @@
 
 @param options What the node was told at its start.
 @param knowledge What this node knows.
-@param onFirstWaiting Told when a request waits for room and no other does.
+@param schedule What it has to do with the ticks.
 */
 export const createRequestHandling = (
 	options: GatewayOptions,
 	knowledge: NodeKnowledge,
-	onFirstWaiting: () => void,
+	schedule: HandlingSchedule,
 ): RequestHandling => {
 	const {logger, headers, bounds} = options;
 	const {clock, ownRegion, mirror, registry, mesh, shares, fleet, client} =
@@ -92,7 +107,7 @@
 		},
 		onWaiting() {
 			if (deliveries.waiting() === 1) {
-				onFirstWaiting();
+				schedule.onFirstWaiting();
 			}
 		},
 		onRecord(record) {
@@ -124,6 +139,7 @@
 		deliveries,
 		observer,
 		admission,
+		closesFirst: createClosesFirst(schedule.lagMs),
 		without: options.without,
 		readContext: () => ({
 			names: headers,
--- a/src/gateway/sharing/registry-sharing.ts
+++ b/src/gateway/sharing/registry-sharing.ts
@@ -110,7 +110,8 @@
 		pickPeer,
 		relay: relayToAsk,
 		askRelay: async (peer, after) => questions.relayedAfter(peer, after),
-		isNewcomer: () => !options.hasSettled(),
+		// Callers wait for the first routes.
+		isNewcomer: () => !options.hasSettled() && mirror.routes() !== undefined,
 		clock,
 		logger: options.logger,
 		onRead() {
--- a/src/gateway/tick-schedule.ts
+++ b/src/gateway/tick-schedule.ts
@@ -10,6 +10,10 @@
 	Chooses the time of the next tick anew; to be called when a first request has begun to wait.
 	*/
 	reschedule(): void;
+	/**
+	How late the event loop is, in milliseconds: by the last tick, or by the next one where that is overdue.
+	*/
+	lagMs(): number;
 	stop(): void;
 };
 
@@ -29,19 +33,26 @@
 
 @param waiting How many requests wait for room.
 @param tick What is called.
+@param clock Milliseconds that only rise.
 */
 export const createTickSchedule = (
 	waiting: () => number,
 	tick: () => void,
+	clock: () => number,
 ): TickSchedule => {
 	let timer: NodeJS.Timeout | undefined;
+	let dueAt = Infinity;
+	let lateMs = 0;
 
 	const reschedule = () => {
+		const pauseMs = waiting() > 0 ? waitingTickMs : gatewayTickMs;
 		clearTimeout(timer);
-		timer = setTimeout(run, waiting() > 0 ? waitingTickMs : gatewayTickMs);
+		timer = setTimeout(run, pauseMs);
+		dueAt = clock() + pauseMs;
 	};
 
 	const run = () => {
+		lateMs = Math.max(0, clock() - dueAt);
 		reschedule();
 		tick();
 	};
@@ -49,6 +60,7 @@
 	return {
 		start: run,
 		reschedule,
+		lagMs: () => Math.max(lateMs, clock() - dueAt),
 		stop() {
 			clearTimeout(timer);
 		},
--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -55,7 +55,7 @@
 		after: number,
 	) => Promise<RelayedAnswer | undefined>;
 	/**
-	Whether this node has just started, as all others may have.
+	Whether this node has just started, as all others may have, and knows what it needs to serve.
 	*/
 	readonly isNewcomer: () => boolean;
 	/**
--- /dev/null
+++ b/tests/gateway/intake/closes-first.test.ts
@@ -0,0 +1,82 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {setImmediate as turn} from 'node:timers/promises';
+import {test, type TestContext} from 'node:test';
+import {
+	createClosesFirst,
+	lateLoopMs,
+} from '../../../src/gateway/intake/closes-first.ts';
+import {startFrontListener} from '../../../src/gateway/intake/front-listener.ts';
+
+const turns = async (count: number) => {
+	for (let index = 0; index < count; index += 1) {
+		await turn();
+	}
+};
+
+test('a node in time takes a request at once, a late one two turns later or not at all', async (t: TestContext) => {
+	let taken = 0;
+	const take = () => {
+		taken += 1;
+	};
+
+	createClosesFirst(() => lateLoopMs - 1).take(take);
+	t.assert.strictEqual(taken, 1);
+	const late = createClosesFirst(() => lateLoopMs);
+	late.take(take);
+	const skip = late.take(take);
+	t.assert.strictEqual(taken, 1);
+	skip();
+	await turns(3);
+	t.assert.strictEqual(taken, 2);
+});
+
+// The request and the close of the caller have both arrived when the node's loop comes to read them.
+const takenAfterClose = async (lagMs: number): Promise<number> => {
+	const closesFirst = createClosesFirst(() => lagMs);
+	let taken = 0;
+	const left = Promise.withResolvers<void>();
+	const front = await startFrontListener({
+		address: '127.0.0.1:28127',
+		limits: {
+			maximumHeaderBytes: 16_384,
+			maximumBodyBytes: 1_048_576,
+			headerTimeoutMs: 3000,
+			idleTimeoutMs: 15_000,
+		},
+		isLeaving: () => false,
+		onRequest() {
+			const skip = closesFirst.take(() => {
+				taken += 1;
+			});
+			return () => {
+				skip();
+				left.resolve();
+			};
+		},
+		onUnreadable: () => undefined,
+	});
+	const caller = connect(28_127, '127.0.0.1');
+	await once(caller, 'connect');
+	await turns(5);
+	caller.end(
+		'POST / HTTP/1.1\r\nhost: site.example\r\ncontent-length: 2\r\n\r\nhi',
+	);
+	const until = performance.now() + 50;
+	while (performance.now() < until) {
+		// The loop does not come round.
+	}
+
+	await left.promise;
+	await turns(5);
+	caller.destroy();
+	await front.close();
+	return taken;
+};
+
+test('a late node does not take a request whose caller has closed its connection', async (t: TestContext) => {
+	t.assert.strictEqual(await takenAfterClose(lateLoopMs), 0);
+	// Without the turns it is taken, for the close is read after it.
+	t.assert.strictEqual(await takenAfterClose(0), 1);
+});
