--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -1,12 +1,9 @@
 import type {KnownServer} from '../registry/index.ts';
 import {heldByOthers, believedLoad} from './believed-load.ts';
 import {beginAttempt, type BackendAttempt} from './backend-attempt.ts';
-import {
-	chooseServer,
-	type LocalChoice,
-	type ServerChoiceOptions,
-} from './choose-server.ts';
+import {chooseServer, type LocalChoice} from './choose-server.ts';
 import type {Placement} from './placement.ts';
+import type {ServerChoiceOptions} from './server-choice-options.ts';
 import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 import {
 	createServerState,
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -1,5 +1,3 @@
-import type {Without} from '../mechanisms/index.ts';
-import type {Service} from '../routes/index.ts';
 import {coldShare, isWithinColdShare, type ColdBound} from './cold-limit.ts';
 import type {Placement} from './placement.ts';
 import {
@@ -9,6 +7,7 @@
 	sharersOf,
 	stateCost,
 } from './server-cost.ts';
+import type {ServerChoiceOptions} from './server-choice-options.ts';
 import {isCold, type ServerState} from './server-state.ts';
 
 /**
@@ -29,38 +28,6 @@
 	| {readonly kind: 'full'}
 	| {readonly kind: 'none'};
 
-/**
-What servers are chosen by.
-*/
-export type ServerChoiceOptions = {
-	readonly without: Without;
-	readonly self: string;
-	readonly availabilityZone: string;
-	/**
-	Ids of all nodes of the region that were ever heard of, this one included.
-	*/
-	readonly nodesEverHeard: () => readonly string[];
-	/**
-	How many nodes of the region serve now, this one included.
-	*/
-	readonly nodesServing: () => number;
-	readonly service: (name: string) => Service | undefined;
-	readonly coldOverrun: number;
-	readonly coldSlack: number;
-	/**
-	Whether cold servers may be used yet; a node that has just started knows no other nodes.
-	*/
-	readonly mayUseCold: (now: number) => boolean;
-	/**
-	Whether a server is known to keep a prompt part in its memory.
-	*/
-	readonly keeps: (server: string, part: string) => boolean;
-	/**
-	A number from 0 to 1, by which nodes choose differently among servers that look alike.
-	*/
-	readonly draw: () => number;
-};
-
 // Servers whose costs differ by less look alike. Nodes see their own requests only, so without a draw
 // all of them would send to the first server of the list.
 const alikeCost = 0.1;
--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -7,5 +7,6 @@
 export * from './smoothed-count.ts';
 export * from './believed-load.ts';
 export * from './backend-attempt.ts';
+export type * from './server-choice-options.ts';
 export * from './choose-server.ts';
 export * from './backend-fleet.ts';
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -1,7 +1,7 @@
 import {rendezvousFirst} from '../shared/index.ts';
 import {believedLoad, heldByOthers} from './believed-load.ts';
-import type {ServerChoiceOptions} from './choose-server.ts';
 import type {Placement} from './placement.ts';
+import type {ServerChoiceOptions} from './server-choice-options.ts';
 import {silentFor, type ServerState} from './server-state.ts';
 
 // Requests that all nodes together hold at a server, by its slots: engines queue what does not
