Keep the other members in a module of their own and derive views of them once a change

The list of members was built anew for each choice of a node, each share and each tick; among 195 nodes that is some hundred lists of as many a second. The entries of members, with what is passed on of them, leave membership.ts (477 to 431 lines); lists of usable nodes, by region, and of the nodes ever heard of in the region are derived when members change. No decision changes. Not measured by itself.

--- a/src/gateway/sharing/node-shares.ts
+++ b/src/gateway/sharing/node-shares.ts
@@ -1,5 +1,6 @@
 import type {Mesh} from '../../mesh/index.ts';
 import type {Service} from '../../routes/index.ts';
+import {createDerived} from '../../shared/index.ts';
 
 /**
 This node's part of what all nodes share.
@@ -79,14 +80,16 @@
 }: NodeSharesOptions): NodeShares => {
 	const startedAt = clock();
 	const hasSettled = () => clock() - startedAt > settlingMs;
-	const othersInRegion = () =>
-		mesh
-			.others()
-			.filter(({availabilityZone}) => regionOf(availabilityZone) === ownRegion);
+	const nodesEverHeard = createDerived(mesh.others, (others) => [
+		self,
+		...others
+			.filter(({availabilityZone}) => regionOf(availabilityZone) === ownRegion)
+			.map(({id}) => id),
+	]);
 
 	return {
 		hasSettled,
-		nodesEverHeard: () => [self, ...othersInRegion().map(({id}) => id)],
+		nodesEverHeard,
 		nodesServing: () =>
 			Math.max(
 				1 + mesh.usableIn(ownRegion).length,
@@ -100,7 +103,7 @@
 				: Infinity,
 		connectionsTo(service) {
 			const maximum = service?.maximumConnections ?? 0;
-			const part = (maximum * connectionPart) / (1 + othersInRegion().length);
+			const part = (maximum * connectionPart) / nodesEverHeard().length;
 			return maximum === 0
 				? unboundedConnections
 				: Math.max(fewestConnections, Math.floor(part));
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,5 +1,6 @@
 import {type Random, assertNever} from '../shared/index.ts';
 import {hasPrecedence, type Member} from './member.ts';
+import {createMemberEntries} from './member-entries.ts';
 import type {
 	MembershipAction,
 	MembershipEvent,
@@ -51,15 +52,6 @@
 	readonly isIndirect: boolean;
 };
 
-type Entry = {
-	readonly member: Member;
-	readonly changedAt: number;
-	/**
-	How often this statement was passed on.
-	*/
-	readonly transmissions: number;
-};
-
 type Relay = {
 	readonly requester: string;
 	readonly requesterSequence: number;
@@ -74,7 +66,7 @@
 export const createMembership = (options: MembershipOptions): Membership => {
 	const parameters = options.parameters ?? defaultMembershipParameters;
 	const {random} = options;
-	const entries = new Map<string, Entry>();
+	const entries = createMemberEntries();
 	const probes = new Map<string, Probe>();
 	const relays = new Map<number, Relay>();
 	let {self} = options;
@@ -89,12 +81,12 @@
 			return refute(member);
 		}
 
-		const known = entries.get(member.id)?.member;
+		const known = entries.find(member.id);
 		if (known && !hasPrecedence(member, known)) {
 			return [];
 		}
 
-		entries.set(member.id, {member, changedAt: now, transmissions: 0});
+		entries.put(member, now);
 		return [{kind: 'changed', member}];
 	};
 
@@ -120,30 +112,12 @@
 		return [];
 	};
 
-	const maximumTransmissions = () => 3 * Math.ceil(Math.log2(entries.size + 2));
-
-	const pickUpdates = (): readonly Member[] => {
-		const fresh = entries
-			.values()
-
-			.filter(({transmissions}) => transmissions < maximumTransmissions())
-			.toArray()
-			.toSorted((left, right) => left.transmissions - right.transmissions)
-			.slice(0, parameters.maximumUpdates);
-		for (const entry of fresh) {
-			entries.set(entry.member.id, {
-				...entry,
-				transmissions: entry.transmissions + 1,
-			});
-		}
-
-		return fresh.map(({member}) => member);
-	};
+	const pickUpdates = () => entries.takeUpdates(parameters.maximumUpdates);
 
 	// What the sender believes of the receiver goes along, so that a wrongly suspected
 	// member hears of it at once and can refute it.
 	const updatesFor = (target: Member): readonly Member[] => {
-		const belief = entries.get(target.id)?.member;
+		const belief = entries.find(target.id);
 		const isDoubted =
 			belief && (belief.status === 'suspect' || belief.status === 'dead');
 		return isDoubted ? [belief, ...pickUpdates()] : pickUpdates();
@@ -162,11 +136,7 @@
 	const isProbeable = ({status}: Member) => status !== 'dead';
 
 	const select = (isWanted: (member: Member) => boolean): Member[] =>
-		entries
-			.values()
-			.map(({member}) => member)
-			.filter((member) => isWanted(member))
-			.toArray();
+		entries.all().filter((member) => isWanted(member));
 
 	const isNear = ({availabilityZone}: Member) =>
 		availabilityZone === self.availabilityZone;
@@ -233,7 +203,7 @@
 		now: number,
 	): readonly MembershipAction[] => {
 		const waited = now - pending.sentAt;
-		const member = entries.get(pending.target)?.member;
+		const member = entries.find(pending.target);
 		if (!member) {
 			probes.delete(pending.target);
 			return [];
@@ -259,26 +229,15 @@
 
 	const expireSuspicions = (now: number): readonly MembershipAction[] =>
 		entries
-			.values()
-			.filter(
-				({member, changedAt}) =>
-					member.status === 'suspect' &&
-					now - changedAt >= parameters.suspicionTimeout,
-			)
-			.flatMap(({member}) => learn({...member, status: 'dead'}, now))
-			.toArray();
+			.since('suspect', now - parameters.suspicionTimeout)
+			.flatMap((member) => learn({...member, status: 'dead'}, now));
 
 	const forgetDead = (now: number) => {
-		const forgotten = entries
-			.values()
-			.filter(
-				({member, changedAt}) =>
-					member.status === 'dead' &&
-					now - changedAt >= parameters.forgetDeadAfter,
-			)
-			.toArray();
-		for (const {member} of forgotten) {
-			entries.delete(member.id);
+		for (const {id} of entries.since(
+			'dead',
+			now - parameters.forgetDeadAfter,
+		)) {
+			entries.forget(id);
 		}
 	};
 
@@ -345,7 +304,7 @@
 	): readonly MembershipAction[] => {
 		probes.delete(from.id);
 		const relay = relays.get(number);
-		const requester = relay && entries.get(relay.requester)?.member;
+		const requester = relay && entries.find(relay.requester);
 		if (!relay || !requester) {
 			return [];
 		}
@@ -372,7 +331,7 @@
 		targetId: string,
 		now: number,
 	): readonly MembershipAction[] => {
-		const target = entries.get(targetId)?.member;
+		const target = entries.find(targetId);
 		if (!target) {
 			return [];
 		}
@@ -391,7 +350,7 @@
 		now: number,
 	): readonly MembershipAction[] =>
 		listed.flatMap((vm) => {
-			const known = entries.get(vm.id)?.member;
+			const known = entries.find(vm.id);
 			if (vm.id === self.id) {
 				return [];
 			}
@@ -464,14 +423,9 @@
 			}
 		},
 		self: () => self,
-		members: () =>
-			entries
-				.values()
-
-				.map(({member}) => member)
-				.toArray(),
+		members: entries.all,
 		usable,
-		find: (id) => entries.get(id)?.member,
+		find: entries.find,
 		lastHeard: () => lastHeard,
 	};
 };
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -15,7 +15,12 @@
 // the memory of an idle node and is not used here.
 import {createHeartbeatCodec} from '../peers/heartbeat-codec.ts';
 import {createSealer} from '../peers/seal.ts';
-import {createRandom, rendezvousFirst, type Address} from '../shared/index.ts';
+import {
+	createDerived,
+	createRandom,
+	rendezvousFirst,
+	type Address,
+} from '../shared/index.ts';
 
 /**
 What a mesh is built from.
@@ -193,8 +198,15 @@
 		return first?.id === self.id;
 	};
 
-	const usable = () =>
-		membership.members().filter(({status}) => status === 'alive');
+	// Asked for at each choice and each tick, by readers that may keep what they derive from the same lists.
+	const usable = createDerived(membership.members, (members) =>
+		members.filter(({status}) => status === 'alive'),
+	);
+	const usableByRegion = createDerived(usable, (members) =>
+		Map.groupBy(members, ({availabilityZone}) =>
+			options.regionOf(availabilityZone),
+		),
+	);
 
 	return {
 		async start() {
@@ -222,10 +234,7 @@
 		isLeavingLately: ({id, status}) =>
 			status === 'leaving' &&
 			clock() - (leavingSince.get(id) ?? -Infinity) < leavingNamedMs,
-		usableIn: (region) =>
-			usable().filter(
-				({availabilityZone}) => options.regionOf(availabilityZone) === region,
-			),
+		usableIn: (region) => usableByRegion().get(region) ?? [],
 		stateLoad(services, now) {
 			if (!isSpeaker()) {
 				return;
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -6,3 +6,4 @@
 export * from './held-calls.ts';
 export * from './drop-body.ts';
 export * from './close-server.ts';
+export * from './derived.ts';
--- /dev/null
+++ b/tests/membership/member-entries.test.ts
@@ -0,0 +1,47 @@
+import {test, type TestContext} from 'node:test';
+import {createMemberEntries} from '../../src/membership/member-entries.ts';
+import {memberOf} from '../fixtures.ts';
+
+test('the list of members is another one after a change, and the same one else', (t: TestContext) => {
+	const entries = createMemberEntries();
+	entries.put(memberOf('a', 'zone-a'), 0);
+	const first = entries.all();
+	entries.takeUpdates(3);
+	t.assert.strictEqual(entries.all(), first);
+	entries.put({...memberOf('a', 'zone-a'), status: 'dead'}, 1);
+	t.assert.notStrictEqual(entries.all(), first);
+	t.assert.strictEqual(first[0]?.status, 'alive');
+	t.assert.strictEqual(entries.all()[0]?.status, 'dead');
+	entries.forget('a');
+	t.assert.deepStrictEqual(entries.all(), []);
+	t.assert.strictEqual(entries.find('a'), undefined);
+});
+
+test('statements are passed on in turn, those passed on least first, and not for ever', (t: TestContext) => {
+	const entries = createMemberEntries();
+	for (const id of ['a', 'b', 'c']) {
+		entries.put(memberOf(id, 'zone-a'), 0);
+	}
+
+	const idsOf = (count: number) => entries.takeUpdates(count).map(({id}) => id);
+	t.assert.deepStrictEqual(idsOf(2), ['a', 'b']);
+	t.assert.deepStrictEqual(idsOf(2), ['c', 'a']);
+	for (let round = 0; round < 20; round += 1) {
+		entries.takeUpdates(3);
+	}
+
+	t.assert.deepStrictEqual(idsOf(3), []);
+	entries.put({...memberOf('b', 'zone-a'), revision: 1}, 1);
+	t.assert.deepStrictEqual(idsOf(3), ['b']);
+});
+
+test('members are found by status and by how long they have it', (t: TestContext) => {
+	const entries = createMemberEntries();
+	entries.put({...memberOf('a', 'zone-a'), status: 'suspect'}, 100);
+	entries.put(memberOf('b', 'zone-a'), 0);
+	t.assert.deepStrictEqual(entries.since('suspect', 99), []);
+	t.assert.deepStrictEqual(
+		entries.since('suspect', 100).map(({id}) => id),
+		['a'],
+	);
+});
