--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -419,3 +419,13 @@
 	answer(full.sent[0]!, 503, {[hopHeaders.result]: 'refused'});
 	assert.equal(full.sent.length, 1);
 });
+
+test('a request whose time was over before the node came to it is sent nowhere', () => {
+	const {deliveries, sent, pass} = setUp(['a']);
+	pass(1200);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({}, {receivedAt: 0, expiresAt: 1000}), sink);
+	assert.equal(sent.length, 0);
+	assert.equal(deliveries.count(), 0);
+	assert.equal(seen.error?.kind, 'overloaded');
+});
--- a/tests/shared/derived.test.ts
+++ b/tests/shared/derived.test.ts
@@ -12,8 +12,7 @@
 		},
 	);
 	t.assert.strictEqual(derived, 0);
-	t.assert.strictEqual(sum(), 2);
-	t.assert.strictEqual(sum(), 2);
+	t.assert.deepStrictEqual([sum(), sum()], [2, 2]);
 	t.assert.strictEqual(derived, 1);
 	source = [...source, 3];
 	t.assert.strictEqual(sum(), 3);
