--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -128,6 +128,7 @@
 		gauges: {
 			requestsUnderWay: deliveries.count,
 			requestsWaiting: deliveries.waiting,
+			loopLagMilliseconds: schedule.lagMs,
 			registryRevision: mirror.revision,
 			routesVersion,
 			nodesUsable: () => mesh.usable().length,
