--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -70,8 +70,8 @@
 The load of a server once it has one more request of this node, 1 being full, by what the other nodes are
 likely to hold there; what servers are compared by.
 
-Where 65 nodes of a region share 21 servers, with each node's one request taken for 65, half of the light requests
-of a calm day went to other regions: 154 ms in the median in place of 28 (plain requests, 195 nodes, 8 s).
+Where 65 nodes of a region share its servers, with each node's one request taken for 65, half of the plain requests
+went to other regions without need: 154 ms in the median in place of 29 (195 nodes, a day with faults played once each).
 */
 export const comparedLoads = (
 	options: ServerChoiceOptions,
@@ -80,8 +80,8 @@
 	now: number,
 ): ((state: ServerState, fullness: number) => number) => {
 	// Long prompts for one server come by way of so few nodes that what this one holds tells of the others.
-	const isKnown = sharedPart !== undefined;
-	if (isKnown || options.without.has('smoothed-load')) {
+	const isLongPrompt = sharedPart !== undefined;
+	if (isLongPrompt || options.without.has('smoothed-load')) {
 		return (_state, fullness) => fullness;
 	}
 
