--- a/src/gateway/tick-schedule.ts
+++ b/src/gateway/tick-schedule.ts
@@ -12,6 +12,7 @@
 	reschedule(): void;
 	/**
 	How late the event loop is, in milliseconds: by the last tick, or by the next one where that is overdue.
+	Infinite before a tick was due: a node that starts takes long to come to what waits at its listeners.
 	*/
 	lagMs(): number;
 	stop(): void;
@@ -42,7 +43,7 @@
 ): TickSchedule => {
 	let timer: NodeJS.Timeout | undefined;
 	let dueAt = Infinity;
-	let lateMs = 0;
+	let lateMs = Infinity;
 
 	const reschedule = () => {
 		const pauseMs = waiting() > 0 ? waitingTickMs : gatewayTickMs;
@@ -52,7 +53,7 @@
 	};
 
 	const run = () => {
-		lateMs = Math.max(0, clock() - dueAt);
+		lateMs = dueAt === Infinity ? Infinity : Math.max(0, clock() - dueAt);
 		reschedule();
 		tick();
 	};
