--- a/tests/gateway/intake/closes-first.test.ts
+++ b/tests/gateway/intake/closes-first.test.ts
@@ -1,3 +1,4 @@
+import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {performance} from 'node:perf_hooks';
@@ -9,6 +10,8 @@
 } from '../../../src/gateway/intake/closes-first.ts';
 import {startFrontListener} from '../../../src/gateway/intake/front-listener.ts';
 
+const port = 8000;
+
 const turns = async (count: number) => {
 	for (let index = 0; index < count; index += 1) {
 		await turn();
@@ -41,11 +44,12 @@
 	lagMs: number,
 	hasFirst: boolean,
 ): Promise<number> => {
+	const host = `127.${randomInt(2, 250)}.${randomInt(1, 250)}.1`;
 	const closesFirst = createClosesFirst(() => lagMs);
 	let taken = 0;
 	const left = Promise.withResolvers<void>();
 	const front = await startFrontListener({
-		address: '127.0.0.1:28127',
+		address: `${host}:${port}`,
 		limits: {
 			maximumHeaderBytes: 16_384,
 			maximumBodyBytes: 1_048_576,
@@ -64,7 +68,7 @@
 		},
 		onUnreadable: () => undefined,
 	});
-	const caller = connect(28_127, '127.0.0.1');
+	const caller = connect(port, host);
 	await once(caller, 'connect');
 	await turns(5);
 	caller.end(
