--- a/src/gateway/intake/closes-first.ts
+++ b/src/gateway/intake/closes-first.ts
@@ -25,7 +25,7 @@
 request, and the runtime reads it one turn of the loop later. Taken at once, the request is sent on for nobody. It is so
 where the loop is late, and for the first request of a connection that had to be asked for twice: a machine without
 power answers nothing, the second try comes a second later, and that is as long as callers wait to be read. On a
-small node that had just restarted the closes were seen 15 to 54 ms after the requests (eleven in its log), and by way of
+small node that had just restarted the closes were seen 15 to 54 ms after the requests (eight in its log), and by way of
 it 6 to 21 requests reached servers over half a second after their callers had left.
 
 @param lagMs How late the event loop is.
