Write down which requests were under way at a backend server when it crashed

Cause: nothing was written of a crash. A request that comes again has another id, so that lines of failed requests cannot tell one request that ends server after server from many that merely were there.

Change: a request has a fingerprint (method, host, path, account, body; worked out only when it is asked for). A connection that breaks is noted with it; the server is asked at once whether it lives, twice a second at the most. It has crashed where nobody listens any more, or its entry goes or names a later start without a word of its leaving. A line "backend server crashed" names the fingerprints that were under way, ten lines a second at the most; lines of requests with an unknown end carry theirs; a gauge counts crashes.

Ruled out: taking each broken connection for a crash, for servers break single answers off, close idle connections, and links reset. No decision about a request changes.

--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -51,6 +51,10 @@
 	Whether any byte may have left this node.
 	*/
 	readonly wasSent: boolean;
+	/**
+	Whether nobody listens at the address.
+	*/
+	readonly isRefused?: boolean;
 	readonly reason: string;
 };
 
@@ -121,6 +125,7 @@
 export const idleMarginMs = 900;
 
 const resetCode = 'ECONNRESET';
+const refusedCode = 'ECONNREFUSED';
 
 /**
 Builds a client without connections.
@@ -233,7 +238,8 @@
 		}
 
 		isOver = true;
-		listener.onFailure({wasSent, reason: error.message});
+		const isRefused = (error as NodeJS.ErrnoException).code === refusedCode;
+		listener.onFailure({wasSent, isRefused, reason: error.message});
 	};
 
 	const handler: Dispatcher.DispatchHandler = {
--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -1,16 +1,32 @@
-import type {BackendFleet, UpstreamClient} from '../../backends/index.ts';
+import type {
+	BackendFleet,
+	UpstreamClient,
+	UpstreamFailure,
+} from '../../backends/index.ts';
 import type {Without} from '../../mechanisms/index.ts';
 import type {Member} from '../../membership/index.ts';
 import type {RetryYield, WindowRetryBudget} from '../../retries/index.ts';
 import type {Route} from '../../routes/index.ts';
 import type {UpstreamChooser} from '../choosing/index.ts';
-import type {DeliveryRecord, RequestClient} from '../exchange.ts';
+import type {DeliveryRecord, Exchange, RequestClient} from '../exchange.ts';
 import type {WireHeaders} from '../wire-headers.ts';
 import type {DeliveryRun} from './delivery-run.ts';
 import type {RoomOutlook} from './room-outlook.ts';
 import type {RouteDurations} from './route-durations.ts';
 import type {WaitingRequests} from './waiting-requests.ts';
 
+/**
+A call to a backend server.
+*/
+export type ServerCall = {
+	readonly server: string;
+	/**
+	Names the life of the server.
+	*/
+	readonly life: string;
+	readonly sentAt: number;
+};
+
 /**
 What deliveries are made with.
 */
@@ -55,7 +71,14 @@
 	/**
 	Says that a backend server could not be reached.
 	*/
-	readonly onServerFailure: (server: string, reason: string) => void;
+	readonly onServerFailure: (
+		server: string,
+		failure: Pick<UpstreamFailure, 'reason' | 'isRefused'>,
+	) => void;
+	/**
+	Says that the connection of a request to a backend server ended without a whole answer, or went silent.
+	*/
+	readonly onBroken: (exchange: Exchange, call: ServerCall) => void;
 	/**
 	Says that a backend server stated a load that makes no sense.
 	*/
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -22,6 +22,11 @@
 	readonly attempt: BackendAttempt | undefined;
 	readonly server: string | undefined;
 	/**
+	Names the life of that server.
+	*/
+	readonly life: string | undefined;
+	readonly sentAt: number;
+	/**
 	Given with `region` for a call to another node.
 	*/
 	readonly member: Member | undefined;
--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -13,7 +13,7 @@
 	recordRun,
 	refuseRun,
 } from './end-run.ts';
-import {failCall} from './fail-call.ts';
+import {failCall, noteBroken} from './fail-call.ts';
 import {createRoomOutlook} from './room-outlook.ts';
 import {sendOrWait} from './send-run.ts';
 import {createWaitingRequests} from './waiting-requests.ts';
@@ -155,6 +155,10 @@
 	context: DeliveryContext,
 	run: DeliveryRun,
 ): void => {
+	if (run.current) {
+		noteBroken(context, run, run.current);
+	}
+
 	if (run.isRepeatable && hasAttemptLeft(run, context.clock())) {
 		failCall(context, run, {
 			outcome: 'unknown',
--- a/src/gateway/delivery/fail-call.ts
+++ b/src/gateway/delivery/fail-call.ts
@@ -63,15 +63,21 @@
 export const callBroke = (
 	context: DeliveryContext,
 	run: DeliveryRun,
-	{member, server}: CurrentCall,
-	{wasSent, reason}: UpstreamFailure,
+	current: CurrentCall,
+	failure: UpstreamFailure,
 ): void => {
+	const {member, server} = current;
+	const {wasSent, reason} = failure;
 	if (!wasSent && member) {
 		context.onPeerFailure(member);
 	}
 
 	if (!wasSent && server !== undefined) {
-		context.onServerFailure(server, reason);
+		context.onServerFailure(server, failure);
+	}
+
+	if (wasSent) {
+		noteBroken(context, run, current);
 	}
 
 	failCall(context, run, {
@@ -82,6 +88,19 @@
 	});
 };
 
+/**
+Says that a call ended without a whole answer, if it went to a backend server.
+*/
+export const noteBroken = (
+	{onBroken}: DeliveryContext,
+	{exchange}: DeliveryRun,
+	{server, life, sentAt}: CurrentCall,
+): void => {
+	if (server !== undefined && life !== undefined) {
+		onBroken(exchange, {server, life, sentAt});
+	}
+};
+
 /**
 Takes in that a node is well and its backend server is not: the node may be asked again, which spares
 a new connection.
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -13,7 +13,13 @@
 } from './delivery-run.ts';
 import {closeRun, endCurrentCall, recordRun} from './end-run.ts';
 import {createEventRelay} from './event-relay.ts';
-import {callBroke, failCall, nodeRefused, notAtFault} from './fail-call.ts';
+import {
+	callBroke,
+	failCall,
+	nodeRefused,
+	notAtFault,
+	noteBroken,
+} from './fail-call.ts';
 import {decodeHopResult, hopHeaderNames} from './hop.ts';
 import {judgeHead} from './judge-head.ts';
 
@@ -71,7 +77,7 @@
 			}
 
 			if (isStream) {
-				endStream(context, run);
+				endStream(context, run, current);
 			} else {
 				answerWhole(context, run, head, Buffer.concat(chunks, size));
 			}
@@ -227,8 +233,13 @@
 	run.pieceAt = now;
 };
 
-const endStream = (context: DeliveryContext, run: DeliveryRun): void => {
+const endStream = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	current: CurrentCall,
+): void => {
 	if (run.relay?.hasRest()) {
+		noteBroken(context, run, current);
 		answerIsFaulty(context, run, 'The stream ended in the middle of an event');
 		return;
 	}
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -4,6 +4,7 @@
 	type UpstreamCall,
 } from '../../backends/index.ts';
 import type {Member} from '../../membership/index.ts';
+import {lifeOf} from '../../registry/index.ts';
 import {lastEventIdHeader, leastUrgent} from '../wire-headers.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
@@ -172,7 +173,9 @@
 	id: string,
 ): void => {
 	const {clock, connectionsTo, fleet, headers, without} = context;
-	const attempt = fleet.begin(id, run.placement, clock());
+	const sentAt = clock();
+	const server = fleet.server(id)!;
+	const attempt = fleet.begin(id, run.placement, sentAt);
 	run.excluded.add(id);
 	run.tried.push(id);
 	run.steps.push(`server ${id}`);
@@ -181,10 +184,17 @@
 	startCall(
 		context,
 		run,
-		{attempt, server: id, member: undefined, region: undefined},
+		{
+			attempt,
+			server: id,
+			life: lifeOf(server),
+			sentAt,
+			member: undefined,
+			region: undefined,
+		},
 		{
 			key: `server ${id}`,
-			address: fleet.server(id)!.address,
+			address: server.address,
 			maximumConnections: connectionsTo(run.exchange.service),
 			connectTimeoutMs: nearConnectTimeoutMs,
 			headers: onwardHeaders(context, run, [
@@ -219,7 +229,14 @@
 	startCall(
 		context,
 		run,
-		{attempt: undefined, server: undefined, member, region},
+		{
+			attempt: undefined,
+			server: undefined,
+			life: undefined,
+			sentAt: context.clock(),
+			member,
+			region,
+		},
 		{
 			key: peerKey(member),
 			address: member.peerAddress,
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -1,11 +1,18 @@
 import type {BackendFleet, UpstreamClient} from '../../backends/index.ts';
 import type {Logger} from '../../logging/index.ts';
+import {lifeOf} from '../../registry/index.ts';
 import type {WireHeaders} from '../wire-headers.ts';
 
 /**
 Asks backend servers for their health when there is reason to doubt it.
 */
-export type ServerProbes = {tick(now: number): void};
+export type ServerProbes = {
+	/**
+	Asks a server at once, whatever is believed of it.
+	*/
+	ask(server: string): void;
+	tick(now: number): void;
+};
 
 /**
 What probes are made with.
@@ -17,6 +24,14 @@
 	readonly clock: () => number;
 	readonly logger: Logger;
 	readonly healthPath: (service: string) => string;
+	/**
+	Told that a server has ended: nobody listens at its address, or another server does.
+	*/
+	readonly onGone: (life: string) => void;
+	/**
+	Told that a server has answered.
+	*/
+	readonly onAlive: (life: string) => void;
 };
 
 /**
@@ -41,6 +56,7 @@
 			return;
 		}
 
+		const life = lifeOf(server);
 		// A key of its own, for the connections of requests may be dead.
 		const key = `probe ${id}`;
 		const call = client.call(
@@ -58,7 +74,10 @@
 				onHead({status, header}) {
 					const isSound = status === 200 && header(headers.serverId) === id;
 					const coldMs = Number(header(headers.coldMs) ?? 0);
-					if (status !== misdirected) {
+					if (status === misdirected) {
+						options.onGone(life);
+					} else {
+						options.onAlive(life);
 						fleet.vouched(id, clock());
 					}
 
@@ -74,8 +93,11 @@
 				onEnd() {
 					finish();
 				},
-				onFailure() {
+				onFailure({isRefused}) {
 					finish();
+					if (isRefused) {
+						options.onGone(life);
+					}
 				},
 			},
 		);
@@ -90,6 +112,7 @@
 	};
 
 	return {
+		ask: probe,
 		tick(now) {
 			for (const id of fleet.dueProbes(now)) {
 				probe(id);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -9,6 +9,10 @@
 	readonly requestId: string;
 	readonly method: string;
 	/**
+	Host that it was sent for, as it came.
+	*/
+	readonly host: string;
+	/**
 	Path and query, as they came.
 	*/
 	readonly target: string;
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '../logging/index.ts';
 import {createClientLimitLog} from './client-limit-log.ts';
 import type {DeliveryRecord} from './exchange.ts';
+import {fingerprintOfExchange} from './fingerprint-of-exchange.ts';
 
 /**
 Writes what happened to requests to log and metrics.
@@ -178,6 +179,11 @@
 			status: record.status,
 			outcome: record.outcome,
 			reason: record.reason,
+			// By it the request is found again under its other ids, and among those of a server that crashed.
+			fingerprint:
+				record.outcome === 'unknown'
+					? fingerprintOfExchange(exchange)
+					: undefined,
 			steps: record.steps.join(' | '),
 			origin: exchange.hop?.origin,
 			firstByteMs: rounded(record.firstByteMs),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -48,6 +48,9 @@
 		onTakenIn() {
 			intake.routesCame();
 		},
+		onDoubt(server) {
+			probes.ask(server);
+		},
 	});
 	const {
 		clock,
@@ -60,6 +63,7 @@
 		limits,
 		fleet,
 		client,
+		crashes,
 	} = knowledge;
 	const {intake, deliveries, observer, admission} = createRequestHandling(
 		options,
@@ -79,6 +83,10 @@
 		logger,
 		healthPath: (service) =>
 			mirror.routes()?.service(service)?.healthPath ?? '/',
+		onGone(life) {
+			crashes.refused(life, clock());
+		},
+		onAlive: crashes.acquitted,
 	});
 
 	const peerAddresses = [
@@ -116,6 +124,7 @@
 		}
 
 		probes.tick(now);
+		crashes.tick(now);
 		prompts.tick();
 		limits.tick(now);
 		deliveries.tick(now);
--- a/src/gateway/intake/read-exchange.ts
+++ b/src/gateway/intake/read-exchange.ts
@@ -144,6 +144,7 @@
 	{clients}: RouteTable,
 ) => ({
 	method: request.method,
+	host: request.host,
 	target: request.target,
 	headers: forwardableHeaders(
 		request.rawHeaders,
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -1,3 +1,4 @@
+import {lifeOf} from '../registry/index.ts';
 import {createWindowRetryBudget} from '../retries/index.ts';
 import {isRegionAllowed, type Prompt} from '../routes/index.ts';
 import {
@@ -6,6 +7,7 @@
 	createRouteDurations,
 } from './delivery/index.ts';
 import {createGatewayChooser} from './choosing/index.ts';
+import {fingerprintOfExchange} from './fingerprint-of-exchange.ts';
 import {
 	createGatewayObserver,
 	type GatewayObserver,
@@ -62,8 +64,17 @@
 	schedule: HandlingSchedule,
 ): RequestHandling => {
 	const {logger, headers, bounds} = options;
-	const {clock, ownRegion, mirror, registry, mesh, shares, fleet, client} =
-		knowledge;
+	const {
+		clock,
+		ownRegion,
+		mirror,
+		registry,
+		mesh,
+		shares,
+		fleet,
+		client,
+		crashes,
+	} = knowledge;
 	const routesVersion = () => mirror.routes()?.document.version ?? 0;
 	const {choose, peerFailed} = createGatewayChooser({
 		...knowledge,
@@ -98,7 +109,12 @@
 			return !clients || clients.byKey(keyDigest)?.name === name;
 		},
 		onPeerFailure: peerFailed,
-		onServerFailure(server, reason) {
+		onServerFailure(server, {reason, isRefused}) {
+			const entry = fleet.server(server);
+			if (isRefused && entry) {
+				crashes.refused(lifeOf(entry), clock());
+			}
+
 			if (fleet.isSuspect(server)) {
 				return;
 			}
@@ -106,6 +122,10 @@
 			fleet.suspect(server, clock());
 			logger.warn({server, reason}, 'backend server suspected');
 		},
+		onBroken(exchange, call) {
+			const fingerprint = fingerprintOfExchange(exchange);
+			crashes.broke({...call, fingerprint}, clock());
+		},
 		onBadLoad(server, reason) {
 			observer.badLoad(server, reason);
 		},
@@ -140,6 +160,7 @@
 			nodesUsable: () => mesh.usable().length,
 			backendServers: () => fleet.ids().length,
 			upstreamConnectionsOpened: client.connectionsOpened,
+			serverCrashesSeen: knowledge.crashLog.seen,
 		},
 	});
 	const intake = createRequestIntake({
--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -16,8 +16,10 @@
 	createRegistryMirror,
 	type RegistryMirror,
 } from '../../registry/index.ts';
+import {createCrashWatch, type CrashWatch} from '../../quarantine/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
 import {createRandom, type Random} from '../../shared/index.ts';
+import {createCrashLog, type CrashLog} from '../crash-log.ts';
 import type {GatewayOptions} from '../gateway-options.ts';
 import {createPlacementView, type PlacementView} from '../choosing/index.ts';
 import {createLimitSharing, type LimitSharing} from './limit-sharing.ts';
@@ -68,6 +70,11 @@
 	The backend servers of all regions.
 	*/
 	readonly placement: PlacementView;
+	/**
+	Tells crashes of backend servers from connections that broke alone.
+	*/
+	readonly crashes: CrashWatch;
+	readonly crashLog: Pick<CrashLog, 'seen'>;
 };
 
 /**
@@ -82,6 +89,10 @@
 	Told last, once everything else has taken the changes in.
 	*/
 	readonly onTakenIn: () => void;
+	/**
+	Asked whether a backend server lives.
+	*/
+	readonly onDoubt: (server: string) => void;
 };
 
 const seedRange = 2 ** 31;
@@ -91,7 +102,7 @@
 */
 export const createNodeKnowledge = (
 	options: GatewayOptions,
-	{onLimits, onTakenIn}: KnowledgeCallbacks,
+	{onLimits, onTakenIn, onDoubt}: KnowledgeCallbacks,
 ): NodeKnowledge => {
 	const {logger, zones, availabilityZone, bounds} = options;
 	const clock = () => performance.now();
@@ -167,6 +178,13 @@
 		without: options.without,
 	});
 	const placement = createPlacementView({mirror, regions, regionOf});
+	const crashLog = createCrashLog(logger);
+	const crashes = createCrashWatch({
+		ask: onDoubt,
+		onCrash(crash) {
+			crashLog.note(crash, clock());
+		},
+	});
 	const takeIn = createRegistryChanges({
 		mirror,
 		fleet,
@@ -177,6 +195,13 @@
 		clock,
 		logger,
 		onLimits,
+		onServerGone(life, isPlanned) {
+			if (isPlanned) {
+				crashes.acquitted(life);
+			} else {
+				crashes.gone(life);
+			}
+		},
 	});
 	const registry = createRegistrySharing({
 		mirror,
@@ -212,5 +237,7 @@
 		fleet,
 		client,
 		placement,
+		crashes,
+		crashLog,
 	};
 };
--- a/src/gateway/sharing/registry-changes.ts
+++ b/src/gateway/sharing/registry-changes.ts
@@ -1,6 +1,10 @@
 import type {BackendFleet, UpstreamClient} from '../../backends/index.ts';
 import type {Logger} from '../../logging/index.ts';
-import type {MirrorChange, RegistryMirror} from '../../registry/index.ts';
+import {
+	lifeOf,
+	type MirrorChange,
+	type RegistryMirror,
+} from '../../registry/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
 import type {PlacementView} from '../choosing/index.ts';
 
@@ -20,6 +24,11 @@
 	Told the bounds on callers of routes that come into force.
 	*/
 	readonly onLimits: (limits: CallerLimits) => void;
+	/**
+	Told that a server of the own region is not used any more: because it leaves or its zone is evacuated, or because
+	its entry has gone or names a later start.
+	*/
+	readonly onServerGone: (life: string, isPlanned: boolean) => void;
 };
 
 /**
@@ -78,6 +87,7 @@
 	regionOf,
 	clock,
 	logger,
+	onServerGone,
 }: RegistryChangesOptions): void => {
 	const usable = [...mirror.servers()].filter(
 		([, {server}]) =>
@@ -85,6 +95,9 @@
 			regionOf(server.availabilityZone) === ownRegion &&
 			!mirror.isEvacuated(server.availabilityZone),
 	);
+	const lives = new Map(
+		fleet.ids().map((id) => [id, lifeOf(fleet.server(id)!)]),
+	);
 	const gone = new Set(fleet.ids());
 	const restarted = fleet.sync(new Map(usable), clock());
 	for (const [id] of usable) {
@@ -98,6 +111,9 @@
 	// Connections to an earlier life lead nowhere, and its address may have changed.
 	for (const id of [...gone, ...restarted]) {
 		client.forget(`server ${id}`);
+		const now = mirror.servers().get(id);
+		const life = lives.get(id)!;
+		onServerGone(life, now !== undefined && lifeOf(now.server) === life);
 	}
 };
 
--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,3 @@
+export * from './crash.ts';
+export * from './crash-watch.ts';
+export * from './request-fingerprint.ts';
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -85,6 +85,7 @@
 		isClientKnown,
 		onPeerFailure: () => undefined,
 		onServerFailure: () => undefined,
+		onBroken: () => undefined,
 		onBadLoad: () => undefined,
 		onWaiting: () => undefined,
 		onRecord(record) {
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -66,6 +66,7 @@
 export const exchangeOf = (change: Partial<Exchange> = {}): Exchange => ({
 	requestId: 'request-1',
 	method: 'POST',
+	host: 'site.example',
 	target: '/a/b',
 	headers: ['x-test-id', 'request-1'],
 	body: undefined,
