--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -20,6 +20,10 @@
 	An address that nothing else uses.
 	*/
 	nextAddress(): Address;
+	/**
+	Ends a node and starts one in its place that knows nothing.
+	*/
+	restart(index: number): Promise<void>;
 	stop(): Promise<void>;
 };
 
@@ -72,13 +76,19 @@
 		},
 		logger: createLogger('gateway', {node: `node-${index}`}),
 	});
-	const nodes = hosts.map((_, index) => createGateway(optionsOf(index)));
+	const createNode = (index: number) => createGateway(optionsOf(index));
+	const nodes = hosts.map((_, index) => createNode(index));
 	await Promise.all(nodes.map(async (node) => node.start()));
 	return {
 		registry,
 		nodes,
 		callerAddresses: hosts.map((each) => `${each}:${callerPort}`),
 		nextAddress: () => `${nextHost()}:${serverPort}`,
+		async restart(index) {
+			await nodes[index]!.stop();
+			nodes[index] = createNode(index);
+			await nodes[index].start();
+		},
 		async stop() {
 			await Promise.all(nodes.map(async (node) => node.stop()));
 		},
--- a/stand-ins/registered-server.ts
+++ b/stand-ins/registered-server.ts
@@ -32,7 +32,11 @@
 	close(): Promise<void>;
 };
 
-const eventOf = (index: number): string => `id: ${index}\ndata: ${index}\n\n`;
+/**
+An event of a stream of the stand-in.
+*/
+export const eventOf = (index: number): string =>
+	`id: ${index}\ndata: ${index}\n\n`;
 
 const sendEvents = (
 	response: ServerResponse,
