Count the time in which a machine was suspended in ages and deadlines

Cause: all ages are measured by the steady clock, which stands still while a machine is suspended. What was known before seems fresh after it (routes, lapsed entries, totals of limits, loads of zones), and requests seem to have time left that their callers have waited out.

Change: one clock for both kinds of node that goes on by what the time of day leapt ahead of the steady one. The fleet's own watching (silence, cold rate) moves on with the leap, and a probe's word on how long a server is cold outlives the next change of the registry.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -10,6 +10,7 @@
 	createServerState,
 	doubtMs,
 	longestSilenceMs,
+	shiftTimes,
 	silenceMs,
 	silentFor,
 	type ServerState,
@@ -81,6 +82,11 @@
 	A connection to the server could not be had, or its silence was noticed.
 	*/
 	suspect(id: string, now: number): void;
+	/**
+	The machine was suspended, or the clock leapt: what servers owe, and how cold they are, is counted by the time in
+	which this node could see it.
+	*/
+	slept(ms: number): void;
 	isSuspect(id: string): boolean;
 	loadOf(service: string, now: number): ServiceLoad;
 	ids(): readonly string[];
@@ -144,7 +150,8 @@
 			for (const [id, known] of servers) {
 				const state = states.get(id);
 				if (state && isSameLife(state.known, known)) {
-					state.known = known;
+					const coldUntil = Math.max(known.coldUntil, state.known.coldUntil);
+					state.known = {...known, coldUntil};
 					continue;
 				}
 
@@ -230,6 +237,11 @@
 			}
 		},
 		suspect,
+		slept(ms) {
+			for (const state of states.values()) {
+				shiftTimes(state, ms);
+			}
+		},
 		isSuspect: (id) => states.get(id)?.isSuspect ?? false,
 		loadOf(service, now) {
 			const usable = states
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -49,7 +49,7 @@
 	/**
 	Requests that have not begun to be answered.
 	*/
-	readonly pending: Set<{readonly since: number}>;
+	readonly pending: Set<{since: number}>;
 	lastHeardAt: number;
 	/**
 	From 0 to 1, the latest outcomes counting most.
@@ -150,6 +150,21 @@
 	return now - Math.max(oldest, lastHeardAt);
 };
 
+/**
+Moves what is counted by this node's own watching on by a leap of its clock. A server would otherwise seem silent for the
+whole of it, and a cold one warm.
+*/
+export const shiftTimes = (state: ServerState, ms: number): void => {
+	state.lastHeardAt += ms;
+	for (const waiting of state.pending) {
+		waiting.since += ms;
+	}
+
+	state.coldSentAt = state.coldSentAt.map((at) => at + ms);
+	const {coldUntil} = state.known;
+	state.known = {...state.known, coldUntil: coldUntil + ms};
+};
+
 /**
 Tokens that a server has still to read, of this node's prompts and of the long ones of others.
 */
--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -1,5 +1,4 @@
 import {randomBytes} from 'node:crypto';
-import {performance} from 'node:perf_hooks';
 import {
 	createBackendFleet,
 	createUpstreamClient,
@@ -18,7 +17,11 @@
 } from '../../registry/index.ts';
 import {createQuarantine, type Quarantine} from '../../quarantine/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
-import {createRandom, type Random} from '../../shared/index.ts';
+import {
+	createMachineClock,
+	createRandom,
+	type Random,
+} from '../../shared/index.ts';
 import type {GatewayOptions} from '../gateway-options.ts';
 import {createPlacementView, type PlacementView} from '../choosing/index.ts';
 import {createLimitSharing, type LimitSharing} from './limit-sharing.ts';
@@ -107,7 +110,12 @@
 	{onLimits, onTakenIn, onDoubt, onQuarantined}: KnowledgeCallbacks,
 ): NodeKnowledge => {
 	const {logger, zones, availabilityZone, bounds} = options;
-	const clock = () => performance.now();
+	// The fleet comes later, and the clock is read before.
+	let onSlept: (ms: number) => void = () => undefined;
+	const clock = createMachineClock((suspendedMs) => {
+		onSlept(suspendedMs);
+		logger.warn({suspendedMs}, 'the machine was suspended; ages count it');
+	});
 	const ownRegion = zones[availabilityZone] ?? '';
 	const regions = [...new Set(Object.values(zones))];
 	const random = createRandom(randomBytes(4).readUInt32LE() % seedRange);
@@ -193,6 +201,7 @@
 		draw: random.fraction,
 		without: options.without,
 	});
+	onSlept = fleet.slept;
 	const placement = createPlacementView({mirror, regions, regionOf});
 	const quarantine = createQuarantine({
 		self: options.id,
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -1,5 +1,4 @@
 import {randomBytes} from 'node:crypto';
-import {performance} from 'node:perf_hooks';
 import {
 	createConfigurationStore,
 	regionOfZone,
@@ -20,6 +19,7 @@
 import type {ServeSettings} from '../settings/index.ts';
 import {
 	createAddressTranslation,
+	createMachineClock,
 	createRandom,
 	type Address,
 	type Random,
@@ -55,7 +55,9 @@
 	const membership = createMembership({self: memberOf(settings), random});
 	const context: NodeContext = {
 		settings,
-		clock: () => performance.now(),
+		clock: createMachineClock((suspendedMs) => {
+			logger.warn({suspendedMs}, 'the machine was suspended; ages count it');
+		}),
 		configuration,
 		membership,
 		digests: createDigestTable({
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -7,3 +7,5 @@
 export * from './drop-body.ts';
 export * from './close-server.ts';
 export * from './derived.ts';
+export * from './elapsed-clock.ts';
+export * from './machine-clock.ts';
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -266,3 +266,14 @@
 		[],
 	);
 });
+
+test('a leap of the clock makes no server silent, and no cold one warm', () => {
+	const fleet = setUp(['a'], {coldUntil: 3000});
+	while (idOf(fleet.choose(placementOf(), 100)) === 'a') {
+		fleet.begin('a', placementOf(), 100);
+	}
+
+	fleet.slept(5000);
+	assert.deepEqual(fleet.tick(5200), []);
+	assert.equal(idOf(fleet.choose(placementOf(), 5200)), 'full');
+});
