Keep requests that crash servers away from them in the product's own path as well

An attempt that breaks is tried again at up to three more servers, a stream is resumed at the next, a node that is asked by another makes the attempt it is told to, and the caller's next request begins anew.

Change: attempts tell the quarantine where they broke and which were answered whole, and ask it before each send; the server is asked whether it listens, by its load report's address. Lives of servers are told apart by the incarnation of their reports. Messages go over the socket of the heartbeats. What is not done here: suspects are not kept apart from each other.

Figures: a request under which all servers break is sent to three in place of four, and to none when it comes again (test).

--- a/src/engines/engine-client.ts
+++ b/src/engines/engine-client.ts
@@ -60,6 +60,10 @@
 		cleared: ClearedRegion,
 	): Promise<Result<UpstreamAnswer, AttemptFailure>>;
 	readStatus(address: Address): Promise<Result<EngineStatus, string>>;
+	/**
+	Whether a server listens at an address; undefined where that cannot be told.
+	*/
+	isListening(address: Address): Promise<boolean | undefined>;
 	close(): Promise<void>;
 };
 
@@ -82,6 +86,7 @@
 	ageMs: z.number().default(0),
 });
 
+const refusedCode = 'ECONNREFUSED';
 const connectTimeoutMs = 1000;
 const statusTimeoutMs = 1000;
 
@@ -144,6 +149,19 @@
 			}
 		},
 		readStatus: async (address) => readJson(address, '/load', statusBody),
+		async isListening(address) {
+			try {
+				const answer = await request(`http://${translate(address)}/load`, {
+					dispatcher,
+					signal: AbortSignal.timeout(statusTimeoutMs),
+				});
+				dropBody(answer.body);
+				return true;
+			} catch (error) {
+				const isRefused = (error as NodeJS.ErrnoException).code === refusedCode;
+				return isRefused ? false : undefined;
+			}
+		},
 		close: async () => dispatcher.destroy(),
 	};
 };
@@ -170,7 +188,7 @@
 };
 
 const beforeSendCodes: ReadonlySet<string> = new Set([
-	'ECONNREFUSED',
+	refusedCode,
 	'EHOSTUNREACH',
 	'ENETUNREACH',
 	'UND_ERR_CONNECT_TIMEOUT',
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -103,7 +103,27 @@
 	run: DeliveryRun,
 	kind: ErrorKind,
 	reason: string,
-	comeBackSeconds?: number,
+): void => {
+	refuseWith(context, run, {
+		kind,
+		reason,
+		comeBackSeconds: () => retryAfterSeconds(context, run),
+	});
+};
+
+type Refusal = {
+	readonly kind: ErrorKind;
+	readonly reason: string;
+	/**
+	Asked where the request has not run.
+	*/
+	readonly comeBackSeconds: () => number;
+};
+
+const refuseWith = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	{kind, reason, comeBackSeconds}: Refusal,
 ): void => {
 	if (run.isOver) {
 		return;
@@ -113,9 +133,7 @@
 	const error = createGatewayError(kind, reason, {
 		outcome: run.outcome,
 		retryAfterSeconds:
-			run.outcome === 'not-run'
-				? (comeBackSeconds ?? retryAfterSeconds(context, run))
-				: undefined,
+			run.outcome === 'not-run' ? comeBackSeconds() : undefined,
 	});
 	run.sink.refuse(error, run.tried);
 	recordRun(context, run, {result: 'refused', status: 0, reason});
@@ -139,7 +157,11 @@
 	}
 
 	const kind = run.outcome === 'not-run' ? 'quarantined' : 'attempt-failed';
-	refuseRun(context, run, kind, reason, Math.max(0, leftMs) / 1000);
+	refuseWith(context, run, {
+		kind,
+		reason,
+		comeBackSeconds: () => Math.max(0, leftMs) / 1000,
+	});
 };
 
 /**
--- a/src/node/create-node.ts
+++ b/src/node/create-node.ts
@@ -7,6 +7,7 @@
 import type {GatewayNode} from './gateway-node.ts';
 import {createNodeControllers} from './node-controllers.ts';
 import {createNodeCore} from './node-core.ts';
+import {createNodeQuarantine} from './node-quarantine.ts';
 import {createRequestPath} from './request-path.ts';
 
 /**
@@ -47,9 +48,12 @@
 		return undefined;
 	};
 
-	const path = createRequestPath(core, {readiness, caughtUp});
+	const quarantine = createNodeQuarantine(core, (to, datagram) => {
+		controllers.membership.send(to, datagram);
+	});
+	const path = createRequestPath(core, {readiness, caughtUp}, {quarantine});
 	const {chain, executor, inFlight, permits, report} = path;
-	const controllers = createNodeControllers(core, path);
+	const controllers = createNodeControllers(core, path, quarantine);
 
 	return {
 		...context,
--- a/src/node/node-controllers.ts
+++ b/src/node/node-controllers.ts
@@ -2,6 +2,8 @@
 	createControllerHost,
 	type ControllerHost,
 } from '../controllers/index.ts';
+import {createPeerMessageCodec} from '../peers/peer-message-codec.ts';
+import type {Quarantine} from '../quarantine/index.ts';
 import type {ParsedConfiguration} from '../configuration/index.ts';
 import {createConfigurationController} from './configuration-controller.ts';
 import {createFleetController} from './fleet-controller.ts';
@@ -32,10 +34,12 @@
 export const createNodeControllers = (
 	core: NodeCore,
 	path: Pick<RequestPath, 'limits' | 'capacity' | 'inFlight' | 'metrics'>,
+	quarantine: Quarantine,
 ): NodeControllers => {
 	const {context} = core;
 	const {clock, configuration, digests, fleet} = context;
 	const {capacity, metrics, inFlight} = path;
+	const messages = createPeerMessageCodec(core.sealer);
 	const host = createControllerHost(clock, context.logger);
 	const fleetController = createFleetController({
 		context,
@@ -57,6 +61,16 @@
 					fleet.handle({kind: 'peer-gone', node: member.id}, clock());
 				}
 			},
+			onOther(datagram) {
+				const message = messages.decode(datagram);
+				if (
+					message?.kind === 'crashes' ||
+					message?.kind === 'quarantine' ||
+					message?.kind === 'served'
+				) {
+					quarantine.hear(message, clock());
+				}
+			},
 		},
 	);
 	const configurationController = createConfigurationController(context, {
@@ -100,8 +114,10 @@
 	const waiting = {
 		name: 'waiting',
 		tick(now: number) {
+			quarantine.tick(now);
 			capacity.expire(now);
 			metrics.gauge('in_flight', inFlight.count());
+			metrics.gauge('requests_quarantined', quarantine.quarantined(now));
 		},
 	};
 	for (const controller of [
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -14,6 +14,7 @@
 	createPermits,
 	createRequestChain,
 	createRequestExecutor,
+	createRequestQuarantine,
 	createStreamRelay,
 	createTargetChooser,
 	type CapacityWait,
@@ -25,6 +26,7 @@
 	type RequestExecutor,
 	type TargetChooser,
 } from '../requests/index.ts';
+import type {Quarantine} from '../quarantine/index.ts';
 import {createRetryBudget} from '../retries/index.ts';
 import type {NodeContext} from './node-context.ts';
 import type {NodeCore} from './node-core.ts';
@@ -59,6 +61,11 @@
 	caughtUp(): Promise<void>;
 };
 
+/**
+What the path of requests shares with the rest of the node.
+*/
+export type SharedParts = {readonly quarantine: Quarantine};
+
 const epochBytes = 8;
 const secretBytes = 32;
 
@@ -68,6 +75,7 @@
 export const createRequestPath = (
 	core: NodeCore,
 	gate: RequestGate,
+	{quarantine}: SharedParts,
 ): RequestPath => {
 	const {context} = core;
 	const {settings, clock, configuration} = context;
@@ -91,6 +99,7 @@
 		capacity,
 		epoch,
 		caughtUp: gate.caughtUp,
+		quarantine,
 	});
 	const chain = createRequestChain({
 		clock,
@@ -138,7 +147,8 @@
 	});
 
 type ExecutorParts = Pick<RequestPath, 'chooser' | 'capacity'> &
-	Pick<RequestGate, 'caughtUp'> & {
+	Pick<RequestGate, 'caughtUp'> &
+	SharedParts & {
 		/**
 		Tells the attempts of this life of the node from those of earlier ones.
 		*/
@@ -147,7 +157,7 @@
 
 const createExecutor = (
 	{context, engines}: NodeCore,
-	{chooser, capacity, epoch, caughtUp}: ExecutorParts,
+	{chooser, capacity, epoch, caughtUp, quarantine}: ExecutorParts,
 ): RequestExecutor => {
 	const {settings, clock, fleet, peers, logger} = context;
 	const budget = createRetryBudget();
@@ -160,6 +170,7 @@
 		peers,
 		budget,
 		capacity,
+		quarantine: createRequestQuarantine(quarantine, fleet, clock),
 		issueAttemptId() {
 			issued += 1;
 			return `${settings.nodeId}.${epoch}.${issued.toString(36)}`;
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -1,9 +1,11 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import type {EngineClient, UpstreamAnswer} from '../engines/index.ts';
 import {createGatewayError, type GatewayError} from '../errors/index.ts';
 import type {AttemptEnd, Fleet} from '../fleet/index.ts';
 import type {Logger} from '../logging/index.ts';
 import type {PeerCalls} from '../peers/index.ts';
+import {settleMs} from '../quarantine/index.ts';
 import {
 	decideRetry,
 	type AttemptFailure,
@@ -21,6 +23,7 @@
 import type {CapacityWait} from './capacity-wait.ts';
 import type {TargetChooser} from './target-choice.ts';
 import type {GatewayRequest} from './gateway-request.ts';
+import {inQuarantine, type RequestQuarantine} from './request-quarantine.ts';
 
 /**
 What attempts are made with.
@@ -33,6 +36,7 @@
 	readonly peers: PeerCalls;
 	readonly budget: RetryBudget;
 	readonly capacity: CapacityWait;
+	readonly quarantine: RequestQuarantine;
 	readonly issueAttemptId: () => string;
 
 	/**
@@ -154,6 +158,16 @@
 				);
 			}
 
+			const standing = options.quarantine.standing(request);
+			if (standing.kind === 'quarantined') {
+				return Result.err(inQuarantine(standing.until - now));
+			}
+
+			if (standing.kind === 'pending') {
+				await sleep(settleMs / 2);
+				continue;
+			}
+
 			const choice = options.chooser.choose(request, progress, now);
 			switch (choice.kind) {
 				case 'backend-server':
@@ -195,8 +209,13 @@
 			attemptTimeout(request, progress, startedAt),
 		);
 		const id = target.kind === 'backend-server' ? target.server.id : undefined;
-		const finish = createFinish(id, () => {
+		const place =
+			target.kind === 'backend-server'
+				? options.quarantine.placeOf(target.server, startedAt)
+				: undefined;
+		const finish = createFinish(id, (end) => {
 			request.signal.removeEventListener('abort', onGone);
+			options.quarantine.ended(request, place, end);
 		});
 		if (id !== undefined) {
 			fleet.handle({kind: 'attempt-started', backendServer: id}, startedAt);
@@ -242,7 +261,7 @@
 
 	const createFinish = (
 		backendServer: string | undefined,
-		release: () => void,
+		release: (end: AttemptEnd) => void,
 	) => {
 		let isFinished = false;
 		return (end: AttemptEnd) => {
@@ -251,7 +270,7 @@
 			}
 
 			isFinished = true;
-			release();
+			release(end);
 			if (backendServer === undefined) {
 				return;
 			}
--- /dev/null
+++ b/src/requests/request-quarantine.ts
@@ -0,0 +1,84 @@
+import type {BackendServer} from '../configuration/index.ts';
+import {createGatewayError, type GatewayError} from '../errors/index.ts';
+import type {AttemptEnd, Fleet} from '../fleet/index.ts';
+import {
+	fingerprintOf,
+	type Quarantine,
+	type Standing,
+} from '../quarantine/index.ts';
+import type {GatewayRequest} from './gateway-request.ts';
+
+/**
+One life of a backend server, and when a request was sent to it.
+*/
+export type AttemptPlace = {
+	readonly server: string;
+	readonly life: string;
+	readonly sentAt: number;
+};
+
+/**
+Tells the quarantine of the attempts of requests.
+*/
+export type RequestQuarantine = {
+	standing(request: GatewayRequest): Standing;
+	placeOf(server: Pick<BackendServer, 'id'>, sentAt: number): AttemptPlace;
+	/**
+	An attempt has ended; without a place it was made by way of another node.
+	*/
+	ended(
+		request: GatewayRequest,
+		place: AttemptPlace | undefined,
+		end: AttemptEnd,
+	): void;
+};
+
+/**
+Builds the view that attempts have of the quarantine.
+*/
+export const createRequestQuarantine = (
+	quarantine: Quarantine,
+	fleet: Pick<Fleet, 'incarnationOf'>,
+	clock: () => number,
+): RequestQuarantine => ({
+	standing: (request) =>
+		quarantine.standing(() => fingerprintOfRequest(request), clock()),
+	placeOf: ({id}, sentAt) => ({
+		server: id,
+		life: `${id} ${fleet.incarnationOf(id) ?? ''}`,
+		sentAt,
+	}),
+	ended(request, place, end) {
+		if (end === 'answered') {
+			quarantine.served(() => fingerprintOfRequest(request));
+		} else if (end === 'failed' && place) {
+			const fingerprint = fingerprintOfRequest(request);
+			quarantine.broke({...place, fingerprint}, clock());
+		}
+	},
+});
+
+/**
+The error of a request that is sent to no server.
+*/
+export const inQuarantine = (leftMs: number): GatewayError =>
+	createGatewayError(
+		'quarantined',
+		'Backend servers crashed each time they ran this request; it is in quarantine: change it, or come back later',
+		{retryAfterSeconds: Math.max(0, leftMs) / 1000},
+	);
+
+const fingerprintOfRequest = ({
+	method,
+	url,
+	service,
+	client,
+	body,
+}: GatewayRequest): string =>
+	fingerprintOf({
+		method,
+		host: service.name,
+		target: url,
+		client: client.name,
+		body,
+	});
--- a/src/shared/elapsed-clock.ts
+++ b/src/shared/elapsed-clock.ts
@@ -52,9 +52,10 @@
 @param onSuspended Told how long the machine was suspended.
 */
 export const createElapsedClock = (
-	{steady, wall, uptime}: ClockSources,
+	sources: ClockSources,
 	onSuspended: (ms: number) => void,
 ): ElapsedClock => {
+	const {steady, wall, uptime} = sources;
 	let passed = 0;
 	let steadyAt = steady();
 	let wallAt = wall();
--- a/tests/requests/request-chain.test.ts
+++ b/tests/requests/request-chain.test.ts
@@ -17,6 +17,7 @@
 import {createClientLimits} from '../../src/limits/index.ts';
 import {silentLogger} from '../../src/logging/index.ts';
 import type {PeerCalls} from '../../src/peers/index.ts';
+import {createQuarantine} from '../../src/quarantine/index.ts';
 import {createMetrics, createRecorder} from '../../src/reporting/index.ts';
 import {
 	createAttempts,
@@ -25,6 +26,7 @@
 	createPermits,
 	createRequestChain,
 	createRequestExecutor,
+	createRequestQuarantine,
 	createStreamRelay,
 	createTargetChooser,
 	maximumKeptLength,
@@ -101,6 +103,7 @@
 			return (options.engine ?? whole)(call, sends);
 		},
 		readStatus: async () => Result.err('none'),
+		isListening: async () => undefined,
 		close: async () => undefined,
 	};
 	const peers = {} as unknown as PeerCalls;
@@ -115,8 +118,23 @@
 		maximumWaiting: 4,
 		maximumWaitMs: 10,
 	});
+	const random = fixedRandom();
+	const quarantine = createQuarantine({
+		self: 'n',
+		usable: () => [],
+		tell: () => undefined,
+		ask(server) {
+			quarantine.refused(`${server} `, clock());
+		},
+		onQuarantined: () => undefined,
+		random,
+		without: new Set(),
+		clock,
+		logger: silentLogger,
+	});
 	const attempts = createAttempts({
 		clock,
+		quarantine: createRequestQuarantine(quarantine, fleet, clock),
 		fleet,
 		engines,
 		peers,
@@ -125,13 +143,15 @@
 		chooser: createTargetChooser({
 			availabilityZone: 'abj-wuse',
 			fleet,
-			random: fixedRandom(),
+			random,
 			configuration: () => current?.configuration,
 			membersIn: () => [],
 			summaryOf: () => undefined,
 		}),
 		issueAttemptId: () => `attempt-${sends}`,
-		caughtUp: async () => undefined,
+		async caughtUp() {
+			quarantine.tick(clock());
+		},
 		logger: silentLogger,
 	});
 	const inFlight = createInFlight();
@@ -238,6 +258,26 @@
 	assert.equal(errorOf(empty)?.kind, 'no-candidate');
 });
 
+test('a request under which three servers crashed is sent to no other, and others are', async () => {
+	let isDown = true;
+	const {chain, sends} = createHarness({
+		clock: () => performance.now(),
+		engine: (call, count) =>
+			isDown ? fails('unknown')(call, count) : whole(call, count),
+	});
+	const first = errorOf(await chain.answer(incoming()));
+	assert.equal(first?.kind, 'quarantined');
+	assert.equal(first.outcome, 'unknown');
+	assert.equal(sends(), 3);
+	const again = errorOf(await chain.answer(incoming()));
+	assert.equal(again?.outcome, 'not-run');
+	assert.ok(again.retryAfterSeconds! > 60);
+	assert.equal(sends(), 3);
+	isDown = false;
+	const other = await chain.answer(incoming({}, {user: 'other'}));
+	assert.equal(other.kind, 'complete');
+});
+
 test('a client over its limit is answered at once, with when to come back', async () => {
 	const {chain} = createHarness();
 	const answers: Answer[] = [];
