Count refusals of requests in quarantine, and name them in their lines by what they ask for

A line of such a request carried no fingerprint where it had not run, so that it could not be followed to the crashes it was at. Tests of delivery: refused as not run with the time until when; taken from its server once found out; held back while others have still to tell; two suspects at two servers, a third waits for a second at the most. No decision changes.

--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -107,6 +107,10 @@
 	Whether there was no server at all that it might go to when it was last looked for, whatever was tried.
 	*/
 	hasNowhereToGo: boolean;
+	/**
+	Whether it is not sent on because servers crashed each time that they ran it.
+	*/
+	isQuarantined: boolean;
 	isOver: boolean;
 	/**
 	Whether the caller left while the request is left to end.
@@ -165,6 +169,7 @@
 		pieceAt: undefined,
 		longestPauseMs: 0,
 		hasNowhereToGo: false,
+		isQuarantined: false,
 		isOver: false,
 		isDeserted: false,
 	};
--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -169,7 +169,7 @@
 		run.outcome = 'unknown';
 	}
 
-	run.steps.push('quarantined');
+	run.steps.push('found out');
 	endCurrentCall(context, run, 'abandoned', true);
 	refuseQuarantined(context, run);
 };
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -37,6 +37,7 @@
 		totalMs: clock() - exchange.receivedAt,
 		waitedMs: run.waitedMs,
 		longestPauseMs: run.longestPauseMs,
+		isQuarantined: run.isQuarantined,
 	});
 };
 
@@ -146,6 +147,7 @@
 	context: DeliveryContext,
 	run: DeliveryRun,
 ): void => {
+	run.isQuarantined = true;
 	const standing = context.standing(run.exchange);
 	const leftMs =
 		standing.kind === 'quarantined' ? standing.until - context.clock() : 0;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -115,4 +115,8 @@
 	Between two pieces of a stream.
 	*/
 	readonly longestPauseMs: number;
+	/**
+	Whether it was not sent on because servers crashed each time that they ran it.
+	*/
+	readonly isQuarantined: boolean;
 };
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -103,6 +103,11 @@
 		options,
 		({usage}) => usage.passed,
 	);
+	const quarantineRefusals = new Counter({
+		name: 'quillford_quarantine_refusals_total',
+		help: 'Requests not sent on because backend servers crashed each time that they ran them',
+		registers: [registry],
+	});
 	const badLoads = new Counter({
 		name: 'quillford_bad_loads_total',
 		help: 'Statements of load by backend servers that make no sense',
@@ -181,7 +186,7 @@
 			reason: record.reason,
 			// By it the request is found again under its other ids, and among those of a server that crashed.
 			fingerprint:
-				record.outcome === 'unknown'
+				record.isQuarantined || record.outcome === 'unknown'
 					? fingerprintOfExchange(exchange)
 					: undefined,
 			steps: record.steps.join(' | '),
@@ -208,6 +213,10 @@
 				result: record.result,
 				status: record.status,
 			});
+			if (record.isQuarantined) {
+				quarantineRefusals.inc();
+			}
+
 			if (record.firstByteMs !== undefined) {
 				firstByte.observe({route: route.name}, record.firstByteMs);
 			}
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -16,10 +16,13 @@
 	DeliveryRecord,
 	Exchange,
 } from '../../../src/gateway/exchange.ts';
+import type {Standing} from '../../../src/quarantine/index.ts';
 import {createWindowRetryBudget} from '../../../src/retries/index.ts';
 import type {Route} from '../../../src/routes/index.ts';
 import {hopHeaders} from '../../../src/gateway/delivery/hop.ts';
 import {assumedPerSecond} from '../../../src/gateway/delivery/room-outlook.ts';
+import {isolationPatienceMs} from '../../../src/gateway/delivery/send-run.ts';
+import {fingerprintOfExchange} from '../../../src/gateway/fingerprint-of-exchange.ts';
 import {createRouteDurations} from '../../../src/gateway/delivery/route-durations.ts';
 import {memberOf} from '../../fixtures.ts';
 import {
@@ -43,6 +46,7 @@
 	hasSettled = true,
 	choose?: UpstreamChooser,
 	isClientKnown: () => boolean = () => true,
+	standing: () => Standing = () => ({kind: 'clear'}),
 ) => {
 	let now = 0;
 	const clock = () => now;
@@ -87,7 +91,7 @@
 		onServerFailure: () => undefined,
 		onBroken: () => undefined,
 		onServed: () => undefined,
-		standing: () => ({kind: 'clear'}),
+		standing,
 		onBadLoad: () => undefined,
 		onWaiting: () => undefined,
 		onRecord(record) {
@@ -463,3 +467,62 @@
 	assert.equal(deliveries.count(), 0);
 	assert.equal(seen.error?.kind, 'overloaded');
 });
+
+const setUpStanding = (standing: () => Standing, servers = ['a', 'b', 'c']) =>
+	setUp(servers, 1000, true, undefined, undefined, standing);
+
+test('a request in quarantine is refused as not run, with the time until when', () => {
+	const {deliveries, sent, records} = setUpStanding(() => ({
+		kind: 'quarantined',
+		until: 90_000,
+	}));
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({}), sink);
+	assert.equal(sent.length, 0);
+	assert.equal(seen.error?.kind, 'quarantined');
+	assert.equal(seen.error.outcome, 'not-run');
+	assert.equal(seen.error.retryAfterSeconds, 90);
+	assert.equal(records[0]?.isQuarantined, true);
+});
+
+test('one that is found out while it is under way is taken from its server, and may have run', () => {
+	let current: Standing = {kind: 'clear'};
+	const {deliveries, sent} = setUpStanding(() => current);
+	const {sink, seen} = createSink();
+	const exchange = exchangeFor({});
+	deliveries.deliver(exchange, sink);
+	current = {kind: 'quarantined', until: 90_000};
+	deliveries.quarantined('the fingerprint of another');
+	assert.equal(sent[0]!.isAborted, false);
+	deliveries.quarantined(fingerprintOfExchange(exchange));
+	assert.equal(sent[0]!.isAborted, true);
+	assert.equal(seen.error?.kind, 'attempt-failed');
+	assert.equal(seen.error.outcome, 'unknown');
+});
+
+test('one whose crash others have still to tell of is held back, and goes on when it is cleared', () => {
+	let current: Standing = {kind: 'pending'};
+	const {deliveries, sent, pass} = setUpStanding(() => current);
+	deliveries.deliver(exchangeFor({}), createSink().sink);
+	assert.equal(sent.length, 0);
+	current = {kind: 'clear'};
+	pass(40);
+	assert.equal(sent.length, 1);
+});
+
+test('two that were at a crash go to two servers, and one more waits for one of them, but not for long', () => {
+	const {deliveries, sent, pass} = setUpStanding(
+		() => ({kind: 'suspect', crashes: 1}),
+		['a', 'b'],
+	);
+	for (const target of ['/a/1', '/a/2', '/a/3']) {
+		deliveries.deliver(exchangeFor({}, {target}), createSink().sink);
+	}
+
+	assert.deepEqual(
+		sent.map(({call}) => call.key),
+		['server a', 'server b'],
+	);
+	pass(isolationPatienceMs + 1);
+	assert.equal(sent.length, 3);
+});
--- a/tests/gateway/gateway-observer.test.ts
+++ b/tests/gateway/gateway-observer.test.ts
@@ -40,6 +40,7 @@
 	totalMs: 40,
 	waitedMs: 0,
 	longestPauseMs: 0,
+	isQuarantined: false,
 	...change,
 });
 
