Keep counting a request that was at other crashes where a server had more under way than is remembered

Cause, by reading: a crash keeps 96 requests; at a server with more, one that was at others could be told last and be left out. Change: what was at another crash still gets a place, up to twice as many. A test has twice 96 others at each of three crashes.

--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -216,6 +216,11 @@
 		return isToBlame ? list.add(first, now) : undefined;
 	};
 
+	// Where a server had more under way than is remembered, what was at another crash as well goes before the rest.
+	const hasPlaceFor = ({runs}: CrashRecord, fingerprint: string): boolean =>
+		runs.size < maximumRunsOfCrash ||
+		(runs.size < maximumRunsOfCrash * 2 && livesOf.has(fingerprint));
+
 	const isUnsettled = (lives: ReadonlySet<string>): boolean =>
 		lives.values().some((life) => unsettled.has(life));
 
@@ -233,8 +238,8 @@
 		hear(crash, now) {
 			const record = recordOf(crash, now);
 			for (const {fingerprint, sentAt} of crash.runs) {
-				if (record.runs.size >= maximumRunsOfCrash) {
-					return;
+				if (!hasPlaceFor(record, fingerprint)) {
+					continue;
 				}
 
 				// A node that was frozen, or cut off, tells late.
--- a/tests/quarantine/crash-ledger.test.ts
+++ b/tests/quarantine/crash-ledger.test.ts
@@ -6,6 +6,7 @@
 	fewestCrashes,
 	firstQuarantineMs,
 	maximumCrashes,
+	maximumRunsOfCrash,
 	settleMs,
 	type Crash,
 	type CrashLedger,
@@ -123,6 +124,24 @@
 	t.assert.strictEqual(ledger.isEmpty(), true);
 });
 
+test('at a crash with more requests than are remembered, one that was at others still counts', (t: TestContext) => {
+	const ledger = createCrashLedger();
+	for (const at of [1000, 2000, 3000]) {
+		const crowd: Record<string, number> = {};
+		for (let index = 0; index < maximumRunsOfCrash; index += 1) {
+			crowd[`other ${at} ${index}`] = at - 100;
+		}
+
+		const life = `life ${at}`;
+		ledger.hear(crashOf(life, at, {fatal: at - 50}), at);
+		ledger.hear(crashOf(life, at, crowd), at);
+		ledger.hear(crashOf(`${life} again`, at + 100, crowd), at);
+		ledger.hear(crashOf(`${life} again`, at + 100, {fatal: at}), at);
+	}
+
+	t.assert.deepStrictEqual(settled(ledger, 3100), ['fatal']);
+});
+
 test('in whatever order and however often nodes tell, they conclude the same', (t: TestContext) => {
 	const told = [1000, 2000, 3000].flatMap((at) => [
 		crashOf(`life ${at}`, at, {fatal: at - 50}),
