--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -13,7 +13,7 @@
 import {encodeHopCall} from './hop.ts';
 import {connectionsToPeer, peerKey} from './peer-connections.ts';
 import {createAnswerListener} from './pass-answer.ts';
-import type {WaitingRequest} from './waiting-requests.ts';
+import {canWaitHere, isHoldable, noRoom, waitForRoom} from './wait-for-room.ts';
 
 /**
 Sends a request to the best place that it may still go to. Without room anywhere it waits for as long as it
@@ -29,8 +29,9 @@
 		return;
 	}
 
+	const attempt = () => trySend(context, run) === 'sent';
 	if (sent === 'held') {
-		waitForRoom(context, run);
+		waitForRoom(context, run, attempt);
 		return;
 	}
 
@@ -43,93 +44,11 @@
 		return;
 	}
 
-	waitForRoom(context, run);
+	waitForRoom(context, run, attempt);
 };
 
-const waitForRoom = (context: DeliveryContext, run: DeliveryRun): void => {
-	const waiting = createWaitingRequest(context, run);
-	run.waiting = waiting;
-	context.line.add(waiting);
-	context.onWaiting();
-};
-
-const noRoom = 'No backend server has room';
 const noServer = 'No backend server that may serve it is in use';
 
-// With nowhere to go there is nothing to wait for, but at a node that knows little yet, and where another
-// region has only just refused.
-const canWaitHere = (
-	context: DeliveryContext,
-	run: DeliveryRun,
-	hasNoPlace: boolean,
-): boolean => {
-	const {clock, hasSettled, line, outlook} = context;
-	if (run.hasBegun) {
-		return true;
-	}
-
-	if (hasNoPlace && hasSettled()) {
-		return false;
-	}
-
-	const now = clock();
-	const {service, route} = run.exchange;
-	const before = line.before(service, route.priority);
-	return now + outlook.waitMs(service, before, now) < lastStart(context, run);
-};
-
-const createWaitingRequest = (
-	context: DeliveryContext,
-	run: DeliveryRun,
-): WaitingRequest => {
-	const now = context.clock();
-	const {route, service, receivedAt} = run.exchange;
-	return {
-		priority: route.priority,
-		since: now,
-		lateAt: receivedAt + route.targetLatencyMs,
-		until: lastStart(context, run),
-		service,
-		roomKey: roomKeyOf(context, run),
-		attempt: () => trySend(context, run) === 'sent',
-		giveUp() {
-			run.steps.push('gave-up-waiting');
-			giveUpRun(context, run, noRoom);
-		},
-	};
-};
-
-// A request that was at a crash has other servers to go to than the others.
-const roomKeyOf = (
-	{standing}: DeliveryContext,
-	{exchange, excluded, regions}: DeliveryRun,
-): string => {
-	const own = standing(exchange).kind === 'clear' ? [] : [exchange.requestId];
-	const {service, route} = exchange;
-	return [service, route.name, ...excluded, ...regions, ...own].join(' ');
-};
-
-// The part of a route's requests that are to end in time if they start at the last moment. With half of them,
-// streams that started last were cut by their deadline after they had kept a place for seconds.
-const endedPart = 0.9;
-
-// Nine in ten of a route's requests that start then are over in time. Of a route of which nothing is known, half
-// of the time is left for the answer. Callers of a stream that has begun do not bear a longer pause than they
-// hope to wait for its beginning.
-const lastStart = (
-	{durations, clock}: DeliveryContext,
-	{exchange, hasBegun}: DeliveryRun,
-): number => {
-	const {route, receivedAt, expiresAt} = exchange;
-	if (hasBegun) {
-		return clock() + route.targetLatencyMs;
-	}
-
-	const usualMs =
-		durations.within(route.name, endedPart) ?? (expiresAt - receivedAt) / 2;
-	return expiresAt - usualMs;
-};
-
 // A request that is over needs no room.
 const trySend = (
 	context: DeliveryContext,
@@ -187,25 +106,6 @@
 	}
 };
 
-/**
-How long a request that was at a crash waits for a server without another such request at the most, in milliseconds. With
-three requests that crash servers at once 333 of 8,670 others are lost, with half of it 436, without a bound 368 (model of
-nine nodes and eight servers, six plays).
-*/
-export const isolationPatienceMs = 1000;
-
-// A request that another node sent here may know a better place than a line; that node holds it back itself.
-// None is held back beyond the moment from which it would not end in time.
-const isHoldable = (context: DeliveryContext, run: DeliveryRun): boolean => {
-	const now = context.clock();
-	const {exchange, waiting} = run;
-	return (
-		(exchange.hop?.canWait ?? true) &&
-		(!waiting || now - waiting.since < isolationPatienceMs) &&
-		now < lastStart(context, run)
-	);
-};
-
 const keyTaken = 'The client key was taken away while the request waited';
 
 // The key of a request that waited may have been taken away meanwhile. A node that was sent the request may know the
--- /dev/null
+++ b/src/gateway/delivery/wait-for-room.ts
@@ -0,0 +1,126 @@
+import type {DeliveryContext} from './delivery-context.ts';
+import type {DeliveryRun} from './delivery-run.ts';
+import {giveUpRun} from './end-run.ts';
+import type {WaitingRequest} from './waiting-requests.ts';
+
+/**
+Why a request is refused that found no room.
+*/
+export const noRoom = 'No backend server has room';
+
+/**
+Lets a request wait in the line.
+
+@param attempt Tries to send it; false while there is still no room.
+*/
+export const waitForRoom = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	attempt: () => boolean,
+): void => {
+	const waiting = createWaitingRequest(context, run, attempt);
+	run.waiting = waiting;
+	context.line.add(waiting);
+	context.onWaiting();
+};
+
+/**
+Whether a request may wait here. With nowhere to go there is nothing to wait for, but at a node that knows little yet,
+and where another region has only just refused.
+*/
+export const canWaitHere = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	hasNoPlace: boolean,
+): boolean => {
+	const {clock, hasSettled, line, outlook} = context;
+	if (run.hasBegun) {
+		return true;
+	}
+
+	if (hasNoPlace && hasSettled()) {
+		return false;
+	}
+
+	const now = clock();
+	const {service, route} = run.exchange;
+	const before = line.before(service, route.priority);
+	return now + outlook.waitMs(service, before, now) < lastStart(context, run);
+};
+
+/**
+How long a request that was at a crash waits for a server without another such request at the most, in milliseconds. With
+three requests that crash servers at once 333 of 8,670 others are lost, with half of it 436, without a bound 368 (model of
+nine nodes and eight servers, six plays).
+*/
+export const isolationPatienceMs = 1000;
+
+/**
+Whether a request may be held back for others that were at a crash. One that another node sent here may know a better place
+than a line, and that node holds it back itself; none is held beyond the moment from which it would not end in time.
+*/
+export const isHoldable = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+): boolean => {
+	const now = context.clock();
+	const {exchange, waiting} = run;
+	return (
+		(exchange.hop?.canWait ?? true) &&
+		(!waiting || now - waiting.since < isolationPatienceMs) &&
+		now < lastStart(context, run)
+	);
+};
+
+const createWaitingRequest = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	attempt: () => boolean,
+): WaitingRequest => {
+	const now = context.clock();
+	const {route, service, receivedAt} = run.exchange;
+	return {
+		priority: route.priority,
+		since: now,
+		lateAt: receivedAt + route.targetLatencyMs,
+		until: lastStart(context, run),
+		service,
+		roomKey: roomKeyOf(context, run),
+		attempt,
+		giveUp() {
+			run.steps.push('gave-up-waiting');
+			giveUpRun(context, run, noRoom);
+		},
+	};
+};
+
+// A request that was at a crash has other servers to go to than the others.
+const roomKeyOf = (
+	{standing}: DeliveryContext,
+	{exchange, excluded, regions}: DeliveryRun,
+): string => {
+	const own = standing(exchange).kind === 'clear' ? [] : [exchange.requestId];
+	const {service, route} = exchange;
+	return [service, route.name, ...excluded, ...regions, ...own].join(' ');
+};
+
+// The part of a route's requests that are to end in time if they start at the last moment. With half of them,
+// streams that started last were cut by their deadline after they had kept a place for seconds.
+const endedPart = 0.9;
+
+// Nine in ten of a route's requests that start then are over in time. Of a route of which nothing is known, half
+// of the time is left for the answer. Callers of a stream that has begun do not bear a longer pause than they
+// hope to wait for its beginning.
+const lastStart = (
+	{durations, clock}: DeliveryContext,
+	{exchange, hasBegun}: DeliveryRun,
+): number => {
+	const {route, receivedAt, expiresAt} = exchange;
+	if (hasBegun) {
+		return clock() + route.targetLatencyMs;
+	}
+
+	const usualMs =
+		durations.within(route.name, endedPart) ?? (expiresAt - receivedAt) / 2;
+	return expiresAt - usualMs;
+};
--- a/src/gateway/sharing/limit-sharing.ts
+++ b/src/gateway/sharing/limit-sharing.ts
@@ -11,7 +11,7 @@
 import {createZoneHolders, type Member} from '../../membership/index.ts';
 import {createDerived} from '../../shared/index.ts';
 import type {Mesh} from '../../mesh/index.ts';
-import type {UsageMessage} from '../../peers/peer-message-codec.ts';
+import type {UsageMessage} from '../../peers/usage-messages.ts';
 
 /**
 Holds client accounts to their limits, together with the other nodes.
--- a/src/peers/peer-message-codec.ts
+++ b/src/peers/peer-message-codec.ts
@@ -1,11 +1,5 @@
 import {Buffer} from 'node:buffer';
 import {Packr} from 'msgpackr';
-import type {
-	AccountTotal,
-	AccountUsage,
-	LimitTotals,
-	ZoneWord,
-} from '../limits/index.ts';
 import {
 	quarantineMessageKinds,
 	quarantineRows,
@@ -14,35 +8,13 @@
 } from './quarantine-messages.ts';
 import {sealBytes, type Sealer} from './seal.ts';
 import {checkChoice, checkCount, checkList, checkText} from './tuple-checks.ts';
-
-/**
-What nodes tell each other of the usage of client accounts.
-*/
-export type UsageMessage =
-	| {
-			readonly kind: 'node';
-			/**
-			One life of the node that tells its own usage.
-			*/
-			readonly from: string;
-			readonly usages: readonly AccountUsage[];
-	  }
-	| {
-			readonly kind: 'zone';
-			/**
-			The availability zone whose sum it is.
-			*/
-			readonly from: string;
-			readonly word: ZoneWord;
-	  }
-	| {
-			readonly kind: 'totals';
-			/**
-			Id of the node that adds up.
-			*/
-			readonly from: string;
-			readonly totals: LimitTotals;
-	  };
+import {
+	readUsage,
+	usageMessageKinds,
+	usagePart,
+	usageRows,
+	type UsageMessage,
+} from './usage-messages.ts';
 
 /**
 What a node tells the others of its region of one backend server.
@@ -98,9 +70,7 @@
 // Heartbeats come to the same socket and have another number.
 const formatVersion = 2;
 const messageKinds = [
-	'node',
-	'zone',
-	'totals',
+	...usageMessageKinds,
 	'reading',
 	...quarantineMessageKinds,
 ] as const;
@@ -154,25 +124,14 @@
 
 const rowsOf = (message: PeerMessage): readonly Row[] => {
 	switch (message.kind) {
-		case 'node': {
-			return message.usages.map((usage) => rowOf(usage));
-		}
-
-		case 'zone': {
-			return message.word.usages.map((usage) => rowOf(usage));
-		}
-
 		case 'reading': {
 			return [[message.server, message.tokens, message.sequence]];
 		}
 
+		case 'node':
+		case 'zone':
 		case 'totals': {
-			return message.totals.accounts.map(({account, total, passedBySilent}) => [
-				account,
-				total.asked,
-				total.passed,
-				passedBySilent,
-			]);
+			return usageRows(message);
 		}
 
 		case 'crashes':
@@ -183,29 +142,20 @@
 	}
 };
 
-const rowOf = ({account, asked, passed}: AccountUsage): Row => [
-	account,
-	asked,
-	passed,
-];
-
 const partOf = (message: PeerMessage): number => {
 	switch (message.kind) {
 		case 'node':
+		case 'zone':
+		case 'totals': {
+			return usagePart(message);
+		}
+
 		case 'reading':
 		case 'crashes':
 		case 'quarantine':
 		case 'served': {
 			return 1;
 		}
-
-		case 'zone': {
-			return message.word.part;
-		}
-
-		case 'totals': {
-			return message.totals.limitPart;
-		}
 	}
 };
 
@@ -219,22 +169,14 @@
 	const from = checkText(sender);
 	const rows = checkList(list).map((row) => checkList(row));
 	switch (kind) {
-		case 'node': {
-			return {kind, from, usages: rows.map((row) => decodeUsage(row))};
-		}
-
-		case 'zone': {
-			const usages = rows.map((row) => decodeUsage(row));
-			return {kind, from, word: {part: checkPart(part), usages}};
-		}
-
 		case 'reading': {
 			return decodeReading(from, checkList(rows[0]));
 		}
 
+		case 'node':
+		case 'zone':
 		case 'totals': {
-			const accounts = rows.map((row) => decodeTotal(row));
-			return {kind, from, totals: {limitPart: checkPart(part), accounts}};
+			return readUsage(kind, from, rows, part);
 		}
 
 		case 'crashes':
@@ -252,24 +194,3 @@
 	tokens: checkCount(row[1]),
 	sequence: checkCount(row[2]),
 });
-
-const decodeUsage = (row: Row): AccountUsage => ({
-	account: checkText(row[0]),
-	asked: checkCount(row[1]),
-	passed: checkCount(row[2]),
-});
-
-const decodeTotal = (row: Row): AccountTotal => ({
-	account: checkText(row[0]),
-	total: {asked: checkCount(row[1]), passed: checkCount(row[2])},
-	passedBySilent: checkCount(row[3]),
-});
-
-const checkPart = (value: unknown): number => {
-	const part = checkCount(value);
-	if (part > 1) {
-		throw new TypeError('more than the whole');
-	}
-
-	return part;
-};
--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -1,4 +1,5 @@
-import {maximumRunsOfCrash, type Crash} from './crash.ts';
+import {createCrashRecords, type CrashRecord} from './crash-records.ts';
+import type {Crash} from './crash.ts';
 import {createQuarantineList, type QuarantineList} from './quarantine-list.ts';
 import type {QuarantineEntry} from './quarantine-entry.ts';
 
@@ -83,93 +84,42 @@
 */
 export const settleMs = 200;
 
-/**
-How long a crash is remembered, in milliseconds.
-*/
-export const crashRetentionMs = 1_800_000;
-
-/**
-Crashes that are remembered at the most; the oldest gives way. With all the requests that each may name they take about
-a megabyte.
-*/
-export const maximumCrashes = 128;
-
-type CrashRecord = {
-	readonly at: number;
-	readonly heardAt: number;
-	/**
-	By fingerprint, when it was sent to the server.
-	*/
-	readonly runs: Map<string, number>;
-};
-
-type RunAtCrash = {readonly sentAt: number; readonly crashedAt: number};
-
 /**
 Builds a ledger without an entry.
 */
 export const createCrashLedger = (
 	list: QuarantineList = createQuarantineList(),
 ): CrashLedger => {
-	// In the order in which they were first heard of.
-	const crashes = new Map<string, CrashRecord>();
-	const livesOf = new Map<string, Set<string>>();
+	const records = createCrashRecords();
 	const unsettled = new Set<string>();
 
-	const forget = (life: string) => {
-		for (const fingerprint of crashes.get(life)?.runs.keys() ?? []) {
-			const lives = livesOf.get(fingerprint);
-			lives?.delete(life);
-			if (lives?.size === 0) {
-				livesOf.delete(fingerprint);
-			}
-		}
-
-		crashes.delete(life);
-		unsettled.delete(life);
-	};
-
-	const recordOf = ({life, at}: Crash, now: number): CrashRecord => {
-		const known = crashes.get(life);
-		if (known) {
-			return known;
-		}
-
-		if (crashes.size >= maximumCrashes) {
-			forget(crashes.keys().next().value!);
-		}
-
-		const record = {at, heardAt: now, runs: new Map<string, number>()};
-		crashes.set(life, record);
-		unsettled.add(life);
-		return record;
-	};
-
 	const isExplained = ({runs}: CrashRecord, fingerprint: string): boolean =>
 		!list.isEmpty() &&
 		runs.keys().some((other) => other !== fingerprint && list.isListed(other));
 
-	const runsOf = (fingerprint: string): readonly RunAtCrash[] =>
-		[...(livesOf.get(fingerprint) ?? [])]
-			.map((life) => crashes.get(life)!)
+	const unexplained = (fingerprint: string): readonly CrashRecord[] =>
+		records
+			.livesOf(fingerprint)
+			.values()
+			.map((life) => records.of(life)!)
 			.filter((record) => !isExplained(record, fingerprint))
-			.map(({at, runs}) => ({crashedAt: at, sentAt: runs.get(fingerprint)!}));
+			.toArray();
 
 	// Crashes of which each came after the run before had ended: what was at several servers of a zone that lost power was
 	// at one crash.
 	const crashesInTurn = (fingerprint: string): number => {
 		let count = list.crashesOwed(fingerprint);
 		let endedAt = -Infinity;
-		const runs = runsOf(fingerprint).toSorted(
-			(left, right) => left.crashedAt - right.crashedAt,
+		const inOrder = unexplained(fingerprint).toSorted(
+			(left, right) => left.at - right.at,
 		);
-		for (const {sentAt, crashedAt} of runs) {
-			if (!(sentAt >= endedAt)) {
+		for (const {at, runs} of inOrder) {
+			if (runs.get(fingerprint)! < endedAt) {
 				continue;
 			}
 
 			count += 1;
-			endedAt = crashedAt;
+			endedAt = at;
 		}
 
 		return count;
@@ -178,14 +128,9 @@
 	// Its share of the blame for each crash, added up. Two that were at the same three crashes have one and a half each.
 	const blameOf = (fingerprint: string): number => {
 		let blame = list.crashesOwed(fingerprint);
-		for (const life of livesOf.get(fingerprint) ?? []) {
-			const record = crashes.get(life)!;
-			if (isExplained(record, fingerprint)) {
-				continue;
-			}
-
+		for (const {runs} of unexplained(fingerprint)) {
 			let weight = 0;
-			for (const other of record.runs.keys()) {
+			for (const other of runs.keys()) {
 				weight += weightOf(crashesInTurn(other));
 			}
 
@@ -196,15 +141,17 @@
 	};
 
 	// Most requests were at one crash, and are no candidates.
-	const candidates = (life: string): readonly string[] =>
-		crashes
-			.get(life)!
-			.runs.keys()
+	const candidates = ({runs}: CrashRecord): readonly string[] =>
+		runs
+			.keys()
 			.filter((fingerprint) => crashesInTurn(fingerprint) >= fewestCrashes)
 			.toArray();
 
-	const judge = (life: string, now: number): QuarantineEntry | undefined => {
-		const [first] = candidates(life).toSorted(
+	const judge = (
+		record: CrashRecord,
+		now: number,
+	): QuarantineEntry | undefined => {
+		const [first] = candidates(record).toSorted(
 			(left, right) => crashesInTurn(right) - crashesInTurn(left),
 		);
 		if (first === undefined) {
@@ -216,52 +163,21 @@
 		return isToBlame ? list.add(first, now) : undefined;
 	};
 
-	// Where a server had more under way than is remembered, what was at another crash as well goes before the rest.
-	const hasPlaceFor = ({runs}: CrashRecord, fingerprint: string): boolean =>
-		runs.size < maximumRunsOfCrash ||
-		(runs.size < maximumRunsOfCrash * 2 && livesOf.has(fingerprint));
-
 	const isUnsettled = (lives: ReadonlySet<string>): boolean =>
 		lives.values().some((life) => unsettled.has(life));
 
-	const dropOld = (now: number) => {
-		for (const [life, {heardAt}] of crashes) {
-			if (now - heardAt <= crashRetentionMs) {
-				return;
-			}
-
-			forget(life);
-		}
-	};
-
 	return {
 		hear(crash, now) {
-			const record = recordOf(crash, now);
-			for (const {fingerprint, sentAt} of crash.runs) {
-				if (!hasPlaceFor(record, fingerprint)) {
-					continue;
-				}
-
-				// A node that was frozen, or cut off, tells late.
-				if (!record.runs.has(fingerprint)) {
-					unsettled.add(crash.life);
-				}
-
-				record.runs.set(fingerprint, sentAt);
-				const lives = livesOf.get(fingerprint) ?? new Set();
-				livesOf.set(fingerprint, lives.add(crash.life));
+			// A node that was frozen, or cut off, tells late: its word may change what was concluded.
+			if (records.add(crash, now)) {
+				unsettled.add(crash.life);
 			}
 		},
 		hearEntry: list.hear,
 		served(fingerprint) {
-			const lives = livesOf.get(fingerprint);
-			for (const life of lives ?? []) {
-				crashes.get(life)?.runs.delete(fingerprint);
-			}
-
-			livesOf.delete(fingerprint);
+			const wasAtCrash = records.clear(fingerprint);
 			const wasListed = list.remove(fingerprint);
-			return wasListed || lives !== undefined;
+			return wasAtCrash || wasListed;
 		},
 		standing(fingerprint, now) {
 			const until = list.until(fingerprint, now);
@@ -269,8 +185,8 @@
 				return {kind: 'quarantined', until};
 			}
 
-			const lives = livesOf.get(fingerprint);
-			if (!lives) {
+			const lives = records.livesOf(fingerprint);
+			if (lives.size === 0 && !list.isListed(fingerprint)) {
 				return {kind: 'clear'};
 			}
 
@@ -282,16 +198,17 @@
 			return count === 0 ? {kind: 'clear'} : {kind: 'suspect', crashes: count};
 		},
 		settle(now) {
-			dropOld(now);
+			records.dropOld(now);
 			list.tick(now);
 			const found: QuarantineEntry[] = [];
 			for (const life of unsettled) {
-				if (now - crashes.get(life)!.heardAt < settleMs) {
+				const record = records.of(life);
+				if (record && now - record.heardAt < settleMs) {
 					continue;
 				}
 
 				unsettled.delete(life);
-				const entry = judge(life, now);
+				const entry = record && judge(record, now);
 				if (entry) {
 					found.push(entry);
 				}
@@ -300,7 +217,7 @@
 			return found;
 		},
 		entries: list.entries,
-		isEmpty: () => livesOf.size === 0 && list.isEmpty(),
-		suspects: () => livesOf.size,
+		isEmpty: () => records.size() === 0 && list.isEmpty(),
+		suspects: records.size,
 	};
 };
--- /dev/null
+++ b/src/quarantine/crash-records.ts
@@ -0,0 +1,132 @@
+import {maximumRunsOfCrash, type Crash} from './crash.ts';
+
+/**
+How long a crash is remembered, in milliseconds.
+*/
+export const crashRetentionMs = 1_800_000;
+
+/**
+Crashes that are remembered at the most; the oldest gives way. With all the requests that each may name they take about
+a megabyte.
+*/
+export const maximumCrashes = 128;
+
+/**
+What all nodes told of one crash.
+*/
+export type CrashRecord = {
+	readonly at: number;
+	readonly heardAt: number;
+	/**
+	By fingerprint, when it was sent to the server.
+	*/
+	readonly runs: Map<string, number>;
+};
+
+/**
+The latest crashes, and which requests were at them.
+*/
+export type CrashRecords = {
+	/**
+	Takes in what a node saw of a crash; returns whether that is news.
+	*/
+	add(crash: Crash, now: number): boolean;
+	of(life: string): CrashRecord | undefined;
+	/**
+	Lives of servers that ended while a request was there.
+	*/
+	livesOf(fingerprint: string): ReadonlySet<string>;
+	/**
+	Takes a request off all crashes; returns whether it was at one.
+	*/
+	clear(fingerprint: string): boolean;
+	/**
+	Forgets what is too old; called at each tick.
+	*/
+	dropOld(now: number): void;
+	/**
+	Requests that were at a crash.
+	*/
+	size(): number;
+};
+
+const none: ReadonlySet<string> = new Set();
+
+/**
+Builds records without a crash.
+*/
+export const createCrashRecords = (): CrashRecords => {
+	// In the order in which they were first heard of.
+	const crashes = new Map<string, CrashRecord>();
+	const livesByRun = new Map<string, Set<string>>();
+
+	const forget = (life: string) => {
+		for (const fingerprint of crashes.get(life)?.runs.keys() ?? []) {
+			const lives = livesByRun.get(fingerprint);
+			lives?.delete(life);
+			if (lives?.size === 0) {
+				livesByRun.delete(fingerprint);
+			}
+		}
+
+		crashes.delete(life);
+	};
+
+	const recordOf = ({life, at}: Crash, now: number): CrashRecord => {
+		const known = crashes.get(life);
+		if (known) {
+			return known;
+		}
+
+		if (crashes.size >= maximumCrashes) {
+			forget(crashes.keys().next().value!);
+		}
+
+		const record = {at, heardAt: now, runs: new Map<string, number>()};
+		crashes.set(life, record);
+		return record;
+	};
+
+	// Where a server had more under way than is remembered, what was at another crash as well goes before the rest.
+	const hasPlaceFor = ({runs}: CrashRecord, fingerprint: string): boolean =>
+		runs.size < maximumRunsOfCrash ||
+		(runs.size < maximumRunsOfCrash * 2 && livesByRun.has(fingerprint));
+
+	return {
+		add(crash, now) {
+			const record = recordOf(crash, now);
+			let isNews = false;
+			for (const {fingerprint, sentAt} of crash.runs) {
+				if (!hasPlaceFor(record, fingerprint)) {
+					continue;
+				}
+
+				isNews ||= !record.runs.has(fingerprint);
+				record.runs.set(fingerprint, sentAt);
+				const lives = livesByRun.get(fingerprint) ?? new Set();
+				livesByRun.set(fingerprint, lives.add(crash.life));
+			}
+
+			return isNews;
+		},
+		of: (life) => crashes.get(life),
+		livesOf: (fingerprint) => livesByRun.get(fingerprint) ?? none,
+		clear(fingerprint) {
+			for (const life of livesByRun.get(fingerprint) ?? none) {
+				crashes.get(life)?.runs.delete(fingerprint);
+			}
+
+			return livesByRun.delete(fingerprint);
+		},
+		dropOld(now) {
+			for (const [life, {heardAt}] of crashes) {
+				if (now - heardAt <= crashRetentionMs) {
+					return;
+				}
+
+				forget(life);
+			}
+		},
+		size: () => livesByRun.size,
+	};
+};
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -21,7 +21,7 @@
 import type {Route} from '../../../src/routes/index.ts';
 import {hopHeaders} from '../../../src/gateway/delivery/hop.ts';
 import {assumedPerSecond} from '../../../src/gateway/delivery/room-outlook.ts';
-import {isolationPatienceMs} from '../../../src/gateway/delivery/send-run.ts';
+import {isolationPatienceMs} from '../../../src/gateway/delivery/wait-for-room.ts';
 import {fingerprintOfExchange} from '../../../src/gateway/fingerprint-of-exchange.ts';
 import {createRouteDurations} from '../../../src/gateway/delivery/route-durations.ts';
 import {memberOf} from '../../fixtures.ts';
--- a/tests/peers/peer-message-codec.test.ts
+++ b/tests/peers/peer-message-codec.test.ts
@@ -8,8 +8,8 @@
 	accountsPerDatagram,
 	createPeerMessageCodec,
 	runsPerDatagram,
-	type UsageMessage,
 } from '../../src/peers/peer-message-codec.ts';
+import type {UsageMessage} from '../../src/peers/usage-messages.ts';
 
 const sealer = createSealer('test-key');
 const codec = createPeerMessageCodec(sealer);
