Tell a server that is back at once from one that runs on, in the product's own path

Cause, by reading: after a connection broke the node asked only whether somebody listens. An engine that is started again within the time of the question answers, and its crash was never seen. Change: the question names the life that is meant, and the answer's incarnation is compared. Of an engine whose name was not heard before, an answer proves nothing.

--- a/src/engines/engine-client.ts
+++ b/src/engines/engine-client.ts
@@ -48,6 +48,31 @@
 	readonly ageMs: number;
 };
 
+/**
+What runs at the address of an engine.
+*/
+export type EngineLife =
+	| {
+			readonly kind: 'running';
+			/**
+			Names the engine process.
+			*/
+			readonly incarnation: string;
+	  }
+	/**
+	Nobody listens there.
+	*/
+	| {readonly kind: 'gone'}
+	| {readonly kind: 'silent'};
+
+type ReadFailure = {
+	/**
+	Whether nobody listens at the address.
+	*/
+	readonly isRefused: boolean;
+	readonly reason: string;
+};
+
 /**
  Talks to backend servers: model engines and plain services.
  
@@ -61,9 +86,9 @@
 	): Promise<Result<UpstreamAnswer, AttemptFailure>>;
 	readStatus(address: Address): Promise<Result<EngineStatus, string>>;
 	/**
-	Whether a server listens at an address; undefined where that cannot be told.
+	Asks what runs at an address now.
 	*/
-	isListening(address: Address): Promise<boolean | undefined>;
+	readLife(address: Address): Promise<EngineLife>;
 	close(): Promise<void>;
 };
 
@@ -116,12 +141,15 @@
 			});
 			const parsed = schema.safeParse(await answer.body.json());
 			return parsed.success
-				? Result.ok<Body, string>(parsed.data)
-				: Result.err<Body, string>(
-						`the answer cannot be read: ${parsed.error.message}`,
-					);
+				? Result.ok<Body, ReadFailure>(parsed.data)
+				: Result.err<Body, ReadFailure>({
+						isRefused: false,
+						reason: `the answer cannot be read: ${parsed.error.message}`,
+					});
 		} catch (error) {
-			return Result.err<Body, string>((error as Error).message);
+			const {code, message} = error as NodeJS.ErrnoException;
+			const isRefused = code === refusedCode;
+			return Result.err<Body, ReadFailure>({isRefused, reason: message});
 		}
 	};
 
@@ -148,19 +176,15 @@
 				return Result.err(failureOf(error as Error));
 			}
 		},
-		readStatus: async (address) => readJson(address, '/load', statusBody),
-		async isListening(address) {
-			try {
-				const answer = await request(`http://${translate(address)}/load`, {
-					dispatcher,
-					signal: AbortSignal.timeout(statusTimeoutMs),
-				});
-				dropBody(answer.body);
-				return true;
-			} catch (error) {
-				const isRefused = (error as NodeJS.ErrnoException).code === refusedCode;
-				return isRefused ? false : undefined;
-			}
+		async readStatus(address) {
+			const status = await readJson(address, '/load', statusBody);
+			return status.mapErr(({reason}) => reason);
+		},
+		async readLife(address) {
+			const status = await readJson(address, '/load', statusBody);
+			return status.isOk
+				? {kind: 'running', incarnation: status.value.incarnation}
+				: {kind: status.error.isRefused ? 'gone' : 'silent'};
 		},
 		close: async () => dispatcher.destroy(),
 	};
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -29,9 +29,9 @@
 		return;
 	}
 
-	const attempt = () => trySend(context, run) === 'sent';
+	const isSentNow = () => trySend(context, run) === 'sent';
 	if (sent === 'held') {
-		waitForRoom(context, run, attempt);
+		waitForRoom(context, run, isSentNow);
 		return;
 	}
 
@@ -44,7 +44,7 @@
 		return;
 	}
 
-	waitForRoom(context, run, attempt);
+	waitForRoom(context, run, isSentNow);
 };
 
 const noServer = 'No backend server that may serve it is in use';
--- a/src/gateway/delivery/wait-for-room.ts
+++ b/src/gateway/delivery/wait-for-room.ts
@@ -11,14 +11,16 @@
 /**
 Lets a request wait in the line.
 
-@param attempt Tries to send it; false while there is still no room.
+@param context What all requests under way share.
+@param run The request.
+@param isSentNow Tries to send it; false while there is still no room.
 */
 export const waitForRoom = (
 	context: DeliveryContext,
 	run: DeliveryRun,
-	attempt: () => boolean,
+	isSentNow: () => boolean,
 ): void => {
-	const waiting = createWaitingRequest(context, run, attempt);
+	const waiting = createWaitingRequest(context, run, isSentNow);
 	run.waiting = waiting;
 	context.line.add(waiting);
 	context.onWaiting();
@@ -75,7 +77,7 @@
 const createWaitingRequest = (
 	context: DeliveryContext,
 	run: DeliveryRun,
-	attempt: () => boolean,
+	isSentNow: () => boolean,
 ): WaitingRequest => {
 	const now = context.clock();
 	const {route, service, receivedAt} = run.exchange;
@@ -86,7 +88,7 @@
 		until: lastStart(context, run),
 		service,
 		roomKey: roomKeyOf(context, run),
-		attempt,
+		attempt: isSentNow,
 		giveUp() {
 			run.steps.push('gave-up-waiting');
 			giveUpRun(context, run, noRoom);
--- a/src/node/node-quarantine.ts
+++ b/src/node/node-quarantine.ts
@@ -1,6 +1,8 @@
 import type {Buffer} from 'node:buffer';
+import type {EngineLife} from '../engines/index.ts';
 import {createPeerMessageCodec} from '../peers/peer-message-codec.ts';
 import {createQuarantine, type Quarantine} from '../quarantine/index.ts';
+import {engineLife} from '../requests/index.ts';
 import type {Address} from '../shared/index.ts';
 import type {NodeCore} from './node-core.ts';
 
@@ -11,22 +13,28 @@
 	{context, engines, random, sealer}: NodeCore,
 	send: (to: Address, datagram: Buffer) => void,
 ): Quarantine => {
-	const {clock, configuration, fleet, logger, membership, settings} = context;
+	const {clock, configuration, logger, membership, settings} = context;
 	const codec = createPeerMessageCodec(sealer);
 
-	const ask = async (id: string) => {
+	const ask = async (id: string, life: string) => {
 		const servers = configuration.current()?.configuration.backendServers;
 		const server = servers?.find((each) => each.id === id);
-		const life = `${id} ${fleet.incarnationOf(id) ?? ''}`;
-		const isListening = server && (await engines.isListening(server.address));
-		if (isListening === undefined) {
-			return;
-		}
+		const now = server && (await engines.readLife(server.address));
+		const verdict = now ? judgeLife(id, life, now) : 'unknown';
+		switch (verdict) {
+			case 'ended': {
+				quarantine.refused(life, clock());
+				break;
+			}
+
+			case 'same': {
+				quarantine.acquitted(life);
+				break;
+			}
 
-		if (isListening) {
-			quarantine.acquitted(life);
-		} else {
-			quarantine.refused(life, clock());
+			case 'unknown': {
+				break;
+			}
 		}
 	};
 
@@ -40,8 +48,8 @@
 				}
 			}
 		},
-		ask(server) {
-			void ask(server);
+		ask(server, life) {
+			void ask(server, life);
 		},
 		// Its runs end by themselves; none is sent again.
 		onQuarantined: () => undefined,
@@ -52,3 +60,26 @@
 	});
 	return quarantine;
 };
+
+// One that was back at once has another name. Of one whose name was not heard before nothing is proved.
+const judgeLife = (
+	id: string,
+	life: string,
+	now: EngineLife,
+): 'same' | 'ended' | 'unknown' => {
+	switch (now.kind) {
+		case 'running': {
+			const isSame =
+				life === engineLife(id, now.incarnation) || life === engineLife(id);
+			return isSame ? 'same' : 'ended';
+		}
+
+		case 'gone': {
+			return 'ended';
+		}
+
+		case 'silent': {
+			return 'unknown';
+		}
+	}
+};
--- a/src/quarantine/crash-watch.ts
+++ b/src/quarantine/crash-watch.ts
@@ -46,7 +46,7 @@
 	/**
 	Asks a server whether it lives; `refused` or `acquitted` may follow.
 	*/
-	readonly ask: (server: string) => void;
+	readonly ask: (server: string, life: string) => void;
 	/**
 	Told of each crash, and again of requests whose connections are seen to break later.
 	*/
@@ -134,7 +134,7 @@
 				tell(life, entry);
 			} else if (now - entry.askedAt >= askAgainMs) {
 				entry.askedAt = now;
-				ask(server);
+				ask(server, life);
 			}
 		},
 		refused(life, now) {
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -51,9 +51,9 @@
 		message: QuarantineMessage,
 	) => void;
 	/**
-	Asks a backend server whether it lives.
+	Asks a backend server whether it lives its life still.
 	*/
-	readonly ask: (server: string) => void;
+	readonly ask: (server: string, life: string) => void;
 	/**
 	Told of each request that is put in quarantine, here or by another node.
 	*/
--- a/src/requests/request-quarantine.ts
+++ b/src/requests/request-quarantine.ts
@@ -33,6 +33,15 @@
 	): void;
 };
 
+/**
+Names one life of an engine.
+
+@param id Of the backend server.
+@param incarnation Names its process; undefined before its first report was heard.
+*/
+export const engineLife = (id: string, incarnation = ''): string =>
+	`${id} ${incarnation}`;
+
 /**
 Builds the view that attempts have of the quarantine.
 */
@@ -45,7 +54,7 @@
 		quarantine.standing(() => fingerprintOfRequest(request), clock()),
 	placeOf: ({id}, sentAt) => ({
 		server: id,
-		life: `${id} ${fleet.incarnationOf(id) ?? ''}`,
+		life: engineLife(id, fleet.incarnationOf(id)),
 		sentAt,
 	}),
 	ended(request, place, end) {
--- a/tests/requests/request-chain.test.ts
+++ b/tests/requests/request-chain.test.ts
@@ -103,7 +103,7 @@
 			return (options.engine ?? whole)(call, sends);
 		},
 		readStatus: async () => Result.err('none'),
-		isListening: async () => undefined,
+		readLife: async () => ({kind: 'silent'}),
 		close: async () => undefined,
 	};
 	const peers = {} as unknown as PeerCalls;
