--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -2,7 +2,7 @@
 import type {Without} from '../mechanisms/index.ts';
 import type {Member} from '../membership/index.ts';
 import type {QuarantineMessage, ToldRun} from '../peers/quarantine-messages.ts';
-import {createDerived, type Random} from '../shared/index.ts';
+import type {Random} from '../shared/index.ts';
 import {createCrashLedger, type Standing} from './crash-ledger.ts';
 import {createCrashLog} from './crash-log.ts';
 import {createCrashWatch, type CrashWatch} from './crash-watch.ts';
@@ -103,6 +103,7 @@
 	let unsaid: Crash[] = [];
 	let remindAt = 0;
 	let reminded = 0;
+	let told: readonly Member[] = [];
 
 	const watch = createCrashWatch({
 		ask,
@@ -125,8 +126,8 @@
 			return;
 		}
 
-		const told = runs.slice(0, toldAtOnce);
-		tell(usable(), {kind: 'crashes', from: self, runs: told});
+		const some = runs.slice(0, toldAtOnce);
+		tell(usable(), {kind: 'crashes', from: self, runs: some});
 	};
 
 	const tellEntries = (
@@ -164,26 +165,18 @@
 	};
 
 	// Whoever starts, or comes back from a cut, is told at once.
-	let known = new Set<string>();
-	const newcomers = createDerived(usable, (members) => {
-		const lives = new Map(
-			members.map((member) => [`${member.id} ${member.incarnation}`, member]),
-		);
-		const fresh = [...lives]
-			.filter(([life]) => !known.has(life))
-			.map(([, member]) => member);
-		known = new Set(lives.keys());
-		return {fresh, isTold: false};
-	});
-
 	const tellNewcomers = (now: number) => {
-		const arrived = newcomers();
-		if (arrived.isTold) {
+		const members = usable();
+		if (members === told) {
 			return;
 		}
 
-		arrived.isTold = true;
-		tellEntries(arrived.fresh, ledger.entries(now), now);
+		const known = new Set(told.map((member) => memberLife(member)));
+		told = members;
+		const newcomers = members.filter(
+			(member) => !known.has(memberLife(member)),
+		);
+		tellEntries(newcomers, ledger.entries(now), now);
 	};
 
 	const found = (entry: QuarantineEntry, from: string, now: number) => {
@@ -261,6 +254,9 @@
 	};
 };
 
+const memberLife = ({id, incarnation}: Member): string =>
+	`${id} ${incarnation}`;
+
 const toldRuns = ({life, at, runs}: Crash, now: number): readonly ToldRun[] =>
 	runs.map(({fingerprint, sentAt}) => ({
 		life,
