Write down the limits that backend servers name, and count what they are sent after it

Logs and metrics could not tell whether a named limit reaches a node at all, by which answers, and how much the node sends there afterwards, so the hypotheses of the incident could not be told apart. A node now reads the header, writes a line at each change of what it believes (the limit before and after, by what kind of answer, its age, what it had sent since the change before), and counts limited servers and requests to them.

Answers overtake each other: an answer replaces those that had come before its request was sent. A first form that kept one statement only was ruled out by a property test: it forgot a limit under a lower one that ends. No request is placed otherwise yet.

--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -8,6 +8,7 @@
 import type {Standing} from '../../quarantine/index.ts';
 import type {RetryYield, WindowRetryBudget} from '../../retries/index.ts';
 import type {Route} from '../../routes/index.ts';
+import type {ServerLimits} from '../../server-limits/index.ts';
 import type {UpstreamChooser} from '../choosing/index.ts';
 import type {DeliveryRecord, Exchange, RequestClient} from '../exchange.ts';
 import type {WireHeaders} from '../wire-headers.ts';
@@ -93,6 +94,14 @@
 	*/
 	readonly onBadLoad: (server: string, reason: string) => void;
 	/**
+	The limits that backend servers name.
+	*/
+	readonly serverLimits: ServerLimits;
+	/**
+	Says that a backend server named a limit that makes no sense.
+	*/
+	readonly onBadLimit: (server: string, reason: string) => void;
+	/**
 	Says that a request has begun to wait for room; ticks must follow that refuse it on time.
 	*/
 	readonly onWaiting: () => void;
--- a/src/gateway/delivery/judge-head.ts
+++ b/src/gateway/delivery/judge-head.ts
@@ -25,6 +25,12 @@
 	  };
 
 const misdirected = 421;
+
+/**
+Whether a status says that another server has the address than the one that was meant.
+*/
+export const isMisdirected = (status: number): boolean =>
+	status === misdirected;
 const badRequest = 400;
 
 /**
@@ -41,7 +47,7 @@
 		return fault('unknown', 'The answer belongs to another request', 'failed');
 	}
 
-	const isNotRun = header(names.notRun) !== undefined || status === misdirected;
+	const isNotRun = header(names.notRun) !== undefined || isMisdirected(status);
 	if (isNotRun && status !== badRequest) {
 		return fault(
 			'not-run',
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -5,6 +5,7 @@
 	type UpstreamListener,
 } from '../../backends/index.ts';
 import {forwardableHeaders} from '../wire-headers.ts';
+import {noteLimit} from './note-limit.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import {
 	hasAttemptLeft,
@@ -130,6 +131,7 @@
 		canRetry: canRetry(context, run, head),
 		hasBegun: run.hasBegun,
 	});
+	noteLimit(context, run, current, head);
 	switch (verdict.kind) {
 		case 'whole': {
 			noteRetry(context, run, head.status);
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -133,6 +133,8 @@
 	const sentAt = clock();
 	const server = fleet.server(id)!;
 	const attempt = fleet.begin(id, placement, sentAt);
+	const life = lifeOf(server);
+	context.serverLimits.sent(life, sentAt);
 	run.excluded.add(id);
 	run.tried.push(id);
 	run.steps.push(`server ${id}`);
@@ -144,7 +146,7 @@
 		{
 			attempt,
 			server: id,
-			life: lifeOf(server),
+			life,
 			sentAt,
 			member: undefined,
 			region: undefined,
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -1,6 +1,10 @@
 import type {BackendFleet, UpstreamClient} from '../../backends/index.ts';
 import type {Logger} from '../../logging/index.ts';
 import {lifeOf} from '../../registry/index.ts';
+import {
+	parseStatedLimit,
+	type ServerLimits,
+} from '../../server-limits/index.ts';
 import type {WireHeaders} from '../wire-headers.ts';
 
 /**
@@ -32,6 +36,10 @@
 	Told that a server has answered.
 	*/
 	readonly onAlive: (life: string) => void;
+	/**
+	The limits that backend servers name.
+	*/
+	readonly serverLimits: Pick<ServerLimits, 'sent' | 'stated'>;
 };
 
 /**
@@ -48,7 +56,19 @@
 export const createServerProbes = (
 	options: ServerProbesOptions,
 ): ServerProbes => {
-	const {client, fleet, headers, clock, logger} = options;
+	const {client, fleet, headers, clock, logger, serverLimits} = options;
+
+	// A health check without a limit does not end one: whether servers name it there is their matter.
+	const noteLimit = (life: string, sentAt: number, text: string) => {
+		const limit = parseStatedLimit(text);
+		if (limit.isErr) {
+			return;
+		}
+
+		const times = {earliest: sentAt, latest: clock()};
+		const statement = {perSecond: limit.value, ...times};
+		serverLimits.stated(life, statement, 'health check');
+	};
 
 	const probe = (id: string) => {
 		const server = fleet.server(id);
@@ -57,6 +77,8 @@
 		}
 
 		const life = lifeOf(server);
+		const sentAt = clock();
+		serverLimits.sent(life, sentAt);
 		// A key of its own, for the connections of requests may be dead.
 		const key = `probe ${id}`;
 		const call = client.call(
@@ -74,6 +96,10 @@
 				onHead({status, header}) {
 					const isSound = status === 200 && header(headers.serverId) === id;
 					const coldMs = Number(header(headers.coldMs) ?? 0);
+					if (status !== misdirected) {
+						noteLimit(life, sentAt, header(headers.limit) ?? '');
+					}
+
 					if (status === misdirected) {
 						options.onGone(life);
 					} else {
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -23,6 +23,10 @@
 	*/
 	badLoad(server: string, reason: string): void;
 	/**
+	A backend server named a limit that makes no sense.
+	*/
+	badLimit(server: string, reason: string): void;
+	/**
 	Counts and lines that bound themselves by time; called at each tick.
 	*/
 	tick(now: number): void;
@@ -113,6 +117,11 @@
 		help: 'Statements of load by backend servers that make no sense',
 		registers: [registry],
 	});
+	const badLimits = new Counter({
+		name: 'quillford_bad_limits_total',
+		help: 'Limits named by backend servers that make no sense',
+		registers: [registry],
+	});
 	const droppedLines = new Counter({
 		name: 'quillford_log_lines_dropped_total',
 		help: 'Log lines about requests that were left out to bound the volume',
@@ -173,6 +182,19 @@
 		return answered % answeredSample === 0 && linesLeft > linesPerSecond / 2;
 	};
 
+	// A server may make the same mistake in each answer: half of the lines is left for requests.
+	const warnSparingly = (
+		facts: Readonly<Record<string, string>>,
+		message: string,
+	) => {
+		if (linesLeft <= linesPerSecond / 2) {
+			return;
+		}
+
+		linesLeft -= 1;
+		logger.warn(facts, message);
+	};
+
 	const line = (record: DeliveryRecord) => {
 		const {exchange} = record;
 		const facts = {
@@ -254,12 +276,11 @@
 		},
 		badLoad(server, reason) {
 			badLoads.inc();
-			if (linesLeft <= linesPerSecond / 2) {
-				return;
-			}
-
-			linesLeft -= 1;
-			logger.warn({server, reason}, 'load of a backend server ignored');
+			warnSparingly({server, reason}, 'load of a backend server ignored');
+		},
+		badLimit(server, reason) {
+			badLimits.inc();
+			warnSparingly({server, reason}, 'limit of a backend server ignored');
 		},
 		tick(now) {
 			limitLog.tick(now);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -67,6 +67,7 @@
 		fleet,
 		client,
 		quarantine,
+		serverLimits,
 	} = knowledge;
 	const {intake, deliveries, observer, admission} = createRequestHandling(
 		options,
@@ -90,6 +91,7 @@
 			quarantine.refused(life, clock());
 		},
 		onAlive: quarantine.acquitted,
+		serverLimits,
 	});
 
 	const peerAddresses = [
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -74,6 +74,7 @@
 		fleet,
 		client,
 		quarantine,
+		serverLimits,
 	} = knowledge;
 	const routesVersion = () => mirror.routes()?.document.version ?? 0;
 	const {choose, peerFailed} = createGatewayChooser({
@@ -134,6 +135,10 @@
 		onBadLoad(server, reason) {
 			observer.badLoad(server, reason);
 		},
+		serverLimits,
+		onBadLimit(server, reason) {
+			observer.badLimit(server, reason);
+		},
 		onWaiting() {
 			if (deliveries.waiting() === 1) {
 				schedule.onFirstWaiting();
@@ -165,6 +170,8 @@
 			nodesUsable: () => mesh.usable().length,
 			backendServers: () => fleet.ids().length,
 			upstreamConnectionsOpened: client.connectionsOpened,
+			serversLimited: serverLimits.limitedServers,
+			requestsSentToLimitedServers: serverLimits.sentToLimited,
 			serverCrashesSeen: quarantine.crashesSeen,
 			crashSuspects: quarantine.suspects,
 			requestsQuarantined: () => quarantine.quarantined(clock()),
--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -17,6 +17,10 @@
 } from '../../registry/index.ts';
 import {createQuarantine, type Quarantine} from '../../quarantine/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
+import {
+	createServerLimits,
+	type ServerLimits,
+} from '../../server-limits/index.ts';
 import {
 	createElapsedClock,
 	createRandom,
@@ -77,6 +81,10 @@
 	The requests that crash the servers which run them.
 	*/
 	readonly quarantine: Quarantine;
+	/**
+	The limits that backend servers of the own region name.
+	*/
+	readonly serverLimits: ServerLimits;
 };
 
 /**
@@ -185,6 +193,7 @@
 		hasSettled: shares.hasSettled,
 		logger,
 	});
+	const serverLimits = createServerLimits({logger});
 	const fleet = createBackendFleet({
 		self: options.id,
 		nodesEverHeard: shares.nodesEverHeard,
@@ -269,5 +278,6 @@
 		client,
 		placement,
 		quarantine,
+		serverLimits,
 	};
 };
--- a/src/gateway/wire-headers.ts
+++ b/src/gateway/wire-headers.ts
@@ -36,6 +36,11 @@
 	*/
 	readonly load: string;
 	/**
+	What a backend server names in its answers while it is in need: the requests a second, a decimal number, that it takes
+	from all nodes together.
+	*/
+	readonly limit: string;
+	/**
 	How urgent a request is to a backend server that works on the more urgent ones first: 0 is the most
 	urgent, `leastUrgent` the least.
 	*/
--- a/stand-ins/stand-in-headers.ts
+++ b/stand-ins/stand-in-headers.ts
@@ -12,6 +12,7 @@
 	promptParts: 'x-test-parts',
 	tokenUsage: 'x-test-tokens',
 	load: 'x-test-load',
+	limit: 'x-test-limit',
 	urgency: 'x-test-urgency',
 	coldMs: 'x-test-cold',
 	serverId: 'x-test-server',
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -16,9 +16,11 @@
 	DeliveryRecord,
 	Exchange,
 } from '../../../src/gateway/exchange.ts';
+import {silentLogger} from '../../../src/logging/index.ts';
 import type {Standing} from '../../../src/quarantine/index.ts';
 import {createWindowRetryBudget} from '../../../src/retries/index.ts';
 import type {Route} from '../../../src/routes/index.ts';
+import {createServerLimits} from '../../../src/server-limits/index.ts';
 import {hopHeaders} from '../../../src/gateway/delivery/hop.ts';
 import {assumedPerSecond} from '../../../src/gateway/delivery/room-outlook.ts';
 import {isolationPatienceMs} from '../../../src/gateway/delivery/wait-for-room.ts';
@@ -52,6 +54,7 @@
 	const clock = () => now;
 	const sent: Sent[] = [];
 	const records: DeliveryRecord[] = [];
+	const serverLimits = createServerLimits({logger: silentLogger});
 	const fleet = createBackendFleet(fleetOptionsOf());
 	fleet.sync(new Map(servers.map((id) => [id, knownServerOf(id, 1)])), now);
 	const deliveries = createDeliveries({
@@ -93,6 +96,8 @@
 		onServed: () => undefined,
 		standing,
 		onBadLoad: () => undefined,
+		serverLimits,
+		onBadLimit: () => undefined,
 		onWaiting: () => undefined,
 		onRecord(record) {
 			records.push(record);
--- /dev/null
+++ b/tests/server-limits/stated-limit.test.ts
@@ -0,0 +1,43 @@
+import {test, type TestContext} from 'node:test';
+import fc from 'fast-check';
+import {parseStatedLimit} from '../../src/server-limits/index.ts';
+
+for (const [text, perSecond] of [
+	['6.2', 6.2],
+	[' 40 ', 40],
+	['0', 0],
+	['0.05', 0.05],
+] as const) {
+	test(`"${text}" is a limit`, (t: TestContext) => {
+		t.assert.strictEqual(parseStatedLimit(text).unwrapOr(-1), perSecond);
+	});
+}
+
+for (const text of [
+	'',
+	'-1',
+	'+3',
+	'6,2',
+	'.5',
+	'1e3',
+	'0x10',
+	'Infinity',
+	'NaN',
+	'6.2 a second',
+	'9999999999',
+]) {
+	test(`"${text}" is no limit`, (t: TestContext) => {
+		t.assert.ok(parseStatedLimit(text).isErr);
+	});
+}
+
+test('no text ends in anything but a rate or an error', (t: TestContext) => {
+	fc.assert(
+		fc.property(fc.string(), (text) => {
+			const limit = parseStatedLimit(text);
+			t.assert.ok(
+				limit.isErr || (Number.isFinite(limit.value) && limit.value >= 0),
+			);
+		}),
+	);
+});
