Keep the limits that backend servers name, by all nodes of a region together

Callers saw requests come late from engines that had said how few they take, while engines beside them had room. Cause: no node read the limit, and room was shared by what runs at a server at once, never by how many requests come in a second. The class: what one party allows all nodes together, and each would count alone.

Why the mend holds. All nodes derive from the server's name the same order of the nodes of its region; only the first of them send there, as many as it takes requests in a second, each an equal part of nine tenths of the limit, paced, with little made up for after a rest. So the sum stays within the limit whatever each has asked of it, also where it is below one request a node. All that reaches the server is counted where it is sent: second tries, hops, resumption and health checks take of the same share, and reading what an engine keeps is spaced by a tenth of the limit. A limit is told to the other nodes at once, and again each second by the first in the order, so that one that starts, or sends nothing, knows of it and of its end. An answer replaces only those that had come before its request was sent; while the order is open the lower limit holds. A node that has not settled or that leaves sends nothing there; one that hears fewer nodes than there were keeps to its side's part.

Where all servers that a request may go to are limited it waits only if its turn comes in time, more urgent ones first, goes to another region, or is refused at once, with the time of its turn for Retry-After.

--- /dev/null
+++ b/src/backend-limits/backend-limits.ts
@@ -0,0 +1,304 @@
+import type {Logger} from '../logging/index.ts';
+import type {Without} from '../mechanisms/index.ts';
+import type {Member} from '../membership/index.ts';
+import type {
+	BackendLimitMessage,
+	ToldLimit,
+} from '../peers/backend-limit-messages.ts';
+import {createLimitEntries, type LimitEntry} from './limit-entries.ts';
+import {createLimitLog, type LimitChange} from './limit-log.ts';
+import {limitShare, readingPart, type LimitShare} from './limit-share.ts';
+import {lowestStatement, type LimitStatement} from './limit-statement.ts';
+import {createSenderOrder} from './sender-order.ts';
+
+/**
+The limits that backend servers name in their answers, each for all nodes together.
+*/
+export type BackendLimits = {
+	/**
+	An answer of a server named its limit, or none.
+
+	@param life Names the life of the server.
+	*/
+	stated(
+		life: string,
+		statement: LimitStatement,
+		source: Exclude<LimitChange['source'], 'node'>,
+	): void;
+	/**
+	Takes in what another node tells.
+	*/
+	hear(message: BackendLimitMessage, now: number): void;
+	/**
+	Whether this node may send one more request to a server now.
+	*/
+	hasRoom(life: string, now: number): boolean;
+	/**
+	Requests a second that this node may send to a server; undefined where the server has no limit.
+	*/
+	rateOf(life: string): number | undefined;
+	/**
+	Milliseconds between two readings of what an engine keeps; 0 where it has no limit.
+	*/
+	readingPauseMs(life: string): number;
+	/**
+	A request is sent to a server, whatever its limit.
+	*/
+	sent(life: string, now: number): void;
+	/**
+	Tells other nodes, and forgets limits that have ended; called at each tick.
+	*/
+	tick(now: number): void;
+	/**
+	Whether any server has a limit.
+	*/
+	areThere(): boolean;
+	/**
+	For metrics: servers that have a limit, requests that were sent to them, and looks that found no room.
+	*/
+	limitedServers(): number;
+	sentToLimited(): number;
+	heldBack(): number;
+};
+
+/**
+What limits are built from.
+*/
+export type BackendLimitsOptions = {
+	readonly self: string;
+	/**
+	The other nodes that send to the same servers and can be heard; replaced when they change.
+	*/
+	readonly peers: () => readonly Member[];
+	/**
+	The part of all such nodes that can be heard, this one included, from 0 to 1.
+	*/
+	readonly heardPart: () => number;
+	/**
+	Whether this node may use a limited server: it has had time to hear of the others, and is not leaving.
+	*/
+	readonly mayShare: () => boolean;
+	readonly tell: (
+		members: readonly Member[],
+		message: BackendLimitMessage,
+	) => void;
+	readonly without: Without;
+	readonly logger: Logger;
+};
+
+/**
+How often the first node in the order for a server tells the others of its limit again, in milliseconds. It reaches those
+that missed the first word, and those that have started since.
+*/
+export const remindLimitMs = 1000;
+
+/**
+A word that is older is told to nobody, in milliseconds: the server may have named another limit since.
+*/
+export const freshWordMs = 10_000;
+
+/**
+A limit that changes all the time is told so often at the most, in milliseconds.
+*/
+export const tellAgainMs = 500;
+
+/**
+The longest pause between two readings of what a limited engine keeps, in milliseconds.
+*/
+export const longestReadingPauseMs = 30_000;
+
+// What a message may have been under way longer than its ages say, in milliseconds.
+const transitMs = 100;
+
+/**
+Builds limits of which none is known.
+*/
+export const createBackendLimits = ({
+	self,
+	peers,
+	heardPart,
+	mayShare,
+	tell,
+	without,
+	logger,
+}: BackendLimitsOptions): BackendLimits => {
+	const entries = createLimitEntries();
+	const log = createLimitLog(logger);
+	const order = createSenderOrder(self, peers);
+	const isOff = without.has('backend-limits');
+	const unsaid = new Set<string>();
+	let remindAt = 0;
+	let sentToLimited = 0;
+	let heldBack = 0;
+
+	const shareOf = (
+		life: string,
+		{perSecond}: LimitEntry,
+	): LimitShare | undefined =>
+		perSecond === undefined
+			? undefined
+			: limitShare(mayShare() ? perSecond : 0, {
+					rank: order.rank(life),
+					nodes: peers().length + 1,
+					heardPart: heardPart(),
+				});
+
+	const take = (
+		life: string,
+		given: LimitStatement,
+		how: Pick<LimitChange, 'source' | 'from'>,
+		now: number,
+	) => {
+		const change = entries.take(life, given, now);
+		if (!change) {
+			return;
+		}
+
+		const {entry, before} = change;
+		log.changed(
+			{
+				life,
+				before,
+				perSecond: entry.perSecond,
+				...how,
+				ageMs: now - given.earliest,
+			},
+			{
+				sentBefore: entry.sent,
+				share: shareOf(life, entry)?.perSecond ?? Infinity,
+				nodes: peers().length + 1,
+				heardPart: heardPart(),
+			},
+			now,
+		);
+		entry.sent = 0;
+		if (how.source !== 'node') {
+			unsaid.add(life);
+		}
+	};
+
+	const tellOf = (lives: Iterable<string>, now: number) => {
+		const limits = [...lives]
+			.map((life) => toldLimit(life, entries.get(life), now))
+			.filter((told) => told !== undefined);
+		if (limits.length > 0) {
+			tell(peers(), {kind: 'backend-limits', from: self, limits});
+		}
+	};
+
+	const tellChanges = (now: number) => {
+		const due = [...unsaid].filter(
+			(life) => now - (entries.get(life)?.toldAt ?? -Infinity) >= tellAgainMs,
+		);
+		for (const life of due) {
+			unsaid.delete(life);
+			entries.get(life)!.toldAt = now;
+		}
+
+		tellOf(due, now);
+	};
+
+	const remind = (now: number) => {
+		if (now < remindAt) {
+			return;
+		}
+
+		remindAt = now + remindLimitMs;
+		tellOf(
+			entries.lives().filter((life) => order.rank(life) === 0),
+			now,
+		);
+	};
+
+	const fill = (life: string, entry: LimitEntry, now: number) => {
+		const share = shareOf(life, entry);
+		if (share) {
+			entry.bucket.fill(share, now);
+		}
+	};
+
+	return {
+		stated(life, statement, source) {
+			take(life, statement, {source}, statement.latest);
+		},
+		hear({from, limits}, now) {
+			for (const {life, perSecond, earliestAgoMs, latestAgoMs} of limits) {
+				// What was delayed on its way, or was read late, may be long over.
+				if (latestAgoMs > freshWordMs) {
+					continue;
+				}
+
+				const earliest = now - earliestAgoMs - transitMs;
+				const latest = now - latestAgoMs;
+				const how = {source: 'node', from} as const;
+				take(life, {perSecond, earliest, latest}, how, now);
+			}
+		},
+		hasRoom(life, now) {
+			const entry = entries.get(life);
+			if (isOff || entry?.perSecond === undefined) {
+				return true;
+			}
+
+			fill(life, entry, now);
+			const isThere = entry.bucket.hasToken();
+			heldBack += isThere ? 0 : 1;
+			return isThere;
+		},
+		rateOf(life) {
+			const entry = entries.get(life);
+			return entry && !isOff ? shareOf(life, entry)?.perSecond : undefined;
+		},
+		readingPauseMs(life) {
+			const perSecond = entries.get(life)?.perSecond;
+			return perSecond === undefined || isOff
+				? 0
+				: Math.min(longestReadingPauseMs, 1000 / (perSecond * readingPart));
+		},
+		sent(life, now) {
+			const entry = entries.get(life);
+			if (entry?.perSecond === undefined) {
+				return;
+			}
+
+			fill(life, entry, now);
+			entry.bucket.take();
+			entry.sent += 1;
+			sentToLimited += 1;
+		},
+		tick(now) {
+			entries.forgetOld(now);
+			// A node that comes to send to a server has not rested before.
+			for (const life of entries.lives()) {
+				fill(life, entries.get(life)!, now);
+			}
+
+			if (isOff) {
+				return;
+			}
+
+			tellChanges(now);
+			remind(now);
+		},
+		areThere: () => !isOff && entries.limited() > 0,
+		limitedServers: entries.limited,
+		sentToLimited: () => sentToLimited,
+		heldBack: () => heldBack,
+	};
+};
+
+const toldLimit = (
+	life: string,
+	entry: LimitEntry | undefined,
+	now: number,
+): ToldLimit | undefined => {
+	const statement = entry && lowestStatement(entry.statements);
+	return statement === undefined || now - statement.latest > freshWordMs
+		? undefined
+		: {
+				life,
+				perSecond: statement.perSecond,
+				earliestAgoMs: now - statement.earliest,
+				latestAgoMs: now - statement.latest,
+			};
+};
--- /dev/null
+++ b/src/backend-limits/limit-entries.ts
@@ -0,0 +1,140 @@
+import {
+	addStatement,
+	lowestStatement,
+	type LimitStatement,
+	type LimitStatements,
+} from './limit-statement.ts';
+import {createTokenBucket, type TokenBucket} from './token-bucket.ts';
+
+/**
+What is known of the limit of one server.
+*/
+export type LimitEntry = {
+	statements: LimitStatements;
+	/**
+	The limit that holds; undefined where it has ended.
+	*/
+	perSecond: number | undefined;
+	readonly bucket: TokenBucket;
+	/**
+	Requests of this node since the limit changed last.
+	*/
+	sent: number;
+	/**
+	When other nodes were told last.
+	*/
+	toldAt: number;
+	endedAt: number | undefined;
+};
+
+/**
+What is known of the limits of servers, by the names of their lives.
+*/
+export type LimitEntries = {
+	get(life: string): LimitEntry | undefined;
+	/**
+	Takes a statement in; undefined where the limit is the same as before.
+	*/
+	take(
+		life: string,
+		given: LimitStatement,
+		now: number,
+	):
+		| {readonly entry: LimitEntry; readonly before: number | undefined}
+		| undefined;
+	lives(): readonly string[];
+	/**
+	Servers that have a limit now.
+	*/
+	limited(): number;
+	forgetOld(now: number): void;
+};
+
+/**
+A limit that has ended is remembered for so long, in milliseconds, so that nodes that missed its end are told.
+*/
+export const endedKeptMs = 20_000;
+
+/**
+A limit of which nothing was heard for so long is forgotten, in milliseconds: the server has gone. One that lives and has a
+limit is sent requests, and says so again.
+*/
+export const silentKeptMs = 600_000;
+
+/**
+Servers that are remembered at the most; the one that was heard of first gives way.
+*/
+export const maximumLimitedServers = 2000;
+
+/**
+Builds entries of no server.
+*/
+export const createLimitEntries = (): LimitEntries => {
+	const entries = new Map<string, LimitEntry>();
+	let limited = 0;
+
+	const remove = (life: string) => {
+		limited -= entries.get(life)?.perSecond === undefined ? 0 : 1;
+		entries.delete(life);
+	};
+
+	const open = (life: string, now: number): LimitEntry => {
+		const known = entries.get(life);
+		if (known) {
+			return known;
+		}
+
+		if (entries.size >= maximumLimitedServers) {
+			remove(entries.keys().next().value!);
+		}
+
+		const entry: LimitEntry = {
+			statements: [],
+			perSecond: undefined,
+			bucket: createTokenBucket(now),
+			sent: 0,
+			toldAt: -Infinity,
+			endedAt: undefined,
+		};
+		entries.set(life, entry);
+		return entry;
+	};
+
+	const isOld = ({endedAt, statements}: LimitEntry, now: number): boolean =>
+		endedAt === undefined
+			? now - (lowestStatement(statements)?.latest ?? now) > silentKeptMs
+			: now - endedAt > endedKeptMs;
+
+	return {
+		get: (life) => entries.get(life),
+		take(life, given, now) {
+			// Most servers never name a limit, and nothing is kept of them.
+			if (given.perSecond === undefined && !entries.has(life)) {
+				return undefined;
+			}
+
+			const entry = open(life, now);
+			entry.statements = addStatement(entry.statements, given);
+			const before = entry.perSecond;
+			const perSecond = lowestStatement(entry.statements)?.perSecond;
+			if (perSecond === before) {
+				return undefined;
+			}
+
+			entry.perSecond = perSecond;
+			entry.endedAt = perSecond === undefined ? now : undefined;
+			limited +=
+				(before === undefined ? 1 : 0) - (perSecond === undefined ? 1 : 0);
+			return {entry, before};
+		},
+		lives: () => entries.keys().toArray(),
+		limited: () => limited,
+		forgetOld(now) {
+			for (const [life, entry] of entries) {
+				if (isOld(entry, now)) {
+					remove(life);
+				}
+			}
+		},
+	};
+};
--- a/src/backends/backend-attempt.ts
+++ b/src/backends/backend-attempt.ts
@@ -1,3 +1,4 @@
+import type {BackendLimits} from '../backend-limits/index.ts';
 import type {Placement} from './placement.ts';
 import {isCold, readingOf, type ServerState} from './server-state.ts';
 import type {StatedLoad} from './stated-load.ts';
@@ -64,6 +65,7 @@
 	Whether a server is known to keep a prompt part in its memory.
 	*/
 	readonly keeps: (server: string, part: string) => boolean;
+	readonly backendLimits: Pick<BackendLimits, 'sent'>;
 };
 
 /**
@@ -88,7 +90,7 @@
 	state: ServerState,
 	placement: Placement,
 	now: number,
-	{tellReading: tell, keeps}: AttemptOptions,
+	{tellReading: tell, keeps, backendLimits}: AttemptOptions,
 ): BackendAttempt => {
 	const tellMore = (more: number) => {
 		if (more === 0) {
@@ -99,6 +101,7 @@
 		tell(state.known.server.id, state.toldTokens);
 	};
 
+	backendLimits.sent(state.life, now);
 	const waiting = {since: now};
 	const tokens = tokensToRead(state, placement, keeps);
 	const toldTokens = tokens >= fewestToldTokens ? tokens : 0;
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -194,7 +194,9 @@
 					(state.isSuspect ||
 						state.isDistrusted ||
 						state.doubtedAt !== undefined) &&
-					now - state.probedAt >= probeIntervalMs,
+					now - state.probedAt >= probeIntervalMs &&
+					// Health checks of all nodes would go beyond a limit by themselves.
+					options.backendLimits.hasRoom(state.life, now),
 			);
 			for (const [, state] of due) {
 				state.probedAt = now;
@@ -260,8 +262,13 @@
 			let load = 0;
 			let slots = 0;
 			for (const state of usable) {
-				load += believedLoad(state, nodes, now, {others});
-				slots += state.known.server.slots;
+				const own = state.known.server.slots;
+				// What a limited server takes is used up here: other regions are not to send it more.
+				const isLimited =
+					options.backendLimits.rateOf(state.life) !== undefined;
+				const held = believedLoad(state, nodes, now, {others});
+				load += isLimited ? Math.max(held, own) : held;
+				slots += own;
 			}
 
 			return {load, slots};
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -25,7 +25,14 @@
 	/**
 	There are servers, but none has room for another request of this node.
 	*/
-	| {readonly kind: 'full'}
+	| {
+			readonly kind: 'full';
+			/**
+			Given where all of them have named limits: requests a second that this node may send them. More room does not
+			come, whatever ends there.
+			*/
+			readonly perSecond?: number;
+	  }
 	| {readonly kind: 'none'};
 
 // Servers whose costs differ by less look alike. Nodes see their own requests only, so without a draw
@@ -41,11 +48,19 @@
 	placement: Placement,
 	now: number,
 ): LocalChoice => {
-	const candidates = [...states].filter((state) => isFit(state, placement));
-	if (candidates.length === 0) {
+	const fit = [...states].filter((state) => isFit(state, placement));
+	if (fit.length === 0) {
 		return {kind: 'none'};
 	}
 
+	// Left out before the others are compared: a keeper that may not be sent the prompt is none.
+	const candidates = fit.filter((state) =>
+		isWithinLimit(options, state, placement, now),
+	);
+	if (candidates.length === 0) {
+		return fullOfLimited(options, fit);
+	}
+
 	// Asked once: it counts all nodes of the region, and there may be as many servers as nodes.
 	const sharers = sharersOf(placement, options.nodesServing());
 	const rereadCostOf = rereadCosts(options, candidates, placement, now);
@@ -84,6 +99,30 @@
 ): boolean =>
 	!isSuspect && server.service === service && !excluded.has(server.id);
 
+const isWithinLimit = (
+	{backendLimits}: ServerChoiceOptions,
+	{life}: ServerState,
+	{isOutranked}: Placement,
+	now: number,
+): boolean =>
+	!backendLimits.areThere() ||
+	(isOutranked === true
+		? backendLimits.rateOf(life) === undefined
+		: backendLimits.hasRoom(life, now));
+
+// Those without a limit are always candidates, so all that are fit have one.
+const fullOfLimited = (
+	{backendLimits}: ServerChoiceOptions,
+	fit: readonly ServerState[],
+): LocalChoice => {
+	let perSecond = 0;
+	for (const {life} of fit) {
+		perSecond += backendLimits.rateOf(life) ?? 0;
+	}
+
+	return {kind: 'full', perSecond};
+};
+
 // Of two requests that were at the same crashes none can be told to have caused them. Tried apart from each other, one that
 // crashes servers is found after 4.0 crashes in the mean in place of 6.9, and 1 in place of 348 of 15,000 requests that
 // shared them are lost (model of four nodes and four servers, ten plays).
--- a/src/backends/placement.ts
+++ b/src/backends/placement.ts
@@ -20,4 +20,8 @@
 	Whether it was at a server that crashed, and goes where no other such request of this node is under way.
 	*/
 	readonly isIsolated?: boolean;
+	/**
+	Whether a more urgent request waits for room: what limited servers take is left to that one.
+	*/
+	readonly isOutranked?: boolean;
 };
--- a/src/backends/server-choice-options.ts
+++ b/src/backends/server-choice-options.ts
@@ -1,5 +1,6 @@
 import type {Without} from '../mechanisms/index.ts';
 import type {Service} from '../routes/index.ts';
+import type {BackendLimits} from '../backend-limits/index.ts';
 import type {ReadingTeller} from './backend-attempt.ts';
 
 /**
@@ -33,6 +34,13 @@
 	*/
 	readonly tellReading: ReadingTeller;
 	/**
+	The limits that servers name.
+	*/
+	readonly backendLimits: Pick<
+		BackendLimits,
+		'areThere' | 'hasRoom' | 'rateOf' | 'sent'
+	>;
+	/**
 	A number from 0 to 1, by which nodes choose differently among servers that look alike.
 	*/
 	readonly draw: () => number;
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -1,4 +1,4 @@
-import type {KnownServer} from '../registry/index.ts';
+import {lifeOf, type KnownServer} from '../registry/index.ts';
 import {createOthersReading, type OthersReading} from './others-reading.ts';
 import {createPromptMemory, type PromptMemory} from './prompt-memory.ts';
 import {createReadingSpeed, type ReadingSpeed} from './reading-speed.ts';
@@ -10,6 +10,10 @@
 export type ServerState = {
 	known: KnownServer;
 	/**
+	Names the life of the server.
+	*/
+	readonly life: string;
+	/**
 	Requests of this node that are under way at it.
 	*/
 	inFlight: number;
@@ -105,6 +109,7 @@
 	}: Partial<Pick<ServerState, 'ownOfService' | 'readingSpeed'>> = {},
 ): ServerState => ({
 	known,
+	life: lifeOf(known.server),
 	inFlight: 0,
 	suspects: 0,
 	ownOfService,
--- a/src/gateway/choosing/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -21,6 +21,10 @@
 Where a request goes next.
 */
 export type UpstreamChoice =
+	/**
+	There is no room now, but there may be soon.
+	*/
+	| Extract<LocalChoice, {kind: 'full'}>
 	| {readonly kind: 'server'; readonly id: string}
 	| {
 			readonly kind: 'peer';
@@ -28,10 +32,6 @@
 			readonly region: string;
 	  }
 	/**
-	There is no room now, but there may be soon.
-	*/
-	| {readonly kind: 'full'}
-	/**
 	No backend server that may serve it can be reached.
 	*/
 	| {readonly kind: 'none'};
--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -8,7 +8,7 @@
 import type {Standing} from '../../quarantine/index.ts';
 import type {RetryYield, WindowRetryBudget} from '../../retries/index.ts';
 import type {Route} from '../../routes/index.ts';
-import type {ServerLimits} from '../../server-limits/index.ts';
+import type {BackendLimits} from '../../backend-limits/index.ts';
 import type {UpstreamChooser} from '../choosing/index.ts';
 import type {DeliveryRecord, Exchange, RequestClient} from '../exchange.ts';
 import type {WireHeaders} from '../wire-headers.ts';
@@ -96,7 +96,7 @@
 	/**
 	The limits that backend servers name.
 	*/
-	readonly serverLimits: ServerLimits;
+	readonly backendLimits: BackendLimits;
 	/**
 	Says that a backend server named a limit that makes no sense.
 	*/
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -108,6 +108,10 @@
 	*/
 	hasNowhereToGo: boolean;
 	/**
+	Given while all servers that it might go to here have named limits: requests a second that this node may send them.
+	*/
+	roomPerSecond: number | undefined;
+	/**
 	Whether it is not sent on because servers crashed each time that they ran it.
 	*/
 	isQuarantined: boolean;
@@ -169,6 +173,7 @@
 		pieceAt: undefined,
 		longestPauseMs: 0,
 		hasNowhereToGo: false,
+		roomPerSecond: undefined,
 		isQuarantined: false,
 		isOver: false,
 		isDeserted: false,
--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -86,8 +86,8 @@
 		},
 		tick(now) {
 			line.pump(now);
-			line.expire(now, ({service, until}, before) =>
-				isHopeless(context.outlook.waitMs(service, before, now), until - now),
+			line.expire(now, ({roomInMs, until}, before) =>
+				isHopeless(roomInMs(before), until - now),
 			);
 		},
 		serverSilent(server) {
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -3,6 +3,7 @@
 import type {DeliveryRecord} from '../exchange.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {DeliveryRun} from './delivery-run.ts';
+import {roomAfterReturnMs} from './room-in.ts';
 
 /**
 Seconds after which a refused caller should come back at the least. A place in an engine becomes
@@ -199,17 +200,16 @@
 // When the caller would get room if it stood last in the line, those that were refused before it included. So
 // callers come back in the order in which they were refused, and spread out.
 const retryAfterSeconds = (
-	{clock, line, outlook}: DeliveryContext,
-	{exchange, hasNowhereToGo}: DeliveryRun,
+	context: DeliveryContext,
+	run: DeliveryRun,
 ): number => {
-	if (hasNowhereToGo) {
+	if (run.hasNowhereToGo) {
 		return longestRetryAfterSeconds;
 	}
 
-	const now = clock();
-	const {service} = exchange;
-	const waitMs = outlook.waitMs(service, line.before(service, Infinity), now);
-	outlook.refused(service, now);
+	const {clock, outlook} = context;
+	const waitMs = roomAfterReturnMs(context, run);
+	outlook.refused(run.exchange.service, clock());
 	return Math.min(
 		longestRetryAfterSeconds,
 		Math.max(shortestRetryAfterSeconds, waitMs / 1000),
--- a/src/gateway/delivery/note-limit.ts
+++ b/src/gateway/delivery/note-limit.ts
@@ -1,5 +1,5 @@
 import type {UpstreamHead} from '../../backends/index.ts';
-import {parseStatedLimit} from '../../server-limits/index.ts';
+import {parseStatedLimit} from '../../backend-limits/index.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
 import {isMisdirected} from './judge-head.ts';
@@ -11,7 +11,7 @@
 misdirected is another server's. A refusal that names no limit does not end one: only a server at work shows that.
 */
 export const noteLimit = (
-	{clock, headers, serverLimits, onBadLimit}: DeliveryContext,
+	{clock, headers, backendLimits, onBadLimit}: DeliveryContext,
 	{exchange}: DeliveryRun,
 	{life, sentAt, server}: CurrentCall,
 	{status, header}: UpstreamHead,
@@ -28,7 +28,7 @@
 	const times = {earliest: sentAt, latest: clock()};
 	if (text === undefined) {
 		if (header(headers.signature) !== undefined) {
-			serverLimits.stated(life, {perSecond: undefined, ...times}, 'answer');
+			backendLimits.stated(life, {perSecond: undefined, ...times}, 'answer');
 		}
 
 		return;
@@ -36,7 +36,7 @@
 
 	const limit = parseStatedLimit(text);
 	if (limit.isOk) {
-		serverLimits.stated(life, {perSecond: limit.value, ...times}, 'answer');
+		backendLimits.stated(life, {perSecond: limit.value, ...times}, 'answer');
 	} else {
 		onBadLimit(server ?? '', limit.error);
 	}
--- a/src/gateway/delivery/room-outlook.ts
+++ b/src/gateway/delivery/room-outlook.ts
@@ -11,6 +11,10 @@
 	*/
 	refused(service: string, now: number): void;
 	/**
+	Requests of the service that were refused lately and are likely to come back.
+	*/
+	returning(service: string, now: number): number;
+	/**
 	Milliseconds until a request gets room that has so many before it in the line.
 	*/
 	waitMs(service: string, before: number, now: number): number;
@@ -66,6 +70,9 @@
 		return times.length > 0 ? times.length / spanMs : assumedPerSecond / 1000;
 	};
 
+	const returning = (service: string, now: number): number =>
+		recent(refusedAt, service, now).length;
+
 	return {
 		freed(service, now) {
 			enter(freedAt, service, now);
@@ -73,9 +80,8 @@
 		refused(service, now) {
 			enter(refusedAt, service, now);
 		},
-		waitMs(service, before, now) {
-			const returning = recent(refusedAt, service, now).length;
-			return (before + returning + 1) / perMs(service, now);
-		},
+		returning,
+		waitMs: (service, before, now) =>
+			(before + returning(service, now) + 1) / perMs(service, now),
 	};
 };
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -29,7 +29,8 @@
 		return;
 	}
 
-	const isSentNow = () => trySend(context, run) === 'sent';
+	const isSentNow = () =>
+		trySend(context, run) === 'sent' || isRefusedNow(context, run);
 	if (sent === 'held') {
 		waitForRoom(context, run, isSentNow);
 		return;
@@ -47,6 +48,16 @@
 	waitForRoom(context, run, isSentNow);
 };
 
+// Servers may name limits while a request waits for them: one that they will not take any more is told so now.
+const isRefusedNow = (context: DeliveryContext, run: DeliveryRun): boolean => {
+	if (run.roomPerSecond === undefined || canWaitHere(context, run, false)) {
+		return false;
+	}
+
+	giveUpRun(context, run, noRoom);
+	return true;
+};
+
 const noServer = 'No backend server that may serve it is in use';
 
 // A request that is over needs no room.
@@ -75,13 +86,18 @@
 	}
 
 	const isIsolated = canBeHeld && standing.kind !== 'clear';
-	const placement = isIsolated ? {...run.placement, isIsolated} : run.placement;
+	const isOutranked = isOutrankedInLine(context, run);
+	const placement =
+		isIsolated || isOutranked
+			? {...run.placement, isIsolated, isOutranked}
+			: run.placement;
 	const choice = context.choose(
 		run.exchange,
 		{regions: run.regions, members: run.members},
 		placement,
 		context.clock(),
 	);
+	run.roomPerSecond = choice.kind === 'full' ? choice.perSecond : undefined;
 	if (isIsolated && choice.kind === 'full') {
 		return 'held';
 	}
@@ -106,6 +122,15 @@
 	}
 };
 
+// A limited server takes few requests: those that wait for it are not to be overtaken by less urgent ones, nor by new ones
+// that are as urgent.
+const isOutrankedInLine = (
+	{line, backendLimits}: DeliveryContext,
+	{exchange: {service, route}, waiting}: DeliveryRun,
+): boolean =>
+	backendLimits.areThere() &&
+	line.before(service, waiting ? route.priority - 1 : route.priority) > 0;
+
 const keyTaken = 'The client key was taken away while the request waited';
 
 // The key of a request that waited may have been taken away meanwhile. A node that was sent the request may know the
@@ -133,8 +158,6 @@
 	const sentAt = clock();
 	const server = fleet.server(id)!;
 	const attempt = fleet.begin(id, placement, sentAt);
-	const life = lifeOf(server);
-	context.serverLimits.sent(life, sentAt);
 	run.excluded.add(id);
 	run.tried.push(id);
 	run.steps.push(`server ${id}`);
@@ -146,7 +169,7 @@
 		{
 			attempt,
 			server: id,
-			life,
+			life: lifeOf(server),
 			sentAt,
 			member: undefined,
 			region: undefined,
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -3,8 +3,8 @@
 import {lifeOf} from '../../registry/index.ts';
 import {
 	parseStatedLimit,
-	type ServerLimits,
-} from '../../server-limits/index.ts';
+	type BackendLimits,
+} from '../../backend-limits/index.ts';
 import type {WireHeaders} from '../wire-headers.ts';
 
 /**
@@ -39,7 +39,7 @@
 	/**
 	The limits that backend servers name.
 	*/
-	readonly serverLimits: Pick<ServerLimits, 'sent' | 'stated'>;
+	readonly backendLimits: Pick<BackendLimits, 'sent' | 'stated'>;
 };
 
 /**
@@ -56,7 +56,7 @@
 export const createServerProbes = (
 	options: ServerProbesOptions,
 ): ServerProbes => {
-	const {client, fleet, headers, clock, logger, serverLimits} = options;
+	const {client, fleet, headers, clock, logger, backendLimits} = options;
 
 	// A health check without a limit does not end one: whether servers name it there is their matter.
 	const noteLimit = (life: string, sentAt: number, text: string) => {
@@ -67,7 +67,7 @@
 
 		const times = {earliest: sentAt, latest: clock()};
 		const statement = {perSecond: limit.value, ...times};
-		serverLimits.stated(life, statement, 'health check');
+		backendLimits.stated(life, statement, 'health check');
 	};
 
 	const probe = (id: string) => {
@@ -78,7 +78,7 @@
 
 		const life = lifeOf(server);
 		const sentAt = clock();
-		serverLimits.sent(life, sentAt);
+		backendLimits.sent(life, sentAt);
 		// A key of its own, for the connections of requests may be dead.
 		const key = `probe ${id}`;
 		const call = client.call(
--- a/src/gateway/delivery/wait-for-room.ts
+++ b/src/gateway/delivery/wait-for-room.ts
@@ -1,6 +1,7 @@
 import type {DeliveryContext} from './delivery-context.ts';
 import type {DeliveryRun} from './delivery-run.ts';
 import {giveUpRun} from './end-run.ts';
+import {roomInMs} from './room-in.ts';
 import type {WaitingRequest} from './waiting-requests.ts';
 
 /**
@@ -35,7 +36,7 @@
 	run: DeliveryRun,
 	hasNoPlace: boolean,
 ): boolean => {
-	const {clock, hasSettled, line, outlook} = context;
+	const {clock, hasSettled, line} = context;
 	if (run.hasBegun) {
 		return true;
 	}
@@ -46,8 +47,10 @@
 
 	const now = clock();
 	const {service, route} = run.exchange;
-	const before = line.before(service, route.priority);
-	return now + outlook.waitMs(service, before, now) < lastStart(context, run);
+	// One that stands in the line itself is not before itself.
+	const before =
+		line.before(service, route.priority) - (run.waiting === undefined ? 0 : 1);
+	return now + roomInMs(context, run, before) < lastStart(context, run);
 };
 
 /**
@@ -88,6 +91,7 @@
 		until: lastStart(context, run),
 		service,
 		roomKey: roomKeyOf(context, run),
+		roomInMs: (before) => roomInMs(context, run, before),
 		attempt: isSentNow,
 		giveUp() {
 			run.steps.push('gave-up-waiting');
--- a/src/gateway/delivery/waiting-requests.ts
+++ b/src/gateway/delivery/waiting-requests.ts
@@ -21,6 +21,10 @@
 	*/
 	readonly roomKey: string;
 	/**
+	Milliseconds until it is likely to get room if so many go before it.
+	*/
+	readonly roomInMs: (before: number) => number;
+	/**
 	Tries to send it; false while there is still no room.
 	*/
 	readonly attempt: () => boolean;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -67,7 +67,7 @@
 		fleet,
 		client,
 		quarantine,
-		serverLimits,
+		backendLimits,
 	} = knowledge;
 	const {intake, deliveries, observer, admission} = createRequestHandling(
 		options,
@@ -91,7 +91,7 @@
 			quarantine.refused(life, clock());
 		},
 		onAlive: quarantine.acquitted,
-		serverLimits,
+		backendLimits,
 	});
 
 	const peerAddresses = [
@@ -130,6 +130,7 @@
 
 		probes.tick(now);
 		quarantine.tick(now);
+		backendLimits.tick(now);
 		prompts.tick();
 		limits.tick(now);
 		deliveries.tick(now);
--- a/src/gateway/product-headers.ts
+++ b/src/gateway/product-headers.ts
@@ -12,7 +12,7 @@
 	promptParts: 'x-gateway-prompt-parts',
 	tokenUsage: 'x-gateway-tokens',
 	load: 'x-gateway-server-load',
-	limit: 'x-gateway-server-limit',
+	limit: 'x-gateway-limit',
 	urgency: 'x-gateway-urgency',
 	coldMs: 'x-gateway-cold-ms',
 	serverId: 'x-gateway-server-id',
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -74,7 +74,7 @@
 		fleet,
 		client,
 		quarantine,
-		serverLimits,
+		backendLimits,
 	} = knowledge;
 	const routesVersion = () => mirror.routes()?.document.version ?? 0;
 	const {choose, peerFailed} = createGatewayChooser({
@@ -135,7 +135,7 @@
 		onBadLoad(server, reason) {
 			observer.badLoad(server, reason);
 		},
-		serverLimits,
+		backendLimits,
 		onBadLimit(server, reason) {
 			observer.badLimit(server, reason);
 		},
@@ -170,8 +170,9 @@
 			nodesUsable: () => mesh.usable().length,
 			backendServers: () => fleet.ids().length,
 			upstreamConnectionsOpened: client.connectionsOpened,
-			serversLimited: serverLimits.limitedServers,
-			requestsSentToLimitedServers: serverLimits.sentToLimited,
+			serversLimited: backendLimits.limitedServers,
+			requestsSentToLimitedServers: backendLimits.sentToLimited,
+			limitedServersHeldBack: backendLimits.heldBack,
 			serverCrashesSeen: quarantine.crashesSeen,
 			crashSuspects: quarantine.suspects,
 			requestsQuarantined: () => quarantine.quarantined(clock()),
--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -18,9 +18,10 @@
 import {createQuarantine, type Quarantine} from '../../quarantine/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
 import {
-	createServerLimits,
-	type ServerLimits,
-} from '../../server-limits/index.ts';
+	createSenderNodes,
+	createBackendLimits,
+	type BackendLimits,
+} from '../../backend-limits/index.ts';
 import {
 	createElapsedClock,
 	createRandom,
@@ -84,7 +85,7 @@
 	/**
 	The limits that backend servers of the own region name.
 	*/
-	readonly serverLimits: ServerLimits;
+	readonly backendLimits: BackendLimits;
 };
 
 /**
@@ -155,6 +156,11 @@
 					return;
 				}
 
+				case 'backend-limits': {
+					backendLimits.hear(message, clock());
+					return;
+				}
+
 				case 'node':
 				case 'zone':
 				case 'totals': {
@@ -182,6 +188,21 @@
 		nodes: () => Math.max(minimumSharers, 1 + mesh.others().length),
 		draw: random.fraction,
 	});
+	const senders = createSenderNodes({
+		others: mesh.others,
+		isNear: ({availabilityZone: zone}) => regionOf(zone) === ownRegion,
+		lastHeard: mesh.lastHeard,
+		clock,
+	});
+	const backendLimits = createBackendLimits({
+		self: options.id,
+		peers: senders.peers,
+		heardPart: senders.heardPart,
+		mayShare: () => shares.hasSettled() && mesh.self().status !== 'leaving',
+		tell: mesh.tell,
+		without: options.without,
+		logger,
+	});
 	const prompts = createPromptSharing({
 		caches: options.caches,
 		without: options.without,
@@ -191,9 +212,9 @@
 		zones: Object.keys(zones),
 		mesh,
 		hasSettled: shares.hasSettled,
+		backendLimits,
 		logger,
 	});
-	const serverLimits = createServerLimits({logger});
 	const fleet = createBackendFleet({
 		self: options.id,
 		nodesEverHeard: shares.nodesEverHeard,
@@ -204,6 +225,7 @@
 		availabilityZone,
 		mayUseCold: shares.hasSettled,
 		keeps: prompts.keeps,
+		backendLimits,
 		tellReading: createReadingTeller({
 			mesh,
 			ownRegion,
@@ -278,6 +300,6 @@
 		client,
 		placement,
 		quarantine,
-		serverLimits,
+		backendLimits,
 	};
 };
--- a/src/gateway/sharing/prompt-sharing.ts
+++ b/src/gateway/sharing/prompt-sharing.ts
@@ -14,7 +14,8 @@
 	type FeedSource,
 	type ReadEngine,
 } from '../../prompts/index.ts';
-import type {RegistryMirror} from '../../registry/index.ts';
+import {lifeOf, type RegistryMirror} from '../../registry/index.ts';
+import type {BackendLimits} from '../../backend-limits/index.ts';
 import {smallestSharedTokens} from '../../routes/index.ts';
 import {rendezvousOrder} from '../../shared/index.ts';
 
@@ -56,6 +57,10 @@
 	Whether this node had time to hear of the others.
 	*/
 	readonly hasSettled: () => boolean;
+	/**
+	The limits that engines name.
+	*/
+	readonly backendLimits: Pick<BackendLimits, 'readingPauseMs'>;
 	readonly logger: Logger;
 };
 
@@ -136,6 +141,7 @@
 			engines: enginesToRead,
 			publish: feed.publish,
 			smallestTokens: smallestSharedTokens,
+			pauseMs: (engine) => options.backendLimits.readingPauseMs(lifeOf(engine)),
 			logger: options.logger,
 		});
 	const follower = createFeedFollower({
--- a/src/mechanisms/mechanisms.ts
+++ b/src/mechanisms/mechanisms.ts
@@ -94,6 +94,10 @@
 	*/
 	'quarantine',
 	/**
+	Limits that backend servers name are kept by all nodes together.
+	*/
+	'backend-limits',
+	/**
 	A leaving node refuses what it cannot end.
 	*/
 	'leaving-admission',
--- a/src/peers/peer-message-codec.ts
+++ b/src/peers/peer-message-codec.ts
@@ -7,6 +7,11 @@
 	type QuarantineMessage,
 } from './quarantine-messages.ts';
 import {sealBytes, type Sealer} from './seal.ts';
+import {
+	readBackendLimitRows,
+	backendLimitRows,
+	type BackendLimitMessage,
+} from './backend-limit-messages.ts';
 import {checkChoice, checkCount, checkList, checkText} from './tuple-checks.ts';
 import {
 	readUsage,
@@ -39,7 +44,8 @@
 /**
 What nodes tell each other beside heartbeats.
 */
-export type PeerMessage = UsageMessage | ReadingMessage | QuarantineMessage;
+export type PeerMessage =
+	UsageMessage | ReadingMessage | QuarantineMessage | BackendLimitMessage;
 
 /**
 Turns messages between nodes into sealed datagrams and back.
@@ -73,6 +79,7 @@
 	...usageMessageKinds,
 	'reading',
 	...quarantineMessageKinds,
+	'backend-limits',
 ] as const;
 
 type Row = readonly unknown[];
@@ -139,6 +146,10 @@
 		case 'served': {
 			return quarantineRows(message);
 		}
+
+		case 'backend-limits': {
+			return backendLimitRows(message);
+		}
 	}
 };
 
@@ -153,7 +164,8 @@
 		case 'reading':
 		case 'crashes':
 		case 'quarantine':
-		case 'served': {
+		case 'served':
+		case 'backend-limits': {
 			return 1;
 		}
 	}
@@ -184,6 +196,10 @@
 		case 'served': {
 			return readQuarantineRows(kind, from, rows);
 		}
+
+		case 'backend-limits': {
+			return readBackendLimitRows(from, rows);
+		}
 	}
 };
 
--- a/src/prompts/cache-reader.ts
+++ b/src/prompts/cache-reader.ts
@@ -36,6 +36,10 @@
 	readonly engines: () => readonly ReadEngine[];
 	readonly publish: (changes: readonly PromptChange[]) => void;
 	readonly smallestTokens: number;
+	/**
+	Milliseconds between two questions to an engine at the least, where it bounds what it is asked; 0 where it does not.
+	*/
+	readonly pauseMs: (engine: ReadEngine) => number;
 	readonly logger: Logger;
 };
 
@@ -79,7 +83,7 @@
 };
 
 const createTurn = (
-	{source, publish, smallestTokens, logger}: CacheReaderOptions,
+	{source, publish, smallestTokens, pauseMs, logger}: CacheReaderOptions,
 	engine: ReadEngine,
 ): LoopTurn => {
 	let since = 0;
@@ -96,7 +100,7 @@
 				{server: engine.id, reason: answer.reason},
 				'memory of an engine cannot be read',
 			);
-			return readRetryMs;
+			return Math.max(readRetryMs, pauseMs(engine));
 		}
 
 		// A restart empties the memory; what was told of it before no longer holds.
@@ -106,7 +110,7 @@
 			...(isRestarted ? [[engine.id, '', 0] as const] : []),
 			...longPartsOf(engine.id, answer.events, smallestTokens),
 		]);
-		return readPauseMs;
+		return Math.max(readPauseMs, pauseMs(engine));
 	};
 };
 
--- a/src/registry/server-life.ts
+++ b/src/registry/server-life.ts
@@ -3,5 +3,8 @@
 /**
 Names one life of a backend server, from its start to its end; a server that starts again may keep its id.
 */
-export const lifeOf = ({id, startedAt}: RegisteredServer): string =>
+export const lifeOf = ({
+	id,
+	startedAt,
+}: Pick<RegisteredServer, 'id' | 'startedAt'>): string =>
 	startedAt === undefined ? id : `${id} ${startedAt}`;
--- a/tests/server-limits/limit-log.test.ts
+++ b/tests/backend-limits/limit-log.test.ts
@@ -2,7 +2,7 @@
 import {
 	createLimitLog,
 	limitLineEveryMs,
-} from '../../src/server-limits/index.ts';
+} from '../../src/backend-limits/index.ts';
 
 test('a limit that changes with each answer is written now and then, its beginning and end always', (t: TestContext) => {
 	const lines: unknown[] = [];
--- a/tests/server-limits/limit-statement.test.ts
+++ b/tests/backend-limits/limit-statement.test.ts
@@ -5,7 +5,7 @@
 	lowestStatement,
 	type LimitStatement,
 	type LimitStatements,
-} from '../../src/server-limits/index.ts';
+} from '../../src/backend-limits/index.ts';
 
 const said = (
 	perSecond: number | undefined,
--- a/tests/server-limits/stated-limit.test.ts
+++ b/tests/backend-limits/stated-limit.test.ts
@@ -1,6 +1,6 @@
 import {test, type TestContext} from 'node:test';
 import fc from 'fast-check';
-import {parseStatedLimit} from '../../src/server-limits/index.ts';
+import {parseStatedLimit} from '../../src/backend-limits/index.ts';
 
 for (const [text, perSecond] of [
 	['6.2', 6.2],
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -9,7 +9,7 @@
 	type BackendFleetOptions,
 	type Placement,
 } from '../../src/backends/index.ts';
-import {knownServerOf, serviceOf} from '../gateway/fixtures.ts';
+import {knownServerOf, serviceOf, unlimited} from '../gateway/fixtures.ts';
 
 const setUp = (
 	ids: readonly string[],
@@ -28,6 +28,7 @@
 		coldOverrun: 1,
 		coldSlack: 0,
 		mayUseCold: () => true,
+		backendLimits: unlimited,
 		keeps: () => false,
 		tellReading: () => undefined,
 		draw: () => 0,
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -20,7 +20,7 @@
 import type {Standing} from '../../../src/quarantine/index.ts';
 import {createWindowRetryBudget} from '../../../src/retries/index.ts';
 import type {Route} from '../../../src/routes/index.ts';
-import {createServerLimits} from '../../../src/server-limits/index.ts';
+import {createBackendLimits} from '../../../src/backend-limits/index.ts';
 import {hopHeaders} from '../../../src/gateway/delivery/hop.ts';
 import {assumedPerSecond} from '../../../src/gateway/delivery/room-outlook.ts';
 import {isolationPatienceMs} from '../../../src/gateway/delivery/wait-for-room.ts';
@@ -54,8 +54,16 @@
 	const clock = () => now;
 	const sent: Sent[] = [];
 	const records: DeliveryRecord[] = [];
-	const serverLimits = createServerLimits({logger: silentLogger});
-	const fleet = createBackendFleet(fleetOptionsOf());
+	const backendLimits = createBackendLimits({
+		self: 'node-1',
+		peers: () => [],
+		heardPart: () => 1,
+		mayShare: () => true,
+		tell: () => undefined,
+		without: new Set(),
+		logger: silentLogger,
+	});
+	const fleet = createBackendFleet(fleetOptionsOf({backendLimits}));
 	fleet.sync(new Map(servers.map((id) => [id, knownServerOf(id, 1)])), now);
 	const deliveries = createDeliveries({
 		self: 'node-1',
@@ -96,7 +104,7 @@
 		onServed: () => undefined,
 		standing,
 		onBadLoad: () => undefined,
-		serverLimits,
+		backendLimits,
 		onBadLimit: () => undefined,
 		onWaiting: () => undefined,
 		onRecord(record) {
--- a/tests/gateway/delivery/waiting-requests.test.ts
+++ b/tests/gateway/delivery/waiting-requests.test.ts
@@ -12,6 +12,7 @@
 	until: 100,
 	service: 'engine',
 	roomKey: 'engine',
+	roomInMs: () => 0,
 	attempt: () => true,
 	giveUp: () => undefined,
 	...change,
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -98,6 +98,16 @@
 	},
 });
 
+/**
+No server names a limit.
+*/
+export const unlimited: BackendFleetOptions['backendLimits'] = {
+	areThere: () => false,
+	hasRoom: () => true,
+	rateOf: () => undefined,
+	sent: () => undefined,
+};
+
 /**
 The only node of its region, without bounds on cold servers.
 */
@@ -114,6 +124,7 @@
 	mayUseCold: () => true,
 	keeps: () => false,
 	tellReading: () => undefined,
+	backendLimits: unlimited,
 	draw: () => 0,
 	without: new Set(),
 	...change,
--- a/tests/gateway/limited-server.test.ts
+++ b/tests/gateway/limited-server.test.ts
@@ -2,6 +2,12 @@
 // went on to get ten times as much as one of them had named: requests for them came late, while engines beside them had
 // room. They named it from one moment on, in each answer; nothing changed in what the nodes of their regions sent
 // there, and no line of any node named it.
+//
+// No node read the limit, and room at a server was shared by what runs there at once, never by how many requests come in a
+// second: a server that answers fast looks idle however many it is sent. A node that keeps the limit by itself alone still
+// lets it through as many times as there are nodes. That the limit does reach the nodes shows in the line that each
+// writes with its first answer from the server; that it is not for want of other room, in the test of four
+// servers, where all requests are served beside the limit.
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
@@ -21,8 +27,6 @@
 import {until} from '../until.ts';
 import {documentOf, routeOf, serviceOf} from './fixtures.ts';
 
-const knownRed = {todo: 'known to be red; see KNOWN-RED.txt'};
-
 const zones = {'north-1': 'upland', 'north-2': 'upland'};
 const nodes = 8;
 const deadlineMs = 4000;
@@ -172,101 +176,85 @@
 ] as const;
 
 for (const {name, answer, limit, route} of cases) {
-	test(
-		`${name}: a server gets from all nodes together what it has named`,
-		knownRed,
-		async (t: TestContext) => {
-			const scene = await setUp(t, 4, answer, route);
-			const [limited] = scene.servers;
-			await play(scene, 80, 500);
-			limited!.name(limit);
-			const namedAt = performance.now();
-			const answers = await play(scene, 80, takingInMs + 2 * spanMs);
-			const most = mostIn(limited!.arrivals, namedAt + takingInMs);
-			t.assert.ok(
-				most <= allowedIn(limit),
-				`${most} in ${spanMs} ms, allowed ${allowedIn(limit)}`,
-			);
-			t.assert.deepStrictEqual(
-				answers.filter(({status}) => status !== 200),
-				[],
-			);
-		},
-	);
-}
-
-test(
-	'a limit that falls is kept, and the server is used again when it ends',
-	knownRed,
-	async (t: TestContext) => {
-		const scene = await setUp(t, 3, whole);
+	test(`${name}: a server gets from all nodes together what it has named`, async (t: TestContext) => {
+		const scene = await setUp(t, 4, answer, route);
 		const [limited] = scene.servers;
 		await play(scene, 80, 500);
-		limited!.name(20);
-		await play(scene, 80, takingInMs + spanMs);
-		limited!.name(3);
-		const fellAt = performance.now();
-		await play(scene, 80, takingInMs + spanMs);
-		const most = mostIn(limited!.arrivals, fellAt + takingInMs);
-		t.assert.ok(most <= allowedIn(3), `${most} in ${spanMs} ms`);
-		limited!.name(undefined);
-		await play(scene, 80, 2000);
-		const endedAt = performance.now();
-		await play(scene, 80, 2000);
-		const again = limited!.arrivals.filter(({at}) => at >= endedAt).length;
-		// A third of the requests is its part of them; half of that shows that all nodes use it.
-		t.assert.ok(again >= (160 / 3) * 0.5, `${again} of 160`);
-	},
-);
-
-test(
-	'a limited server is used up, by the urgent first; the rest is refused at once',
-	knownRed,
-	async (t: TestContext) => {
-		const limit = 12;
-		const scene = await setUp(t, 1, whole);
-		const [limited] = scene.servers;
-		await play(scene, 20, 500);
 		limited!.name(limit);
-		await play(scene, 40, takingInMs);
-		const startedAt = performance.now();
-		const answers = await play(scene, 40, 2 * spanMs, (index) =>
-			index % 16 < 8 ? '/a/draft' : '/urgent/draft',
-		);
-		const taken = limited!.arrivals.filter(
-			({at, method}) => at >= startedAt && method === 'POST',
-		);
-		const most = mostIn(limited!.arrivals, startedAt);
-		t.assert.ok(most <= allowedIn(limit), `${most} in ${spanMs} ms`);
-		const full = (limit * 2 * spanMs) / 1000;
-		t.assert.ok(taken.length >= full * 0.7, `${taken.length} of ${full}`);
-		const urgent = taken.filter(({body}) => body.startsWith('/urgent/')).length;
+		const namedAt = performance.now();
+		const answers = await play(scene, 80, takingInMs + 2 * spanMs);
+		const most = mostIn(limited!.arrivals, namedAt + takingInMs);
 		t.assert.ok(
-			urgent > taken.length * 0.6,
-			`${urgent} urgent of ${taken.length}`,
+			most <= allowedIn(limit),
+			`${most} in ${spanMs} ms, allowed ${allowedIn(limit)}`,
 		);
 		t.assert.deepStrictEqual(
-			answers.filter(({status}) => status !== 200 && status !== 503),
+			answers.filter(({status}) => status !== 200),
 			[],
 		);
-	},
-);
+	});
+}
 
-test(
-	'a node that has just started keeps to a limit that it is told by the others',
-	knownRed,
-	async (t: TestContext) => {
-		const limit = 4;
-		const scene = await setUp(t, 4, whole);
-		const [limited] = scene.servers;
-		limited!.name(limit);
-		await play(scene, 80, 2000);
-		await scene.deployment.restart(3);
-		await until(() => scene.deployment.nodes[3]!.isReady());
-		await sleep(takingInMs);
-		const from = performance.now();
-		await play(scene, 80, spanMs + 500);
-		const most = mostIn(limited!.arrivals, from);
-		t.assert.ok(most <= allowedIn(limit), `${most} in ${spanMs} ms`);
-	},
-);
+test('a limit that falls is kept, and the server is used again when it ends', async (t: TestContext) => {
+	const scene = await setUp(t, 3, whole);
+	const [limited] = scene.servers;
+	await play(scene, 80, 500);
+	limited!.name(20);
+	await play(scene, 80, takingInMs + spanMs);
+	limited!.name(3);
+	const fellAt = performance.now();
+	await play(scene, 80, takingInMs + spanMs);
+	const most = mostIn(limited!.arrivals, fellAt + takingInMs);
+	t.assert.ok(most <= allowedIn(3), `${most} in ${spanMs} ms`);
+	limited!.name(undefined);
+	await play(scene, 80, 2000);
+	const endedAt = performance.now();
+	await play(scene, 80, 2000);
+	const again = limited!.arrivals.filter(({at}) => at >= endedAt).length;
+	// A third of the requests is its part of them; half of that shows that all nodes use it.
+	t.assert.ok(again >= (160 / 3) * 0.5, `${again} of 160`);
+});
+
+test('a limited server is used up, by the urgent first; the rest is refused at once', async (t: TestContext) => {
+	const limit = 12;
+	const scene = await setUp(t, 1, whole);
+	const [limited] = scene.servers;
+	await play(scene, 20, 500);
+	limited!.name(limit);
+	await play(scene, 40, takingInMs);
+	const startedAt = performance.now();
+	const answers = await play(scene, 40, 2 * spanMs, (index) =>
+		index % 16 < 8 ? '/a/draft' : '/urgent/draft',
+	);
+	const taken = limited!.arrivals.filter(
+		({at, method}) => at >= startedAt && method === 'POST',
+	);
+	const most = mostIn(limited!.arrivals, startedAt);
+	t.assert.ok(most <= allowedIn(limit), `${most} in ${spanMs} ms`);
+	const full = (limit * 2 * spanMs) / 1000;
+	t.assert.ok(taken.length >= full * 0.7, `${taken.length} of ${full}`);
+	const urgent = taken.filter(({body}) => body.startsWith('/urgent/')).length;
+	t.assert.ok(
+		urgent > taken.length * 0.6,
+		`${urgent} urgent of ${taken.length}`,
+	);
+	t.assert.deepStrictEqual(
+		answers.filter(({status}) => status !== 200 && status !== 503),
+		[],
+	);
+});
+
+test('a node that has just started keeps to a limit that it is told by the others', async (t: TestContext) => {
+	const limit = 4;
+	const scene = await setUp(t, 4, whole);
+	const [limited] = scene.servers;
+	limited!.name(limit);
+	await play(scene, 80, 2000);
+	await scene.deployment.restart(3);
+	await until(() => scene.deployment.nodes[3]!.isReady());
+	await sleep(takingInMs);
+	const from = performance.now();
+	await play(scene, 80, spanMs + 500);
+	const most = mostIn(limited!.arrivals, from);
+	t.assert.ok(most <= allowedIn(limit), `${most} in ${spanMs} ms`);
+});
--- a/tests/gateway/sharing/prompt-sharing.test.ts
+++ b/tests/gateway/sharing/prompt-sharing.test.ts
@@ -74,6 +74,7 @@
 		memberOf('node-4', 'zone-b'),
 	];
 	const sharing = createPromptSharing({
+		backendLimits: {readingPauseMs: () => 0},
 		caches: {
 			async events({id}) {
 				asked.push(id);
--- a/tests/prompts/cache-reader.test.ts
+++ b/tests/prompts/cache-reader.test.ts
@@ -30,6 +30,7 @@
 		publish(changes) {
 			published.push(...changes);
 		},
+		pauseMs: () => 0,
 		smallestTokens: 512,
 		logger: createLogger('test'),
 	});
