--- a/benchmarks/run.ts
+++ b/benchmarks/run.ts
@@ -3,6 +3,7 @@
 import {appendFileSync, mkdirSync, rmSync} from 'node:fs';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {measureBackendLimits} from './backend-limits.ts';
 import {measureControl} from './control.ts';
 import {measureDecisions} from './decisions.ts';
 import {measureLimits} from './limits.ts';
@@ -33,6 +34,7 @@
 	processor: measureProcessor,
 	limits: measureLimits,
 	quarantine: measureQuarantine,
+	'backend-limits': measureBackendLimits,
 };
 
 const chosen = positionals.length > 0 ? positionals : Object.keys(benchmarks);
