Show that an engine's limit is not kept in the product's own path: one test that fails

Nine nodes as processes, three engines of one zone: 1.5 s after one of them named 4 requests a second, it got 95 in 4 s, reads of its load included; 29 are allowed.

--- a/stand-ins/backend-server.ts
+++ b/stand-ins/backend-server.ts
@@ -60,6 +60,10 @@
 	Milliseconds of one step.
 	*/
 	stepMs: number;
+	/**
+	Requests a second that it names in its answers as what it takes; 0 for none.
+	*/
+	limit: number;
 };
 
 const {values: options} = parseArgs({
@@ -87,6 +91,7 @@
 	delayMs: 0,
 	loseEventEvery: 0,
 	stepMs: Number(options['step-ms']),
+	limit: 0,
 };
 const slots = Number(options.slots);
 const prefillMs = Number(options['prefill-ms']);
@@ -99,6 +104,8 @@
 const maximumCached = 200;
 let running = 0;
 let lastBegunAt = 0;
+// All that came from nodes, with the time of day.
+const arrivals: number[] = [];
 let queued = 0;
 let report = {running: 0, queued: 0};
 
@@ -378,6 +385,14 @@
 
 const handle = async (request: IncomingMessage, response: ServerResponse) => {
 	const url = new URL(request.url ?? '/', 'http://server');
+	if (!url.pathname.startsWith('/control/')) {
+		arrivals.push(Date.now());
+	}
+
+	if (faults.limit > 0) {
+		response.setHeader('x-requests-per-second', String(faults.limit));
+	}
+
 	switch (url.pathname) {
 		case '/load': {
 			sendJson(response, 200, {
@@ -417,6 +432,7 @@
 				running,
 				queued,
 				lastBegunAt,
+				arrivals,
 			});
 			return;
 		}
