Keep the limits of engines in the product's own path as well

Callers of an engine that had named 4 requests a second were sent to it as before: 95 in 4 s, reads of its load included, 29 allowed (nine nodes as processes).

The same limits are used here, told among the nodes of a zone, which are the only ones that send to its engines. Each attempt counts, second tries and resumptions too; an engine without room is no candidate; a zone counts a limited engine as full for others; the two nodes that read its load space their reads by a tenth of its limit. Where all engines are limited and a node is not among those that send, its caller is refused at once; others wait in the line by priority, and the line is looked at at each tick, for room comes back with time.

--- a/benchmarks/model/fleet-model.ts
+++ b/benchmarks/model/fleet-model.ts
@@ -221,6 +221,7 @@
 			status: 'alive',
 		});
 		const chooser = createTargetChooser({
+			limits: {hasRoom: () => true, rateOf: () => undefined},
 			availabilityZone: zones[zone]!,
 			fleet,
 			random: createRandom(seed * 100 + zone * 10 + index),
--- a/src/engines/engine-client.ts
+++ b/src/engines/engine-client.ts
@@ -97,6 +97,12 @@
 */
 export const notRunHeader = 'x-not-run';
 
+/**
+Header by which a backend server in need names the requests a second, a decimal number, that it takes from all nodes
+together.
+*/
+export const limitHeader = 'x-requests-per-second';
+
 /**
 Header that carries the attempt id to the server and back.
 */
@@ -224,7 +230,7 @@
 ): Promise<Result<UpstreamAnswer, AttemptFailure>> => {
 	if (answer.headers[notRunHeader] !== undefined) {
 		await answer.body.dump();
-		return Result.err(refusal(answer.statusCode));
+		return Result.err(refusal(answer));
 	}
 
 	if (answer.headers[attemptHeader] !== attemptId) {
@@ -239,15 +245,26 @@
 	});
 };
 
-const refusal = (status: number): AttemptFailure => ({
+const refusal = ({
+	statusCode,
+	headers,
+}: Dispatcher.ResponseData): AttemptFailure => ({
 	outcome: 'not-run',
 	isStated: true,
+	statedLimit: firstOf(headers[limitHeader]),
 	error: createGatewayError(
 		'overloaded',
-		`The backend server refused the request (status ${status})`,
+		`The backend server refused the request (status ${statusCode})`,
 	),
 });
 
+/**
+The first value of a header.
+*/
+export const firstOf = (
+	value: string | string[] | undefined,
+): string | undefined => (Array.isArray(value) ? value[0] : value);
+
 const foreignAnswer = (): AttemptFailure => ({
 	outcome: 'unknown',
 	isStated: true,
--- a/src/fleet/fleet-event.ts
+++ b/src/fleet/fleet-event.ts
@@ -58,4 +58,8 @@
 			readonly backendServer: string;
 			readonly end: AttemptEnd;
 	  }
+	/**
+	The backend servers that have named limits.
+	*/
+	| {readonly kind: 'limited'; readonly backendServers: ReadonlySet<string>}
 	| {readonly kind: 'woken'};
--- a/src/fleet/fleet-row.ts
+++ b/src/fleet/fleet-row.ts
@@ -22,6 +22,10 @@
 	ejectedUntil: number;
 	availableSince: number;
 	incarnation: string | undefined;
+	/**
+	Whether it has named a limit.
+	*/
+	isLimited: boolean;
 	readonly leavingIncarnations: Set<string>;
 };
 
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -80,6 +80,7 @@
 		ejectedUntil: 0,
 		availableSince,
 		incarnation: undefined,
+		isLimited: false,
 		leavingIncarnations: new Set(),
 	});
 
@@ -199,7 +200,9 @@
 				continue;
 			}
 
-			load += estimateLoad(row, parameters, now);
+			const held = estimateLoad(row, parameters, now);
+			// What a limited server takes is used up here: other zones are not to send it more.
+			load += row.isLimited ? Math.max(held, row.server.slots) : held;
 			slots += row.server.slots;
 			weightedFirstToken += row.firstTokenMs * row.server.slots;
 			weightedCost += row.server.costPerThousandTokens * row.server.slots;
@@ -309,6 +312,15 @@
 				return;
 			}
 
+			case 'limited': {
+				generation += 1;
+				for (const [id, row] of rows) {
+					row.isLimited = event.backendServers.has(id);
+				}
+
+				return;
+			}
+
 			case 'woken': {
 				wake();
 				return;
--- a/src/node/create-node.ts
+++ b/src/node/create-node.ts
@@ -7,6 +7,7 @@
 import type {GatewayNode} from './gateway-node.ts';
 import {createNodeControllers} from './node-controllers.ts';
 import {createNodeCore} from './node-core.ts';
+import {createNodeLimits} from './node-limits.ts';
 import {createNodeQuarantine} from './node-quarantine.ts';
 import {createRequestPath} from './request-path.ts';
 
@@ -51,9 +52,13 @@
 	const quarantine = createNodeQuarantine(core, (to, datagram) => {
 		controllers.membership.send(to, datagram);
 	});
-	const path = createRequestPath(core, {readiness, caughtUp}, {quarantine});
+	const backendLimits = createNodeLimits(core, (to, datagram) => {
+		controllers.membership.send(to, datagram);
+	});
+	const shared = {quarantine, backendLimits};
+	const path = createRequestPath(core, {readiness, caughtUp}, shared);
 	const {chain, executor, inFlight, permits, report} = path;
-	const controllers = createNodeControllers(core, path, quarantine);
+	const controllers = createNodeControllers(core, path, shared);
 
 	return {
 		...context,
--- a/src/node/fleet-controller.ts
+++ b/src/node/fleet-controller.ts
@@ -37,6 +37,10 @@
 	readonly engines: EngineClient;
 	readonly limits: ClientLimits;
 	/**
+	Milliseconds between two reads of a server's load by one node, where the server bounds what it is asked.
+	*/
+	readonly readingPauseMs: (server: BackendServer) => number;
+	/**
 	Called when load may have fallen.
 	*/
 	readonly onCapacity: () => void;
@@ -78,6 +82,7 @@
 	const {fleet, membership, digests, clock, settings} = context;
 	let local: readonly BackendServer[] = [];
 	const polling = new Set<string>();
+	const readAt = new Map<string, number>();
 	// Reports read since the last statement.
 	const unstated = new Map<
 		string,
@@ -146,9 +151,16 @@
 		const watched = local.filter((server) => isWatched(server));
 		nextLoadAt = now + Math.max(loadInterval, watched.length * readSpacing);
 		for (const server of watched) {
-			if (!polling.has(server.id)) {
-				void readLoad(server);
+			const pauseMs = options.readingPauseMs(server) * nodesPerDuty;
+			if (
+				polling.has(server.id) ||
+				now - (readAt.get(server.id) ?? -Infinity) < pauseMs
+			) {
+				continue;
 			}
+
+			readAt.set(server.id, now);
+			void readLoad(server);
 		}
 	};
 
--- a/src/node/node-controllers.ts
+++ b/src/node/node-controllers.ts
@@ -3,7 +3,6 @@
 	type ControllerHost,
 } from '../controllers/index.ts';
 import {createPeerMessageCodec} from '../peers/peer-message-codec.ts';
-import type {Quarantine} from '../quarantine/index.ts';
 import type {ParsedConfiguration} from '../configuration/index.ts';
 import {createConfigurationController} from './configuration-controller.ts';
 import {createFleetController} from './fleet-controller.ts';
@@ -16,7 +15,7 @@
 	createRecoveryController,
 	type RecoveryController,
 } from './recovery-controller.ts';
-import type {RequestPath} from './request-path.ts';
+import type {RequestPath, SharedParts} from './request-path.ts';
 import {createVmListController} from './vm-list-controller.ts';
 
 /**
@@ -33,8 +32,11 @@
 */
 export const createNodeControllers = (
 	core: NodeCore,
-	path: Pick<RequestPath, 'limits' | 'capacity' | 'inFlight' | 'metrics'>,
-	quarantine: Quarantine,
+	path: Pick<
+		RequestPath,
+		'limits' | 'capacity' | 'inFlight' | 'metrics' | 'backendLimits'
+	>,
+	{quarantine, backendLimits}: SharedParts,
 ): NodeControllers => {
 	const {context} = core;
 	const {clock, configuration, digests, fleet} = context;
@@ -45,6 +47,7 @@
 		context,
 		engines: core.engines,
 		limits: path.limits,
+		readingPauseMs: path.backendLimits.readingPauseMs,
 		onCapacity: capacity.notify,
 	});
 	const membership = createMembershipController(
@@ -63,12 +66,25 @@
 			},
 			onOther(datagram) {
 				const message = messages.decode(datagram);
-				if (
-					message?.kind === 'crashes' ||
-					message?.kind === 'quarantine' ||
-					message?.kind === 'served'
-				) {
-					quarantine.hear(message, clock());
+				switch (message?.kind) {
+					case 'crashes':
+					case 'quarantine':
+					case 'served': {
+						quarantine.hear(message, clock());
+						break;
+					}
+
+					case 'backend-limits': {
+						backendLimits.hear(message, clock());
+						break;
+					}
+
+					// What gateways tell each other, or nothing that can be read.
+					case 'reading':
+					case 'node':
+					case 'zone':
+					case 'totals':
+					case undefined:
 				}
 			},
 		},
@@ -111,13 +127,37 @@
 			}
 		},
 	});
+	// Whether any server had a limit when the fleet was told last.
+	let wereLimits = false;
+	const keepLimits = (now: number) => {
+		backendLimits.tick(now);
+		const areThere = backendLimits.areThere();
+		if (areThere || wereLimits) {
+			fleet.handle({kind: 'limited', backendServers: limitedNow()}, now);
+			// A limited server has room again as time passes, whatever ends there.
+			capacity.notify();
+		}
+
+		wereLimits = areThere;
+	};
+
+	const limitedNow = (): ReadonlySet<string> =>
+		new Set(
+			fleet
+				.states(clock())
+				.filter((server) => path.backendLimits.rateOf(server) !== undefined)
+				.map(({id}) => id),
+		);
+
 	const waiting = {
 		name: 'waiting',
 		tick(now: number) {
 			quarantine.tick(now);
+			keepLimits(now);
 			capacity.expire(now);
 			metrics.gauge('in_flight', inFlight.count());
 			metrics.gauge('requests_quarantined', quarantine.quarantined(now));
+			metrics.gauge('servers_limited', backendLimits.limitedServers());
 		},
 	};
 	for (const controller of [
--- /dev/null
+++ b/src/node/node-limits.ts
@@ -0,0 +1,53 @@
+import type {Buffer} from 'node:buffer';
+import {
+	createBackendLimits,
+	createSenderNodes,
+	type BackendLimits,
+} from '../backend-limits/index.ts';
+import {createPeerMessageCodec} from '../peers/peer-message-codec.ts';
+import type {Address} from '../shared/index.ts';
+import type {NodeCore} from './node-core.ts';
+
+/**
+How long a node leaves limited engines to others after its start, in milliseconds: some heartbeats, by which it has heard of
+the others.
+*/
+export const limitSettlingMs = 2500;
+
+/**
+Builds the limits of a node, which tells the other nodes of its zone by what sends a datagram: the engines of a zone are
+sent requests by its nodes only.
+*/
+export const createNodeLimits = (
+	{context, sealer}: NodeCore,
+	send: (to: Address, datagram: Buffer) => void,
+): BackendLimits => {
+	const {clock, logger, membership, settings} = context;
+	const codec = createPeerMessageCodec(sealer);
+	const startedAt = clock();
+	const {peers, heardPart} = createSenderNodes({
+		others: membership.members,
+		isNear: ({availabilityZone}) =>
+			availabilityZone === settings.availabilityZone,
+		lastHeard: membership.lastHeard,
+		clock,
+	});
+
+	return createBackendLimits({
+		self: settings.nodeId,
+		peers,
+		heardPart,
+		mayShare: () =>
+			clock() - startedAt > limitSettlingMs &&
+			membership.self().status !== 'leaving',
+		tell(members, message) {
+			for (const datagram of codec.encode(message)) {
+				for (const {peerAddress} of members) {
+					send(peerAddress, datagram);
+				}
+			}
+		},
+		without: new Set(),
+		logger,
+	});
+};
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -1,4 +1,5 @@
 import {randomBytes} from 'node:crypto';
+import type {BackendLimits} from '../backend-limits/index.ts';
 import type {GatewayError} from '../errors/index.ts';
 import {createClientLimits, type ClientLimits} from '../limits/index.ts';
 import {
@@ -14,6 +15,7 @@
 	createPermits,
 	createRequestChain,
 	createRequestExecutor,
+	createRequestLimits,
 	createRequestQuarantine,
 	createStreamRelay,
 	createTargetChooser,
@@ -24,6 +26,7 @@
 	type Permits,
 	type RequestChain,
 	type RequestExecutor,
+	type RequestLimits,
 	type TargetChooser,
 } from '../requests/index.ts';
 import type {Quarantine} from '../quarantine/index.ts';
@@ -44,6 +47,7 @@
 	readonly inFlight: InFlight;
 	readonly permits: Permits<KeptAnswer>;
 	readonly metrics: Metrics;
+	readonly backendLimits: RequestLimits;
 	report(): NodeReport;
 };
 
@@ -64,7 +68,10 @@
 /**
 What the path of requests shares with the rest of the node.
 */
-export type SharedParts = {readonly quarantine: Quarantine};
+export type SharedParts = {
+	readonly quarantine: Quarantine;
+	readonly backendLimits: BackendLimits;
+};
 
 const epochBytes = 8;
 const secretBytes = 32;
@@ -75,7 +82,7 @@
 export const createRequestPath = (
 	core: NodeCore,
 	gate: RequestGate,
-	{quarantine}: SharedParts,
+	{quarantine, backendLimits}: SharedParts,
 ): RequestPath => {
 	const {context} = core;
 	const {settings, clock, configuration} = context;
@@ -93,9 +100,11 @@
 		epoch,
 		secret: randomBytes(secretBytes).toString('hex'),
 	});
-	const chooser = createChooser(core);
+	const backendLimitsView = createRequestLimits(backendLimits, context.fleet);
+	const chooser = createChooser(core, backendLimitsView);
 	const executor = createExecutor(core, {
 		chooser,
+		backendLimits: backendLimitsView,
 		capacity,
 		epoch,
 		caughtUp: gate.caughtUp,
@@ -124,6 +133,7 @@
 		inFlight,
 		permits,
 		metrics,
+		backendLimits: backendLimitsView,
 		report: () =>
 			recorder.report(
 				configuration.current()?.configuration.objectives ?? [],
@@ -132,10 +142,14 @@
 	};
 };
 
-const createChooser = ({context, random}: NodeCore): TargetChooser =>
+const createChooser = (
+	{context, random}: NodeCore,
+	limits: RequestLimits,
+): TargetChooser =>
 	createTargetChooser({
 		availabilityZone: context.settings.availabilityZone,
 		fleet: context.fleet,
+		limits,
 		random,
 		configuration: () => context.configuration.current()?.configuration,
 		membersIn: (zone) =>
@@ -148,7 +162,8 @@
 
 type ExecutorParts = Pick<RequestPath, 'chooser' | 'capacity'> &
 	Pick<RequestGate, 'caughtUp'> &
-	SharedParts & {
+	Pick<SharedParts, 'quarantine'> & {
+		readonly backendLimits: RequestLimits;
 		/**
 		Tells the attempts of this life of the node from those of earlier ones.
 		*/
@@ -157,7 +172,14 @@
 
 const createExecutor = (
 	{context, engines}: NodeCore,
-	{chooser, capacity, epoch, caughtUp, quarantine}: ExecutorParts,
+	{
+		chooser,
+		capacity,
+		epoch,
+		caughtUp,
+		quarantine,
+		backendLimits,
+	}: ExecutorParts,
 ): RequestExecutor => {
 	const {settings, clock, fleet, peers, logger} = context;
 	const budget = createRetryBudget();
@@ -171,6 +193,7 @@
 		budget,
 		capacity,
 		quarantine: createRequestQuarantine(quarantine, fleet, clock),
+		limits: backendLimits,
 		issueAttemptId() {
 			issued += 1;
 			return `${settings.nodeId}.${epoch}.${issued.toString(36)}`;
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -23,6 +23,7 @@
 import type {CapacityWait} from './capacity-wait.ts';
 import type {TargetChooser} from './target-choice.ts';
 import type {GatewayRequest} from './gateway-request.ts';
+import type {RequestLimits} from './request-limits.ts';
 import {inQuarantine, type RequestQuarantine} from './request-quarantine.ts';
 
 /**
@@ -37,6 +38,7 @@
 	readonly budget: RetryBudget;
 	readonly capacity: CapacityWait;
 	readonly quarantine: RequestQuarantine;
+	readonly limits: Pick<RequestLimits, 'answered' | 'sent'>;
 	readonly issueAttemptId: () => string;
 
 	/**
@@ -180,9 +182,10 @@
 				}
 
 				case 'busy': {
-					// A receiver does not queue: the origin may know of a better place.
-
-					const wait = progress.isForwarded
+					// A receiver does not queue: the origin may know of a better place. Nor is there anything to wait for
+					// where all servers are limited and this node is not among those that send to them.
+					const isHopeless = progress.isForwarded || choice.perSecond === 0;
+					const wait = isHopeless
 						? 'full'
 						: await options.capacity.wait(request);
 					if (wait !== 'ready') {
@@ -221,7 +224,7 @@
 			fleet.handle({kind: 'attempt-started', backendServer: id}, startedAt);
 		}
 
-		const sent = await send(plan, abort.signal);
+		const sent = await sendCounted(plan, abort.signal, startedAt);
 		clearTimeout(timer);
 		if (sent.isErr) {
 			finish(endOf(sent.error, request.signal.aborted));
@@ -280,6 +283,23 @@
 		};
 	};
 
+	// Each second try and resumption comes through here as well, so all count against a limit.
+	const sendCounted = async (
+		plan: AttemptPlan,
+		signal: AbortSignal,
+		startedAt: number,
+	): Promise<Result<UpstreamAnswer, AttemptFailure>> => {
+		const {target} = plan;
+		if (target.kind === 'peer') {
+			return send(plan, signal);
+		}
+
+		options.limits.sent(target.server, startedAt);
+		const sent = await send(plan, signal);
+		options.limits.answered(target.server, sent, startedAt, clock());
+		return sent;
+	};
+
 	const send = async (
 		plan: AttemptPlan,
 		signal: AbortSignal,
--- a/src/requests/choose-target.ts
+++ b/src/requests/choose-target.ts
@@ -1,5 +1,5 @@
 import {Result} from 'true-myth';
-import type {Configuration} from '../configuration/index.ts';
+import type {BackendServer, Configuration} from '../configuration/index.ts';
 import {createGatewayError, type GatewayError} from '../errors/index.ts';
 import type {Member} from '../membership/index.ts';
 import {
@@ -33,7 +33,7 @@
 Builds a chooser.
 */
 export const createTargetChooser = (options: ChooserOptions): TargetChooser => {
-	const {fleet, random} = options;
+	const {fleet, limits, random} = options;
 	const judgeZone = createZoneJudge(options);
 	let eligibility:
 		| {readonly configuration: Configuration; readonly look: Eligibility}
@@ -82,7 +82,10 @@
 		const capacity = fleet.capacity(servers, now);
 		const pool: CandidatePool = {
 			servers,
-			judge: ({id}) => fleet.candidate(id, now),
+			judge: (candidate) =>
+				limits.hasRoom(candidate, now)
+					? fleet.candidate(candidate.id, now)
+					: undefined,
 			meanUtilization: utilization(capacity),
 			typicalFirstTokenMs: capacity.typicalFirstTokenMs,
 		};
@@ -97,13 +100,26 @@
 		}
 
 		return capacity.slots > 0
-			? {kind: 'busy'}
+			? {kind: 'busy', ...ratesOf(servers, now)}
 			: {
 					kind: 'none',
 					error: noneLeft('every backend server there is leaving or failing'),
 				};
 	};
 
+	// Where one without a limit is merely full, its room comes back with the next end.
+	const ratesOf = (
+		servers: readonly BackendServer[],
+		now: number,
+	): {readonly perSecond?: number} => {
+		const rates = servers
+			.filter(({id}) => fleet.candidate(id, now) !== undefined)
+			.map((server) => limits.rateOf(server));
+		return rates.length === 0 || rates.includes(undefined)
+			? {}
+			: {perSecond: rates.reduce((sum: number, rate) => sum + (rate ?? 0), 0)};
+	};
+
 	const pickZone = (
 		request: GatewayRequest,
 		zones: readonly ZoneCandidate[],
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -15,5 +15,6 @@
 export * from './relay-stream.ts';
 export * from './request-chain.ts';
 export * from './request-executor.ts';
+export * from './request-limits.ts';
 export * from './request-quarantine.ts';
 export * from './serve-forwarded.ts';
--- a/src/requests/target-choice.ts
+++ b/src/requests/target-choice.ts
@@ -6,6 +6,7 @@
 import type {ClearedRegion, ZoneCandidate} from '../routing/index.ts';
 import type {Random} from '../shared/index.ts';
 import type {GatewayRequest} from './gateway-request.ts';
+import type {RequestLimits} from './request-limits.ts';
 
 /**
 A summary of another zone as it was heard, with its age.
@@ -31,7 +32,13 @@
 	/**
 	There are servers, but every slot is taken.
 	*/
-	| {readonly kind: 'busy'}
+	| {
+			readonly kind: 'busy';
+			/**
+			Given where all of them have named limits: requests a second that this node may send them.
+			*/
+			readonly perSecond?: number;
+	  }
 	| {readonly kind: 'none'; readonly error: GatewayError};
 
 /**
@@ -40,6 +47,10 @@
 export type ChooserOptions = {
 	readonly availabilityZone: string;
 	readonly fleet: Fleet;
+	/**
+	The limits that backend servers name.
+	*/
+	readonly limits: Pick<RequestLimits, 'hasRoom' | 'rateOf'>;
 	readonly random: Random;
 	readonly configuration: () => Configuration | undefined;
 	/**
--- a/src/retries/decide-retry.ts
+++ b/src/retries/decide-retry.ts
@@ -18,6 +18,10 @@
 	Whether the other side said so itself; false where the connection failed.
 	*/
 	readonly isStated: boolean;
+	/**
+	What the backend server named as its limit when it refused.
+	*/
+	readonly statedLimit?: string | undefined;
 };
 
 /**
--- a/tests/requests/choose-target.test.ts
+++ b/tests/requests/choose-target.test.ts
@@ -41,6 +41,7 @@
 	const chooser = createTargetChooser({
 		availabilityZone: 'abj-wuse',
 		fleet,
+		limits: {hasRoom: () => true, rateOf: () => undefined},
 		random: fixedRandom(),
 		configuration: () => current,
 		membersIn: (zone) =>
--- a/tests/requests/request-chain.test.ts
+++ b/tests/requests/request-chain.test.ts
@@ -135,6 +135,7 @@
 	const attempts = createAttempts({
 		clock,
 		quarantine: createRequestQuarantine(quarantine, fleet, clock),
+		limits: {answered: () => undefined, sent: () => undefined},
 		fleet,
 		engines,
 		peers,
@@ -143,6 +144,7 @@
 		chooser: createTargetChooser({
 			availabilityZone: 'abj-wuse',
 			fleet,
+			limits: {hasRoom: () => true, rateOf: () => undefined},
 			random,
 			configuration: () => current?.configuration,
 			membersIn: () => [],
