Let few nodes send to a cold server that bears few requests, in place of none

A cold server that bears few requests a second got none at all while it was cold: four nodes shared its bound, and a part below one request was rounded down to nothing (0.5 a second, 1.5 times that and 1 on top: none of 1.75; a property test that was red). As many nodes send now as the bound has whole requests, four at the most.

The order of nodes for a server was sorted anew for each cold server at each choice, work by nodes times servers after a release. It is worked out once for a server and kept until the nodes change (NodeOrder, shared with the limits that servers name).

--- a/src/backend-limits/backend-limits.ts
+++ b/src/backend-limits/backend-limits.ts
@@ -5,11 +5,11 @@
 	BackendLimitMessage,
 	ToldLimit,
 } from '../peers/backend-limit-messages.ts';
+import {createDerived, createNodeOrder} from '../shared/index.ts';
 import {createLimitEntries, type LimitEntry} from './limit-entries.ts';
 import {createLimitLog, type LimitChange} from './limit-log.ts';
 import {limitShare, readingPart, type LimitShare} from './limit-share.ts';
 import {lowestStatement, type LimitStatement} from './limit-statement.ts';
-import {createSenderOrder} from './sender-order.ts';
 
 /**
 The limits that backend servers name in their answers, each for all nodes together.
@@ -124,7 +124,10 @@
 }: BackendLimitsOptions): BackendLimits => {
 	const entries = createLimitEntries();
 	const log = createLimitLog(logger);
-	const order = createSenderOrder(self, peers);
+	const order = createNodeOrder(
+		self,
+		createDerived(peers, (members) => members.map(({id}) => id)),
+	);
 	const isOff = without.has('backend-limits');
 	const unsaid = new Set<string>();
 	let remindAt = 0;
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -143,9 +143,8 @@
 
 	const share = coldShare(
 		bound,
-		state.known.server.id,
-		options.self,
-		options.nodesEverHeard(),
+		options.senderRank(state.known.server.id),
+		options.nodesEverHeard().length,
 	);
 	return (
 		options.mayUseCold(now) && isWithinColdShare(state.coldSentAt, share, now)
--- a/src/backends/cold-limit.ts
+++ b/src/backends/cold-limit.ts
@@ -1,5 +1,3 @@
-import {rendezvousOrder} from '../shared/index.ts';
-
 /**
 Bounds what all nodes together send to a cold backend server in any second.
 */
@@ -33,25 +31,23 @@
 /**
 The requests that one node may send to a cold server within a second.
 
-The nodes that may send are drawn by hashing over all nodes of the region that were ever heard of,
-dead ones included: a node that cannot be heard may still be sending.
+The first nodes send in an order that all derive from the server's name, over all nodes of the region that were ever heard
+of, dead ones included: a node that cannot be heard may still be sending. A server that bears less than one request of each
+of them has fewer senders; parts below one would leave it without any.
+
+@param bound What all nodes together may send.
+@param rank Nodes that go before this one.
+@param nodes How many nodes there are, this one included.
 */
 export const coldShare = (
 	bound: ColdBound,
-	server: string,
-	self: string,
-	nodes: readonly string[],
+	rank: number,
+	nodes: number,
 ): number => {
-	const senders = rendezvousOrder(server, nodes, (node) => node).slice(
-		0,
-		maximumColdSenders,
-	);
-	if (!senders.includes(self)) {
-		return 0;
-	}
-
 	const whole = bound.requestsPerSecond * bound.overrun + bound.slack;
-	return Math.floor((whole * usedPart) / senders.length);
+	const used = Math.max(whole * usedPart, Math.min(1, Math.floor(whole)));
+	const senders = Math.min(nodes, maximumColdSenders, Math.floor(used));
+	return rank < senders ? Math.floor(used / senders) : 0;
 };
 
 /**
--- a/src/backends/server-choice-options.ts
+++ b/src/backends/server-choice-options.ts
@@ -8,13 +8,16 @@
 */
 export type ServerChoiceOptions = {
 	readonly without: Without;
-	readonly self: string;
 	readonly availabilityZone: string;
 	/**
 	Ids of all nodes of the region that were ever heard of, this one included.
 	*/
 	readonly nodesEverHeard: () => readonly string[];
 	/**
+	How many of them go before this one in the order for a server.
+	*/
+	readonly senderRank: (server: string) => number;
+	/**
 	How many nodes of the region serve now, this one included.
 	*/
 	readonly nodesServing: () => number;
--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -216,8 +216,8 @@
 		logger,
 	});
 	const fleet = createBackendFleet({
-		self: options.id,
 		nodesEverHeard: shares.nodesEverHeard,
+		senderRank: shares.senderRank,
 		nodesServing: shares.nodesServing,
 		service: (name) => mirror.routes()?.service(name),
 		coldOverrun: bounds.coldOverrun,
--- a/src/gateway/sharing/node-shares.ts
+++ b/src/gateway/sharing/node-shares.ts
@@ -1,6 +1,6 @@
 import type {Mesh} from '../../mesh/index.ts';
 import type {Service} from '../../routes/index.ts';
-import {createDerived} from '../../shared/index.ts';
+import {createDerived, createNodeOrder} from '../../shared/index.ts';
 
 /**
 This node's part of what all nodes share.
@@ -15,6 +15,10 @@
 	*/
 	nodesEverHeard(): readonly string[];
 	/**
+	How many of them go before this one in the order for a backend server.
+	*/
+	senderRank(server: string): number;
+	/**
 	How many nodes of the region are taken to serve now, this one included.
 	*/
 	nodesServing(): number;
@@ -87,9 +91,12 @@
 			.map(({id}) => id),
 	]);
 
+	const order = createNodeOrder(self, nodesEverHeard);
+
 	return {
 		hasSettled,
 		nodesEverHeard,
+		senderRank: order.rank,
 		nodesServing: () =>
 			Math.max(
 				1 + mesh.usableIn(ownRegion).length,
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -7,5 +7,6 @@
 export * from './drop-body.ts';
 export * from './close-server.ts';
 export * from './derived.ts';
+export * from './node-order.ts';
 export * from './elapsed-clock.ts';
 export * from './machine-clock.ts';
--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -16,9 +16,9 @@
 	change: Partial<BackendFleetOptions> & {readonly coldUntil?: number} = {},
 ) => {
 	const fleet = createBackendFleet({
-		self: 'node-1',
 		availabilityZone: 'zone-a',
 		nodesEverHeard: () => ['node-1'],
+		senderRank: () => 0,
 		nodesServing: () => 1,
 		service: () =>
 			serviceOf({
--- a/tests/backends/cold-limit.test.ts
+++ b/tests/backends/cold-limit.test.ts
@@ -5,7 +5,9 @@
 	coldShare,
 	isWithinColdShare,
 	maximumColdSenders,
+	type ColdBound,
 } from '../../src/backends/index.ts';
+import {createNodeOrder} from '../../src/shared/index.ts';
 
 const bound = {requestsPerSecond: 9.7, overrun: 1.5, slack: 3};
 const whole = bound.requestsPerSecond * bound.overrun + bound.slack;
@@ -13,12 +15,22 @@
 const nodesOf = (count: number) =>
 	Array.from({length: count}, (_, index) => `node-${index}`);
 
+const shareOf = (
+	given: ColdBound,
+	server: string,
+	self: string,
+	nodes: readonly string[],
+): number => {
+	const {rank} = createNodeOrder(self, () => nodes);
+	return coldShare(given, rank(server), nodes.length);
+};
+
 test('the shares of all nodes together stay within the bound, however many there are', () => {
 	fc.assert(
 		fc.property(fc.integer({min: 1, max: 60}), fc.uuid(), (count, server) => {
 			const nodes = nodesOf(count);
 			const sum = nodes.reduce(
-				(total, node) => total + coldShare(bound, server, node, nodes),
+				(total, node) => total + shareOf(bound, server, node, nodes),
 				0,
 			);
 			assert.ok(sum > 0);
@@ -33,9 +45,9 @@
 			const all = nodesOf(count + 1);
 			const others = all.slice(0, count);
 			const sum =
-				coldShare(bound, server, all[count]!, all) +
+				shareOf(bound, server, all[count]!, all) +
 				others.reduce(
-					(total, node) => total + coldShare(bound, server, node, others),
+					(total, node) => total + shareOf(bound, server, node, others),
 					0,
 				);
 			assert.ok(sum <= whole, `${sum} of ${whole}`);
@@ -43,10 +55,32 @@
 	);
 });
 
+test('a cold server that bears a few requests a second gets some of them, however many nodes there are', () => {
+	fc.assert(
+		fc.property(
+			fc.integer({min: 1, max: 380}),
+			fc.uuid(),
+			fc.double({min: 0.5, max: 6, noNaN: true}),
+			fc.integer({min: 0, max: 3}),
+			(count, server, requestsPerSecond, slack) => {
+				const small = {requestsPerSecond, overrun: 1.5, slack};
+				const bears = requestsPerSecond * 1.5 + slack;
+				const nodes = nodesOf(count);
+				const sum = nodes.reduce(
+					(total, node) => total + shareOf(small, server, node, nodes),
+					0,
+				);
+				assert.ok(sum <= bears, `${sum} of ${bears}`);
+				assert.ok(bears < 1 || sum > 0, `none of ${bears}`);
+			},
+		),
+	);
+});
+
 test('only a few nodes send to one cold server', () => {
 	const nodes = nodesOf(40);
 	const senders = nodes.filter(
-		(node) => coldShare(bound, 'server', node, nodes) > 0,
+		(node) => shareOf(bound, 'server', node, nodes) > 0,
 	);
 	assert.equal(senders.length, maximumColdSenders);
 });
--- a/tests/gateway/choosing/choose-upstream.test.ts
+++ b/tests/gateway/choosing/choose-upstream.test.ts
@@ -24,7 +24,6 @@
 }) => {
 	const fleet = createBackendFleet(
 		fleetOptionsOf({
-			self: 'self',
 			availabilityZone: 'home',
 			nodesEverHeard: () => ['self'],
 		}),
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -114,9 +114,9 @@
 export const fleetOptionsOf = (
 	change: Partial<BackendFleetOptions> = {},
 ): BackendFleetOptions => ({
-	self: 'node-1',
 	availabilityZone: 'zone-a',
 	nodesEverHeard: () => ['node-1'],
+	senderRank: () => 0,
 	nodesServing: () => 1,
 	service: () => serviceOf(),
 	coldOverrun: 1,
