Keep no more resting connections to a server than it takes, however many nodes there are

Six nodes kept 12 where 10 are taken, 95 nodes of a region 190 where 110 are; servers reset what is beyond, also connections that carry requests. The property test (1 to 380 nodes, 10 to 600 connections) was red by that.

Where two each are too many only the first nodes in the order for the server keep theirs; the others open one for a request and close it with its end, so that what is open beside them is bounded by what is under way. Weighed: one each, which is still too many for 380; nodes without a connection that send their requests to those that have some, which would bring a whole region's requests for a small service by way of a few.

--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -16,6 +16,10 @@
 	*/
 	readonly maximumConnections: number;
 	/**
+	Whether the connection is closed when the call ends; it rests for the next one otherwise.
+	*/
+	readonly isLastOnConnection?: boolean;
+	/**
 	How long a connection may take to come up, in milliseconds; used when its first call is made.
 	*/
 	readonly connectTimeoutMs: number;
@@ -199,6 +203,7 @@
 						path: call.target,
 						headers: call.headers as string[],
 						body: call.body ?? null,
+						reset: call.isLastOnConnection ?? false,
 					},
 					state.handler,
 				);
--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -11,6 +11,7 @@
 import type {BackendLimits} from '../../backend-limits/index.ts';
 import type {UpstreamChooser} from '../choosing/index.ts';
 import type {DeliveryRecord, Exchange, RequestClient} from '../exchange.ts';
+import type {ConnectionShare} from '../sharing/index.ts';
 import type {WireHeaders} from '../wire-headers.ts';
 import type {DeliveryRun} from './delivery-run.ts';
 import type {RoomOutlook} from './room-outlook.ts';
@@ -56,7 +57,7 @@
 	/**
 	Connections that this node may hold to one backend server of a service.
 	*/
-	readonly connectionsTo: (service: string) => number;
+	readonly connectionsTo: (service: string, server: string) => ConnectionShare;
 	readonly routesVersion: () => number;
 	/**
 	Whether the own region may serve a route.
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -161,7 +161,8 @@
 	run.excluded.add(id);
 	run.tried.push(id);
 	run.steps.push(`server ${id}`);
-	const {client} = run.exchange;
+	const {client, service} = run.exchange;
+	const connections = connectionsTo(service, id);
 	const urgency = Math.min(leastUrgent, run.exchange.route.priority);
 	startCall(
 		context,
@@ -177,7 +178,8 @@
 		{
 			key: `server ${id}`,
 			address: server.address,
-			maximumConnections: connectionsTo(run.exchange.service),
+			maximumConnections: connections.maximum,
+			isLastOnConnection: !connections.isKept,
 			connectTimeoutMs: nearConnectTimeoutMs,
 			headers: onwardHeaders(context, run, [
 				headers.expectedServer,
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -101,8 +101,8 @@
 		nodes: shares.retrySharers,
 		hasSettled: shares.hasSettled,
 		durations,
-		connectionsTo: (service) =>
-			shares.connectionsTo(mirror.routes()?.service(service)),
+		connectionsTo: (service, server) =>
+			shares.connectionsTo(mirror.routes()?.service(service), server),
 		routesVersion,
 		isServedHere: (route) => isRegionAllowed(route, ownRegion),
 		isClientKnown({name, keyDigest}) {
--- a/src/gateway/sharing/node-shares.ts
+++ b/src/gateway/sharing/node-shares.ts
@@ -29,7 +29,18 @@
 	/**
 	Connections that this node may hold to one backend server of a service.
 	*/
-	connectionsTo(service: Service | undefined): number;
+	connectionsTo(service: Service | undefined, server: string): ConnectionShare;
+};
+
+/**
+A node's part of the connections that a backend server takes.
+*/
+export type ConnectionShare = {
+	readonly maximum: number;
+	/**
+	Whether they rest between two requests; where they may not, each request opens one and closes it.
+	*/
+	readonly isKept: boolean;
 };
 
 /**
@@ -69,7 +80,8 @@
 // Connections to a backend server that states no bound.
 const unboundedConnections = 128;
 
-// Connections to a backend server that a node has at the least, however many nodes share them.
+// Connections to a backend server that a node has at the least, however many nodes share them: one that is busy holds up
+// what comes next.
 const fewestConnections = 2;
 
 /**
@@ -108,12 +120,21 @@
 			hasSettled()
 				? Math.max(1 + mesh.others().length, minimumSharers)
 				: Infinity,
-		connectionsTo(service) {
-			const maximum = service?.maximumConnections ?? 0;
-			const part = (maximum * connectionPart) / nodesEverHeard().length;
-			return maximum === 0
-				? unboundedConnections
-				: Math.max(fewestConnections, Math.floor(part));
+		connectionsTo(service, server) {
+			const bound = service?.maximumConnections ?? 0;
+			if (bound === 0) {
+				return {maximum: unboundedConnections, isKept: true};
+			}
+
+			const used = bound * connectionPart;
+			const part = Math.floor(used / nodesEverHeard().length);
+			// Two resting connections of each of many nodes are more than a server takes, and it resets what is beyond: only the
+			// first in an order keep theirs.
+			const keepers = Math.floor(used / fewestConnections);
+			return {
+				maximum: Math.max(fewestConnections, part),
+				isKept: part >= fewestConnections || order.rank(server) < keepers,
+			};
 		},
 	};
 };
--- a/tests/backends/upstream-client.test.ts
+++ b/tests/backends/upstream-client.test.ts
@@ -216,3 +216,32 @@
 	await until(isResting);
 	t.assert.strictEqual(isResting(), true);
 });
+
+test('a call that is the last on its connection leaves none that rests', async (t: TestContext) => {
+	const address = await startServer(t, (socket) => {
+		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+	});
+	const client = createUpstreamClient();
+	t.after(client.close);
+	const call = async (isLastOnConnection: boolean) =>
+		new Promise<void>((resolve) => {
+			client.call(
+				{...callOf(address), isLastOnConnection},
+				{
+					onHead: () => undefined,
+					onData: () => true,
+					onEnd: resolve,
+					onFailure() {
+						resolve();
+					},
+				},
+			);
+		});
+	await call(true);
+	await until(() => !client.hasRestingConnection(address));
+	t.assert.ok(!client.hasRestingConnection(address));
+	await call(false);
+	await until(() => client.hasRestingConnection(address));
+	t.assert.ok(client.hasRestingConnection(address));
+	t.assert.strictEqual(client.connectionsOpened(), 2);
+});
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -94,7 +94,7 @@
 		nodes: () => 1,
 		hasSettled: () => hasSettled,
 		durations: createRouteDurations(),
-		connectionsTo: () => 10,
+		connectionsTo: () => ({maximum: 10, isKept: true}),
 		routesVersion: () => 1,
 		isServedHere: () => true,
 		isClientKnown,
--- a/tests/gateway/sharing/node-shares.test.ts
+++ b/tests/gateway/sharing/node-shares.test.ts
@@ -8,6 +8,7 @@
 import type {Mesh} from '../../../src/mesh/index.ts';
 import {createWindowRetryBudget} from '../../../src/retries/index.ts';
 import {memberOf} from '../../fixtures.ts';
+import {serviceOf} from '../fixtures.ts';
 
 const nodeOf = (index: number) => memberOf(`node-${index}`, 'zone');
 
@@ -74,3 +75,31 @@
 		}),
 	);
 });
+
+test('all nodes together keep no more connections to a server than it takes, however many they are', () => {
+	fc.assert(
+		fc.property(
+			fc.integer({min: 1, max: 380}),
+			fc.integer({min: 10, max: 600}),
+			fc.uuid(),
+			(count, maximumConnections, server) => {
+				const all = Array.from({length: count}, (_, index) => index);
+				const service = serviceOf({maximumConnections});
+				let kept = 0;
+				for (const self of all) {
+					const others = all.filter((other) => other !== self);
+					const {maximum, isKept} = sharesOf(
+						self,
+						others,
+						() => 0,
+					).connectionsTo(service, server);
+					assert.ok(maximum > 0);
+					kept += isKept ? maximum : 0;
+				}
+
+				assert.ok(kept <= maximumConnections, `${kept} kept by ${count}`);
+			},
+		),
+		{numRuns: 30},
+	);
+});
