Let the waiting line alone judge who waits in vain, and count spans in one place in tests

A request that waits for limited servers was judged once more by all that are as urgent, also those behind it, and could be refused although it was first. A limit that is forgotten before it was told no longer ends a tick.

--- a/src/backend-limits/backend-limits.ts
+++ b/src/backend-limits/backend-limits.ts
@@ -158,17 +158,13 @@
 		}
 
 		const {entry, before} = change;
+		const {perSecond, sent} = entry;
+		const share = shareOf(life, entry);
 		log.changed(
+			{life, before, perSecond, ...how, ageMs: now - given.earliest},
 			{
-				life,
-				before,
-				perSecond: entry.perSecond,
-				...how,
-				ageMs: now - given.earliest,
-			},
-			{
-				sentBefore: entry.sent,
-				share: shareOf(life, entry)?.perSecond ?? Infinity,
+				sentBefore: sent,
+				...(share && {share: share.perSecond}),
 				nodes: peers().length + 1,
 				heardPart: heardPart(),
 			},
@@ -190,12 +186,20 @@
 	};
 
 	const tellChanges = (now: number) => {
-		const due = [...unsaid].filter(
-			(life) => now - (entries.get(life)?.toldAt ?? -Infinity) >= tellAgainMs,
-		);
-		for (const life of due) {
+		const due: string[] = [];
+		for (const life of unsaid) {
+			const entry = entries.get(life);
+			if (entry && now - entry.toldAt < tellAgainMs) {
+				continue;
+			}
+
 			unsaid.delete(life);
-			entries.get(life)!.toldAt = now;
+			due.push(life);
+			if (!entry) {
+				continue;
+			}
+
+			entry.toldAt = now;
 		}
 
 		tellOf(due, now);
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -29,8 +29,7 @@
 		return;
 	}
 
-	const isSentNow = () =>
-		trySend(context, run) === 'sent' || isRefusedNow(context, run);
+	const isSentNow = () => trySend(context, run) === 'sent';
 	if (sent === 'held') {
 		waitForRoom(context, run, isSentNow);
 		return;
@@ -48,16 +47,6 @@
 	waitForRoom(context, run, isSentNow);
 };
 
-// Servers may name limits while a request waits for them: one that they will not take any more is told so now.
-const isRefusedNow = (context: DeliveryContext, run: DeliveryRun): boolean => {
-	if (run.roomPerSecond === undefined || canWaitHere(context, run, false)) {
-		return false;
-	}
-
-	giveUpRun(context, run, noRoom);
-	return true;
-};
-
 const noServer = 'No backend server that may serve it is in use';
 
 // A request that is over needs no room.
--- a/src/gateway/delivery/wait-for-room.ts
+++ b/src/gateway/delivery/wait-for-room.ts
@@ -47,9 +47,7 @@
 
 	const now = clock();
 	const {service, route} = run.exchange;
-	// One that stands in the line itself is not before itself.
-	const before =
-		line.before(service, route.priority) - (run.waiting === undefined ? 0 : 1);
+	const before = line.before(service, route.priority);
 	return now + roomInMs(context, run, before) < lastStart(context, run);
 };
 
--- a/tests/acceptance/limited-engine.test.ts
+++ b/tests/acceptance/limited-engine.test.ts
@@ -8,6 +8,7 @@
 import {parse} from 'yaml';
 import type {ConfigurationDocument} from '../../stand-ins/configuration-document.ts';
 import {startDeployment} from '../../stand-ins/deployment.ts';
+import {mostInSpan} from '../most-in-span.ts';
 
 const zone = 'abj-wuse';
 const limit = 4;
@@ -15,21 +16,6 @@
 const spanMs = 4000;
 const allowed = 1.5 * limit * (spanMs / 1000) + 5;
 
-const mostIn = (times: readonly number[], from: number): number => {
-	const late = times.filter((at) => at >= from);
-	let first = 0;
-	let most = 0;
-	for (const [index, at] of late.entries()) {
-		while (at - late[first]! > spanMs) {
-			first += 1;
-		}
-
-		most = Math.max(most, index - first + 1);
-	}
-
-	return most;
-};
-
 const ask = async (address: string, session: number): Promise<number> => {
 	const answer = await request(`http://${address}/v1/chat/completions`, {
 		method: 'POST',
@@ -91,7 +77,10 @@
 	const {arrivals} = (await deployment.control(address, 'counts')) as {
 		arrivals: readonly number[];
 	};
-	const most = mostIn(arrivals, namedAt + takingInMs);
+	const most = mostInSpan(
+		arrivals.filter((at) => at >= namedAt + takingInMs),
+		spanMs,
+	);
 	t.assert.ok(most <= allowed, `${most} in ${spanMs} ms, allowed ${allowed}`);
 	t.assert.deepStrictEqual(
 		statuses.filter((status) => status !== 200),
--- a/tests/backend-limits/limit-model.ts
+++ b/tests/backend-limits/limit-model.ts
@@ -7,6 +7,7 @@
 import type {BackendLimitMessage} from '../../src/peers/backend-limit-messages.ts';
 import {createRandom} from '../../src/shared/index.ts';
 import {memberOf} from '../fixtures.ts';
+import {mostInSpan} from '../most-in-span.ts';
 
 /**
 What a node keeps a limit by.
@@ -383,19 +384,8 @@
 	spanMs: number,
 	from = 0,
 	until = Infinity,
-): number => {
-	const times = arrivals
-		.map(({at}) => at)
-		.filter((at) => at >= from && at <= until);
-	let first = 0;
-	let most = 0;
-	for (const [index, at] of times.entries()) {
-		while (at - times[first]! > spanMs) {
-			first += 1;
-		}
-
-		most = Math.max(most, index - first + 1);
-	}
-
-	return most;
-};
+): number =>
+	mostInSpan(
+		arrivals.map(({at}) => at).filter((at) => at >= from && at <= until),
+		spanMs,
+	);
--- a/tests/gateway/limited-server.test.ts
+++ b/tests/gateway/limited-server.test.ts
@@ -24,6 +24,7 @@
 import {createStandInRegistry, writeRoutes} from '../../stand-ins/registry.ts';
 import {standInHeaders} from '../../stand-ins/stand-in-headers.ts';
 import type {Route} from '../../src/routes/index.ts';
+import {mostInSpan} from '../most-in-span.ts';
 import {until} from '../until.ts';
 import {documentOf, routeOf, serviceOf} from './fixtures.ts';
 
@@ -148,20 +149,11 @@
 	return Promise.all(answers);
 };
 
-const mostIn = (arrivals: readonly Arrival[], from: number): number => {
-	const times = arrivals.map(({at}) => at).filter((at) => at >= from);
-	let first = 0;
-	let most = 0;
-	for (const [index, at] of times.entries()) {
-		while (at - times[first]! > spanMs) {
-			first += 1;
-		}
-
-		most = Math.max(most, index - first + 1);
-	}
-
-	return most;
-};
+const mostIn = (arrivals: readonly Arrival[], from: number): number =>
+	mostInSpan(
+		arrivals.map(({at}) => at).filter((at) => at >= from),
+		spanMs,
+	);
 
 const cases = [
 	{name: 'whole answers', answer: whole, limit: 6, route: {}},
