--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -123,9 +123,8 @@
 	return {kind: 'full', perSecond};
 };
 
-// Of two requests that were at the same crashes none can be told to have caused them. Tried apart from each other, one that
-// crashes servers is found after 4.0 crashes in the mean in place of 6.9, and 1 in place of 348 of 15,000 requests that
-// shared them are lost (model of four nodes and four servers, ten plays).
+// Of two requests that were at the same crashes none can be told to have caused them. Tried apart from each other, the one
+// that crashes servers is found sooner, and fewer that merely shared them are lost.
 const isFreeOfSuspects = (
 	{suspects}: ServerState,
 	{isIsolated}: Placement,
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -19,8 +19,7 @@
 
 // A server whose streams have a piece so seldom is as bad as a full one, in milliseconds: a little less than
 // the longest pauses at which callers still take an answer for fluent. Requests that are under way say little of
-// how busy an engine is that reads long prompts between the tokens of its streams. With pace and stated load a
-// day's credit less prices rose by 0.010 (twelve pairs of plays) and 0.003 (fifteen, with the rest as it is).
+// how busy an engine is that reads long prompts between the tokens of its streams.
 const paceOfFull = 400;
 
 // How long a pace says something, in milliseconds: about as long as a stream lasts.
@@ -28,8 +27,7 @@
 
 // Reading a shared part again takes its time from the requests of the whole region, drives other parts out
 // and is paid for, so it counts for far more than the same wait behind another prompt: a part is read again
-// only where its keepers have no room. The steps from 2 to 4 and from 4 to 16 each spared 18 % of the tokens
-// that were read again and raised a day's credit less prices by 0.020 and 0.013 (eight pairs of plays each).
+// only where its keepers have no room.
 const anotherReadFactor = 16;
 
 // The part of the target time that the reading of what is there may take: the rest is for the way, and for what other
@@ -74,8 +72,7 @@
 The load of a server once it has one more request of this node, 1 being full, by what the other nodes are
 likely to hold there; what servers are compared by.
 
-Where 65 nodes of a region share its servers, with each node's one request taken for 65, half of the plain requests
-went to other regions without need: 154 ms in the median in place of 29 (195 nodes, a day with faults played once each).
+A node among many that took its one request for as many as there are nodes would send to other regions without need.
 */
 export const comparedLoads = (
 	options: ServerChoiceOptions,
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -134,9 +134,7 @@
 	outcome === 'not-run' &&
 	!isClientKnown(client);
 
-// Servers are told how urgent a request is. Where all looked alike to engines, short questions queued
-// behind long drafts: on a day with one region evacuated and another dark 12 % of the requests came late,
-// told 9 %, and the day's credit less prices rose by 0.055 (three pairs of plays).
+// Servers are told how urgent a request is: where all look alike to engines, short questions queue behind long drafts.
 const callServer = (
 	context: DeliveryContext,
 	run: DeliveryRun,
--- a/src/gateway/delivery/wait-for-room.ts
+++ b/src/gateway/delivery/wait-for-room.ts
@@ -52,9 +52,8 @@
 };
 
 /**
-How long a request that was at a crash waits for a server without another such request at the most, in milliseconds. With
-three requests that crash servers at once 314 of 8,610 others are lost, with half of it 772, without a bound 237, and some
-of those come late (model of nine nodes and eight servers, six plays).
+How long a request that was at a crash waits for a server without another such request at the most, in milliseconds. The
+longer it waits, the fewer others are lost beside one that crashes servers, and the more of them come late.
 */
 export const isolationPatienceMs = 1000;
 
--- a/src/gateway/sharing/node-joiner.ts
+++ b/src/gateway/sharing/node-joiner.ts
@@ -47,8 +47,8 @@
 
 /**
 What each known node adds to that interval, in milliseconds: all nodes together ask ten times a second,
-however many they are. An answer names all nodes, and among many some are always seen differently: with 195
-nodes that asked every 4 s, 0.022 GB went between regions in 16 s in which no caller came.
+however many they are. An answer names all nodes, and among many some are always seen differently, so that what goes
+between regions would grow with the square of their number.
 */
 export const rejoinPerNodeMs = 100;
 
--- a/src/gateway/sharing/reading-teller.ts
+++ b/src/gateway/sharing/reading-teller.ts
@@ -15,7 +15,7 @@
 Builds what tells the nodes of the region at once what a server has still to read of this node's long prompts.
 
 An engine that reads a long prompt makes all that comes after it wait, and states nothing of it: where only the node that
-sent the prompt knew, eight short requests of eight nodes met one engine within 250 ms and waited 1.3 to 1.7 s each.
+sent the prompt knew, the others would send it their short requests.
 */
 export const createReadingTeller = ({
 	mesh,
--- a/src/limits/admission-part.ts
+++ b/src/limits/admission-part.ts
@@ -27,9 +27,7 @@
 const correctionSeconds = 2;
 
 // What the sum over a window is steered to, by what the limit allows in it: it settles above, for counts are late and
-// long requests come in bunches. Of 300 plays of 12 nodes with a hot account, the most in a window was 1.19 times what is
-// allowed in the median and 1.37 at worst when steered to the whole, 1.11 and 1.31 with this; with less, requests of
-// accounts below their limit were refused.
+// long requests come in bunches. With less, requests of accounts below their limit would be refused.
 const targetPart = 0.92;
 
 /**
