--- a/tests/peers/peer-message-codec.test.ts
+++ b/tests/peers/peer-message-codec.test.ts
@@ -126,14 +126,17 @@
 });
 
 test('what is told of limits that servers name arrives as it was sent, many in several datagrams', () => {
-	const limit = fc.record({
-		life: fc.string(),
-		perSecond: fc.option(fc.double({min: 0, max: 1000, noNaN: true}), {
-			nil: undefined,
-		}),
-		earliestAgoMs: count,
-		latestAgoMs: count,
-	});
+	const limit = fc.record(
+		{
+			life: fc.string(),
+			perSecond: fc.option(fc.double({min: 0, max: 1000, noNaN: true}), {
+				nil: undefined,
+			}),
+			earliestAgoMs: count,
+			latestAgoMs: count,
+		},
+		{noNullPrototype: true},
+	);
 	fc.assert(
 		fc.property(
 			fc.array(limit, {maxLength: accountsPerDatagram * 2}),
