--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -203,7 +203,8 @@
 						path: call.target,
 						headers: call.headers as string[],
 						body: call.body ?? null,
-						reset: call.isLastOnConnection ?? false,
+						// Left out otherwise: the library then decides by itself which connections can go on.
+						...(call.isLastOnConnection && {reset: true}),
 					},
 					state.handler,
 				);
