Read a named limit, tell nodes and know a misdirected answer in one place each

Three places parsed a named limit and dated it (answers behind routes, health checks, the product's own path): readLimitStatement serves them. The loop that encodes a message and sends it to nodes stood in the mesh, the quarantine and the limits of a node: createPeerTeller. Server probes had their own copy of the status of a misdirected answer. Behaviour is as before.

--- a/src/gateway/delivery/note-limit.ts
+++ b/src/gateway/delivery/note-limit.ts
@@ -1,5 +1,5 @@
 import type {UpstreamHead} from '../../backends/index.ts';
-import {parseStatedLimit} from '../../backend-limits/index.ts';
+import {readLimitStatement} from '../../backend-limits/index.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
 import {isMisdirected} from './judge-head.ts';
@@ -25,19 +25,14 @@
 	}
 
 	const text = header(headers.limit);
-	const times = {earliest: sentAt, latest: clock()};
-	if (text === undefined) {
-		if (header(headers.signature) !== undefined) {
-			backendLimits.stated(life, {perSecond: undefined, ...times}, 'answer');
-		}
-
+	if (text === undefined && header(headers.signature) === undefined) {
 		return;
 	}
 
-	const limit = parseStatedLimit(text);
-	if (limit.isOk) {
-		backendLimits.stated(life, {perSecond: limit.value, ...times}, 'answer');
+	const statement = readLimitStatement(text, sentAt, clock());
+	if (statement.isOk) {
+		backendLimits.stated(life, statement.value, 'answer');
 	} else {
-		onBadLimit(server ?? '', limit.error);
+		onBadLimit(server ?? '', statement.error);
 	}
 };
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -2,10 +2,11 @@
 import type {Logger} from '../../logging/index.ts';
 import {lifeOf} from '../../registry/index.ts';
 import {
-	parseStatedLimit,
+	readLimitStatement,
 	type BackendLimits,
 } from '../../backend-limits/index.ts';
 import type {WireHeaders} from '../wire-headers.ts';
+import {isMisdirected} from './judge-head.ts';
 
 /**
 Asks backend servers for their health when there is reason to doubt it.
@@ -47,9 +48,6 @@
 */
 export const probeTimeoutMs = 900;
 
-// Another server has the address now.
-const misdirected = 421;
-
 /**
 Builds the probes of one node.
 */
@@ -59,15 +57,15 @@
 	const {client, fleet, headers, clock, logger, backendLimits} = options;
 
 	// A health check without a limit does not end one: whether servers name it there is their matter.
-	const noteLimit = (life: string, sentAt: number, text: string) => {
-		const limit = parseStatedLimit(text);
-		if (limit.isErr) {
+	const noteLimit = (life: string, sentAt: number, text?: string) => {
+		if (text === undefined) {
 			return;
 		}
 
-		const times = {earliest: sentAt, latest: clock()};
-		const statement = {perSecond: limit.value, ...times};
-		backendLimits.stated(life, statement, 'health check');
+		const statement = readLimitStatement(text, sentAt, clock());
+		if (statement.isOk) {
+			backendLimits.stated(life, statement.value, 'health check');
+		}
 	};
 
 	const probe = (id: string) => {
@@ -96,13 +94,10 @@
 				onHead({status, header}) {
 					const isSound = status === 200 && header(headers.serverId) === id;
 					const coldMs = Number(header(headers.coldMs) ?? 0);
-					if (status !== misdirected) {
-						noteLimit(life, sentAt, header(headers.limit) ?? '');
-					}
-
-					if (status === misdirected) {
+					if (isMisdirected(status)) {
 						options.onGone(life);
 					} else {
+						noteLimit(life, sentAt, header(headers.limit));
 						options.onAlive(life);
 						fleet.vouched(id, clock());
 					}
--- a/src/limits/admission-part.ts
+++ b/src/limits/admission-part.ts
@@ -42,9 +42,7 @@
 limit, from 0 to 1.
 
 One part for all nodes, not a bucket in each: a long prompt is more than what one of many nodes may let through in many
-seconds. Of the requests of an account at 0.55 of its limit buckets by demand refused 21 % at 9 nodes and 66 % at 74,
-tokens handed out by zone 14 and 20 %, this none (`npm run benchmark -- limits`: 17,000 tokens a long prompt, a limit of
-47,000 a second).
+seconds, so buckets would refuse requests of accounts below their limit.
 
 The window's length is in milliseconds.
 */
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -19,6 +19,7 @@
 	createPeerMessageCodec,
 	type PeerMessage,
 } from '../peers/peer-message-codec.ts';
+import {createPeerTeller} from '../peers/peer-teller.ts';
 import {
 	createDerived,
 	createRandom,
@@ -272,17 +273,7 @@
 				.values('zone-summary', now)
 				.find(({value}) => value.availabilityZone === availabilityZone)?.value
 				.services[service],
-		tell(members, message) {
-			if (members.length === 0) {
-				return;
-			}
-
-			for (const datagram of messageCodec.encode(message)) {
-				for (const {peerAddress} of members) {
-					controller.send(peerAddress, datagram);
-				}
-			}
-		},
+		tell: createPeerTeller(messageCodec, controller.send),
 		lastHeard: membership.lastHeard,
 	};
 };
--- a/src/node/node-limits.ts
+++ b/src/node/node-limits.ts
@@ -5,6 +5,7 @@
 	type BackendLimits,
 } from '../backend-limits/index.ts';
 import {createPeerMessageCodec} from '../peers/peer-message-codec.ts';
+import {createPeerTeller} from '../peers/peer-teller.ts';
 import type {Address} from '../shared/index.ts';
 import type {NodeCore} from './node-core.ts';
 
@@ -23,7 +24,6 @@
 	send: (to: Address, datagram: Buffer) => void,
 ): BackendLimits => {
 	const {clock, logger, membership, settings} = context;
-	const codec = createPeerMessageCodec(sealer);
 	const startedAt = clock();
 	const {peers, heardPart} = createSenderNodes({
 		others: membership.members,
@@ -40,13 +40,7 @@
 		mayShare: () =>
 			clock() - startedAt > limitSettlingMs &&
 			membership.self().status !== 'leaving',
-		tell(members, message) {
-			for (const datagram of codec.encode(message)) {
-				for (const {peerAddress} of members) {
-					send(peerAddress, datagram);
-				}
-			}
-		},
+		tell: createPeerTeller(createPeerMessageCodec(sealer), send),
 		without: new Set(),
 		logger,
 	});
--- a/src/node/node-quarantine.ts
+++ b/src/node/node-quarantine.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {EngineLife} from '../engines/index.ts';
 import {createPeerMessageCodec} from '../peers/peer-message-codec.ts';
+import {createPeerTeller} from '../peers/peer-teller.ts';
 import {createQuarantine, type Quarantine} from '../quarantine/index.ts';
 import {engineLife} from '../requests/index.ts';
 import type {Address} from '../shared/index.ts';
@@ -14,7 +15,6 @@
 	send: (to: Address, datagram: Buffer) => void,
 ): Quarantine => {
 	const {clock, configuration, logger, membership, settings} = context;
-	const codec = createPeerMessageCodec(sealer);
 
 	const ask = async (id: string, life: string) => {
 		const servers = configuration.current()?.configuration.backendServers;
@@ -41,13 +41,7 @@
 	const quarantine = createQuarantine({
 		self: settings.nodeId,
 		usable: membership.usable,
-		tell(members, message) {
-			for (const datagram of codec.encode(message)) {
-				for (const {peerAddress} of members) {
-					send(peerAddress, datagram);
-				}
-			}
-		},
+		tell: createPeerTeller(createPeerMessageCodec(sealer), send),
 		ask(server, life) {
 			void ask(server, life);
 		},
--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -58,9 +58,8 @@
 };
 
 /**
-A request that was at so many crashes, one after the other, may be put in quarantine. Where whatever was at three crashes
-is refused, 12 of 15,150 requests that crash nothing are with one that does, and 1,635 of 29,994 with three at once; with
-the blame weighed as below none and 1 (ten plays each of `npm run benchmark -- quarantine`).
+A request that was at so many crashes, one after the other, may be put in quarantine. Not whatever was at them is: requests
+that crash nothing were there by chance, and the blame is weighed as below.
 */
 export const fewestCrashes = 3;
 
--- a/src/requests/request-limits.ts
+++ b/src/requests/request-limits.ts
@@ -1,5 +1,8 @@
 import type {Result} from 'true-myth';
-import {parseStatedLimit, type BackendLimits} from '../backend-limits/index.ts';
+import {
+	readLimitStatement,
+	type BackendLimits,
+} from '../backend-limits/index.ts';
 import type {BackendServer} from '../configuration/index.ts';
 import {firstOf, limitHeader, type UpstreamAnswer} from '../engines/index.ts';
 import type {Fleet} from '../fleet/index.ts';
@@ -52,30 +55,18 @@
 			limits.sent(lifeOf(server), now);
 		},
 		answered(server, answer, sentAt, now) {
-			const times = {earliest: sentAt, latest: now};
 			const text = answer.isOk
 				? firstOf(answer.value.headers[limitHeader])
 				: answer.error.statedLimit;
-			if (text === undefined) {
-				// A failure without a limit does not end one: only a server at work shows that.
-				if (answer.isOk) {
-					limits.stated(
-						lifeOf(server),
-						{perSecond: undefined, ...times},
-						'answer',
-					);
-				}
-
+			// A failure without a limit does not end one: only a server at work shows that.
+			if (text === undefined && answer.isErr) {
 				return;
 			}
 
-			const limit = parseStatedLimit(text);
-			if (limit.isErr) {
-				return;
+			const statement = readLimitStatement(text, sentAt, now);
+			if (statement.isOk) {
+				limits.stated(lifeOf(server), statement.value, 'answer');
 			}
-
-			const statement = {perSecond: limit.value, ...times};
-			limits.stated(lifeOf(server), statement, 'answer');
 		},
 	};
 };
