Read what backend servers state in one place, and log who leaves or rests

Logs and metrics could not tell whether a server's announcement of its shutdown or its request for a rest reaches a node, in which kind of answer, for which life of the server, nor how many requests the node sent it afterwards, so the hypotheses of the incident could not be told apart.

Every answer of a server now passes one reader (src/server-statements): answers and stream heads, refusals, surplus answers, health checks and reads of what engines keep. Limits, loads and cold times, which were read in three places, moved there; a load in a surplus answer no longer counts, for its age is unknown. What is read of leaving and resting servers is logged and counted, and nothing acts on it yet.

--- a/src/backend-limits/limit-log.ts
+++ b/src/backend-limits/limit-log.ts
@@ -1,3 +1,4 @@
+import type {AnswerSource} from '../server-statements/index.ts';
 import type {Logger} from '../logging/index.ts';
 
 /**
@@ -16,7 +17,7 @@
 	/**
 	What it was learned from: an answer to a request or to a health check, or another node's word.
 	*/
-	readonly source: 'answer' | 'health check' | 'node';
+	readonly source: AnswerSource | 'node';
 	/**
 	The other node.
 	*/
--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -9,6 +9,10 @@
 import type {RetryYield, WindowRetryBudget} from '../../retries/index.ts';
 import type {Route} from '../../routes/index.ts';
 import type {BackendLimits} from '../../backend-limits/index.ts';
+import type {
+	ServerStandings,
+	StatementIntake,
+} from '../../server-statements/index.ts';
 import type {UpstreamChooser} from '../choosing/index.ts';
 import type {DeliveryRecord, Exchange, RequestClient} from '../exchange.ts';
 import type {ConnectionShare} from '../sharing/index.ts';
@@ -91,17 +95,17 @@
 	*/
 	readonly standing: (exchange: Exchange) => Standing;
 	/**
-	Says that a backend server stated a load that makes no sense.
+	Takes in what backend servers state in their answers.
 	*/
-	readonly onBadLoad: (server: string, reason: string) => void;
+	readonly statements: StatementIntake;
 	/**
-	The limits that backend servers name.
+	What they have announced about receiving requests.
 	*/
-	readonly backendLimits: BackendLimits;
+	readonly standings: Pick<ServerStandings, 'sent'>;
 	/**
-	Says that a backend server named a limit that makes no sense.
+	The limits that backend servers name.
 	*/
-	readonly onBadLimit: (server: string, reason: string) => void;
+	readonly backendLimits: BackendLimits;
 	/**
 	Says that a request has begun to wait for room; ticks must follow that refuse it on time.
 	*/
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -1,11 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {
-	parseStatedLoad,
-	type UpstreamHead,
-	type UpstreamListener,
-} from '../../backends/index.ts';
+import type {UpstreamHead, UpstreamListener} from '../../backends/index.ts';
 import {forwardableHeaders} from '../wire-headers.ts';
-import {noteLimit} from './note-limit.ts';
+import {noteStatements} from './note-statements.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import {
 	hasAttemptLeft,
@@ -45,13 +41,14 @@
 
 	return {
 		onHead(given) {
+			// Statements of the server hold whatever has become of the request.
+			noteStatements(context, run, current, given);
 			if (!isCurrent()) {
 				return;
 			}
 
 			head = given;
 			current.attempt?.heard(context.clock());
-			noteLoad(context, current, given);
 			isStream = takeHead(context, run, current, given) === 'stream';
 		},
 		onData(chunk) {
@@ -91,25 +88,6 @@
 	};
 };
 
-// The load of a server in another region comes by way of a node there, which has taken it in.
-const noteLoad = (
-	{clock, headers, onBadLoad, without}: DeliveryContext,
-	{attempt}: CurrentCall,
-	{header}: UpstreamHead,
-): void => {
-	const text = attempt && header(headers.load);
-	if (text === undefined || without.has('stated-load')) {
-		return;
-	}
-
-	const load = parseStatedLoad(text);
-	if (load.isOk) {
-		attempt?.stated(load.value, clock());
-	} else {
-		onBadLoad(attempt?.server ?? '', load.error);
-	}
-};
-
 const takeHead = (
 	context: DeliveryContext,
 	run: DeliveryRun,
@@ -131,7 +109,6 @@
 		canRetry: canRetry(context, run, head),
 		hasBegun: run.hasBegun,
 	});
-	noteLimit(context, run, current, head);
 	switch (verdict.kind) {
 		case 'whole': {
 			noteRetry(context, run, head.status);
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -141,10 +141,12 @@
 	id: string,
 	placement: Placement,
 ): void => {
-	const {clock, connectionsTo, fleet, headers, without} = context;
+	const {clock, connectionsTo, fleet, headers, standings, without} = context;
 	const sentAt = clock();
 	const server = fleet.server(id)!;
 	const attempt = fleet.begin(id, placement, sentAt);
+	const life = lifeOf(server);
+	standings.sent(life, sentAt);
 	run.excluded.add(id);
 	run.tried.push(id);
 	run.steps.push(`server ${id}`);
@@ -157,7 +159,7 @@
 		{
 			attempt,
 			server: id,
-			life: lifeOf(server),
+			life,
 			sentAt,
 			member: undefined,
 			region: undefined,
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -1,10 +1,8 @@
 import type {BackendFleet, UpstreamClient} from '../../backends/index.ts';
 import type {Logger} from '../../logging/index.ts';
 import {lifeOf} from '../../registry/index.ts';
-import {
-	readLimitStatement,
-	type BackendLimits,
-} from '../../backend-limits/index.ts';
+import type {BackendLimits} from '../../backend-limits/index.ts';
+import type {StatementIntake} from '../../server-statements/index.ts';
 import type {WireHeaders} from '../wire-headers.ts';
 import {isMisdirected} from './judge-head.ts';
 
@@ -40,7 +38,11 @@
 	/**
 	The limits that backend servers name.
 	*/
-	readonly backendLimits: Pick<BackendLimits, 'sent' | 'stated'>;
+	readonly backendLimits: Pick<BackendLimits, 'sent'>;
+	/**
+	Takes in what servers state in their answers.
+	*/
+	readonly statements: StatementIntake;
 };
 
 /**
@@ -54,19 +56,8 @@
 export const createServerProbes = (
 	options: ServerProbesOptions,
 ): ServerProbes => {
-	const {client, fleet, headers, clock, logger, backendLimits} = options;
-
-	// A health check without a limit does not end one: whether servers name it there is their matter.
-	const noteLimit = (life: string, sentAt: number, text?: string) => {
-		if (text === undefined) {
-			return;
-		}
-
-		const statement = readLimitStatement(text, sentAt, clock());
-		if (statement.isOk) {
-			backendLimits.stated(life, statement.value, 'health check');
-		}
-	};
+	const {client, fleet, headers, clock, logger, backendLimits, statements} =
+		options;
 
 	const probe = (id: string) => {
 		const server = fleet.server(id);
@@ -93,11 +84,20 @@
 			{
 				onHead({status, header}) {
 					const isSound = status === 200 && header(headers.serverId) === id;
-					const coldMs = Number(header(headers.coldMs) ?? 0);
+					const {coldMs = 0} = statements.heard({
+						server: id,
+						life,
+						source: 'health check',
+						sentAt,
+						receivedAt: clock(),
+						status,
+						// Whether servers name a limit in health checks is theirs to decide; one without it ends none.
+						isSigned: false,
+						header,
+					});
 					if (isMisdirected(status)) {
 						options.onGone(life);
 					} else {
-						noteLimit(life, sentAt, header(headers.limit));
 						options.onAlive(life);
 						fleet.vouched(id, clock());
 					}
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -1,6 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {LimitState, SharedVerdict} from '../limits/index.ts';
 import type {Logger} from '../logging/index.ts';
+import type {StatementFault} from '../server-statements/index.ts';
 import {createClientLimitLog} from './client-limit-log.ts';
 import type {DeliveryRecord} from './exchange.ts';
 import {fingerprintOfExchange} from './fingerprint-of-exchange.ts';
@@ -19,13 +20,9 @@
 	*/
 	admission(account: string, verdict: SharedVerdict, now: number): void;
 	/**
-	A backend server stated a load that makes no sense.
+	A backend server stated something about itself that cannot be read.
 	*/
-	badLoad(server: string, reason: string): void;
-	/**
-	A backend server named a limit that makes no sense.
-	*/
-	badLimit(server: string, reason: string): void;
+	badStatement(server: string, fault: StatementFault): void;
 	/**
 	Counts and lines that bound themselves by time; called at each tick.
 	*/
@@ -112,14 +109,10 @@
 		help: 'Requests not sent on because backend servers crashed each time that they ran them',
 		registers: [registry],
 	});
-	const badLoads = new Counter({
-		name: 'quillford_bad_loads_total',
-		help: 'Statements of load by backend servers that make no sense',
-		registers: [registry],
-	});
-	const badLimits = new Counter({
-		name: 'quillford_bad_limits_total',
-		help: 'Limits named by backend servers that make no sense',
+	const badStatements = new Counter({
+		name: 'quillford_bad_statements_total',
+		help: 'Statements of backend servers about themselves that cannot be read',
+		labelNames: ['kind'],
 		registers: [registry],
 	});
 	const droppedLines = new Counter({
@@ -274,13 +267,12 @@
 			admissions.inc({client: account, verdict: verdict.kind});
 			limitLog.note(account, verdict, now);
 		},
-		badLoad(server, reason) {
-			badLoads.inc();
-			warnSparingly({server, reason}, 'load of a backend server ignored');
-		},
-		badLimit(server, reason) {
-			badLimits.inc();
-			warnSparingly({server, reason}, 'limit of a backend server ignored');
+		badStatement(server, {kind, reason}) {
+			badStatements.inc({kind});
+			warnSparingly(
+				{server, kind, reason},
+				'statement of a backend server ignored',
+			);
 		},
 		tick(now) {
 			limitLog.tick(now);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -54,6 +54,9 @@
 		onQuarantined(fingerprint) {
 			deliveries.quarantined(fingerprint);
 		},
+		onBadStatement(server, fault) {
+			observer.badStatement(server, fault);
+		},
 	});
 	const {
 		clock,
@@ -68,6 +71,8 @@
 		client,
 		quarantine,
 		backendLimits,
+		statements,
+		standings,
 	} = knowledge;
 	const {intake, deliveries, observer, admission} = createRequestHandling(
 		options,
@@ -92,6 +97,7 @@
 		},
 		onAlive: quarantine.acquitted,
 		backendLimits,
+		statements,
 	});
 
 	const peerAddresses = [
@@ -131,6 +137,7 @@
 		probes.tick(now);
 		quarantine.tick(now);
 		backendLimits.tick(now);
+		standings.tick(now);
 		prompts.tick();
 		limits.tick(now);
 		deliveries.tick(now);
--- a/src/gateway/product-headers.ts
+++ b/src/gateway/product-headers.ts
@@ -13,6 +13,7 @@
 	tokenUsage: 'x-gateway-tokens',
 	load: 'x-gateway-server-load',
 	limit: 'x-gateway-limit',
+	leaving: 'x-gateway-leaving',
 	urgency: 'x-gateway-urgency',
 	coldMs: 'x-gateway-cold-ms',
 	serverId: 'x-gateway-server-id',
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -75,6 +75,7 @@
 		client,
 		quarantine,
 		backendLimits,
+		standings,
 	} = knowledge;
 	const routesVersion = () => mirror.routes()?.document.version ?? 0;
 	const {choose, peerFailed} = createGatewayChooser({
@@ -132,13 +133,9 @@
 		},
 		standing: (exchange) =>
 			quarantine.standing(() => fingerprintOfExchange(exchange), clock()),
-		onBadLoad(server, reason) {
-			observer.badLoad(server, reason);
-		},
+		statements: knowledge.statements,
+		standings,
 		backendLimits,
-		onBadLimit(server, reason) {
-			observer.badLimit(server, reason);
-		},
 		onWaiting() {
 			if (deliveries.waiting() === 1) {
 				schedule.onFirstWaiting();
@@ -173,6 +170,10 @@
 			serversLimited: backendLimits.limitedServers,
 			requestsSentToLimitedServers: backendLimits.sentToLimited,
 			limitedServersHeldBack: backendLimits.heldBack,
+			serversLeaving: standings.leavingServers,
+			serversResting: standings.restingServers,
+			requestsSentToLeavingServers: standings.sentToLeaving,
+			requestsSentToRestingServers: standings.sentToResting,
 			serverCrashesSeen: quarantine.crashesSeen,
 			crashSuspects: quarantine.suspects,
 			requestsQuarantined: () => quarantine.quarantined(clock()),
--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -22,6 +22,13 @@
 	createBackendLimits,
 	type BackendLimits,
 } from '../../backend-limits/index.ts';
+import {
+	createServerStandings,
+	createStatementIntake,
+	type ServerStandings,
+	type StatementFault,
+	type StatementIntake,
+} from '../../server-statements/index.ts';
 import {
 	createElapsedClock,
 	createRandom,
@@ -86,6 +93,14 @@
 	The limits that backend servers of the own region name.
 	*/
 	readonly backendLimits: BackendLimits;
+	/**
+	What backend servers have announced about receiving requests.
+	*/
+	readonly standings: ServerStandings;
+	/**
+	Takes in what backend servers state in their answers.
+	*/
+	readonly statements: StatementIntake;
 };
 
 /**
@@ -108,6 +123,10 @@
 	Told of each request that is put in quarantine.
 	*/
 	readonly onQuarantined: (fingerprint: string) => void;
+	/**
+	Told of each statement of a backend server that cannot be read.
+	*/
+	readonly onBadStatement: (server: string, fault: StatementFault) => void;
 };
 
 const seedRange = 2 ** 31;
@@ -117,7 +136,13 @@
 */
 export const createNodeKnowledge = (
 	options: GatewayOptions,
-	{onLimits, onTakenIn, onDoubt, onQuarantined}: KnowledgeCallbacks,
+	{
+		onLimits,
+		onTakenIn,
+		onDoubt,
+		onQuarantined,
+		onBadStatement,
+	}: KnowledgeCallbacks,
 ): NodeKnowledge => {
 	const {logger, zones, availabilityZone, bounds} = options;
 	// The fleet comes later, and the clock is read before.
@@ -203,6 +228,14 @@
 		without: options.without,
 		logger,
 	});
+	const standings = createServerStandings(logger);
+	const statements = createStatementIntake({
+		headers: options.headers,
+		onLeaving: standings.leaves,
+		onRest: standings.asksForRest,
+		onLimit: backendLimits.stated,
+		onFault: onBadStatement,
+	});
 	const prompts = createPromptSharing({
 		caches: options.caches,
 		without: options.without,
@@ -213,6 +246,8 @@
 		mesh,
 		hasSettled: shares.hasSettled,
 		backendLimits,
+		statements,
+		clock,
 		logger,
 	});
 	const fleet = createBackendFleet({
@@ -301,5 +336,7 @@
 		placement,
 		quarantine,
 		backendLimits,
+		standings,
+		statements,
 	};
 };
--- a/src/gateway/sharing/prompt-sharing.ts
+++ b/src/gateway/sharing/prompt-sharing.ts
@@ -15,6 +15,7 @@
 	type ReadEngine,
 } from '../../prompts/index.ts';
 import {lifeOf, type RegistryMirror} from '../../registry/index.ts';
+import type {StatementIntake} from '../../server-statements/index.ts';
 import type {BackendLimits} from '../../backend-limits/index.ts';
 import {smallestSharedTokens} from '../../routes/index.ts';
 import {rendezvousOrder} from '../../shared/index.ts';
@@ -61,6 +62,14 @@
 	The limits that engines name.
 	*/
 	readonly backendLimits: Pick<BackendLimits, 'readingPauseMs'>;
+	/**
+	Takes in what engines state in their answers.
+	*/
+	readonly statements: StatementIntake;
+	/**
+	Milliseconds that only rise.
+	*/
+	readonly clock: () => number;
 	readonly logger: Logger;
 };
 
@@ -142,6 +151,18 @@
 			publish: feed.publish,
 			smallestTokens: smallestSharedTokens,
 			pauseMs: (engine) => options.backendLimits.readingPauseMs(lifeOf(engine)),
+			clock: options.clock,
+			onHead(engine, head, sentAt) {
+				options.statements.heard({
+					...head,
+					server: engine.id,
+					life: lifeOf(engine),
+					source: 'cache read',
+					sentAt,
+					receivedAt: options.clock(),
+					isSigned: false,
+				});
+			},
 			logger: options.logger,
 		});
 	const follower = createFeedFollower({
--- a/src/gateway/wire-headers.ts
+++ b/src/gateway/wire-headers.ts
@@ -41,6 +41,10 @@
 	*/
 	readonly limit: string;
 	/**
+	`1` in the answers of a backend server that is shutting down.
+	*/
+	readonly leaving: string;
+	/**
 	How urgent a request is to a backend server that works on the more urgent ones first: 0 is the most
 	urgent, `leastUrgent` the least.
 	*/
--- a/src/prompts/cache-reader.ts
+++ b/src/prompts/cache-reader.ts
@@ -5,7 +5,7 @@
 	type KeyedLoops,
 	type LoopTurn,
 } from '../shared/index.ts';
-import type {CacheEvent, CacheSource} from './cache-source.ts';
+import type {CacheAnswerHead, CacheEvent, CacheSource} from './cache-source.ts';
 import type {PromptChange} from './prompt-map.ts';
 
 /**
@@ -40,6 +40,18 @@
 	Milliseconds between two questions to an engine at the least, where it bounds what it is asked; 0 where it does not.
 	*/
 	readonly pauseMs: (engine: ReadEngine) => number;
+	/**
+	Milliseconds that only rise.
+	*/
+	readonly clock: () => number;
+	/**
+	Told the head of each answer, and when its request was sent.
+	*/
+	readonly onHead: (
+		engine: ReadEngine,
+		head: CacheAnswerHead,
+		sentAt: number,
+	) => void;
 	readonly logger: Logger;
 };
 
@@ -83,14 +95,25 @@
 };
 
 const createTurn = (
-	{source, publish, smallestTokens, pauseMs, logger}: CacheReaderOptions,
+	{
+		source,
+		publish,
+		smallestTokens,
+		pauseMs,
+		clock,
+		onHead,
+		logger,
+	}: CacheReaderOptions,
 	engine: ReadEngine,
 ): LoopTurn => {
 	let since = 0;
 	let epoch: string | undefined;
 
 	return async (isOver) => {
-		const answer = await source.events(engine, since);
+		const sentAt = clock();
+		const answer = await source.events(engine, since, (head) => {
+			onHead(engine, head, sentAt);
+		});
 		if (isOver()) {
 			return 0;
 		}
--- a/src/prompts/cache-source.ts
+++ b/src/prompts/cache-source.ts
@@ -29,16 +29,27 @@
 	  }
 	| {readonly kind: 'unavailable'; readonly reason: string};
 
+/**
+The head of an engine's answer.
+*/
+export type CacheAnswerHead = {
+	readonly status: number;
+	readonly header: (name: string) => string | undefined;
+};
+
 /**
 Where the memory of engines is read.
 */
 export type CacheSource = {
 	/**
 	What changed after `since`; held for a while when there is nothing. Never throws.
+
+	@param onHead Told the head of the answer, if there is one.
 	*/
 	events(
 		engine: {readonly id: string; readonly address: Address},
 		since: number,
+		onHead: (head: CacheAnswerHead) => void,
 	): Promise<CacheAnswer>;
 	close(): Promise<void>;
 };
--- /dev/null
+++ b/src/server-statements/statement-headers.ts
@@ -0,0 +1,26 @@
+/**
+Names of the headers in which backend servers state something about themselves, in lower case.
+*/
+export type StatementHeaders = {
+	/**
+	`1` while the server is shutting down.
+	*/
+	readonly leaving: string;
+	/**
+	Requests a second that the server accepts from all nodes together, a decimal number.
+	*/
+	readonly limit: string;
+	/**
+	`RUNNING,WAITING,SLOTS`.
+	*/
+	readonly load: string;
+	/**
+	How much longer the server is cold, in milliseconds.
+	*/
+	readonly coldMs: string;
+};
+
+/**
+The standard header by which a server that refuses with 503 asks for a pause, in seconds (RFC 9110, 10.2.3).
+*/
+export const retryAfterHeader = 'retry-after';
--- /dev/null
+++ b/src/server-statements/statement-intake.ts
@@ -0,0 +1,69 @@
+import type {LimitStatement} from '../backend-limits/index.ts';
+import {readStatements} from './read-statements.ts';
+import type {ServerStatements, StatementFault} from './server-statements.ts';
+import type {AnswerSource, StatedAnswer} from './stated-answer.ts';
+import type {StatementHeaders} from './statement-headers.ts';
+
+/**
+Takes in what backend servers state about themselves. Every answer of a server passes through here.
+*/
+export type StatementIntake = {
+	/**
+	@returns What the answer states, for what concerns its own request only.
+	*/
+	heard(answer: StatedAnswer): ServerStatements;
+};
+
+/**
+A server, and how its statement was received.
+*/
+export type StatementOrigin = Pick<
+	StatedAnswer,
+	'server' | 'life' | 'source' | 'sentAt' | 'receivedAt'
+>;
+
+/**
+Who acts on the statements.
+*/
+export type StatementIntakeOptions = {
+	readonly headers: StatementHeaders;
+	readonly onLeaving: (origin: StatementOrigin) => void;
+	readonly onRest: (origin: StatementOrigin, restMs: number) => void;
+	readonly onLimit: (
+		life: string,
+		statement: LimitStatement,
+		source: AnswerSource,
+	) => void;
+	readonly onFault: (server: string, fault: StatementFault) => void;
+};
+
+/**
+Builds an intake.
+*/
+export const createStatementIntake = ({
+	headers,
+	onLeaving,
+	onRest,
+	onLimit,
+	onFault,
+}: StatementIntakeOptions): StatementIntake => ({
+	heard(answer) {
+		const statements = readStatements(headers, answer, (fault) => {
+			onFault(answer.server, fault);
+		});
+		const {isLeaving, restMs, limit} = statements;
+		if (isLeaving) {
+			onLeaving(answer);
+		}
+
+		if (restMs !== undefined && restMs > 0) {
+			onRest(answer, restMs);
+		}
+
+		if (limit !== undefined) {
+			onLimit(answer.life, limit, answer.source);
+		}
+
+		return statements;
+	},
+});
--- a/stand-ins/stand-in-headers.ts
+++ b/stand-ins/stand-in-headers.ts
@@ -13,6 +13,7 @@
 	tokenUsage: 'x-test-tokens',
 	load: 'x-test-load',
 	limit: 'x-test-limit',
+	leaving: 'x-test-leaving',
 	urgency: 'x-test-urgency',
 	coldMs: 'x-test-cold',
 	serverId: 'x-test-server',
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -17,6 +17,10 @@
 	Exchange,
 } from '../../../src/gateway/exchange.ts';
 import {silentLogger} from '../../../src/logging/index.ts';
+import {
+	createServerStandings,
+	createStatementIntake,
+} from '../../../src/server-statements/index.ts';
 import type {Standing} from '../../../src/quarantine/index.ts';
 import {createWindowRetryBudget} from '../../../src/retries/index.ts';
 import type {Route} from '../../../src/routes/index.ts';
@@ -63,6 +67,7 @@
 		without: new Set(),
 		logger: silentLogger,
 	});
+	const standings = createServerStandings(silentLogger);
 	const fleet = createBackendFleet(fleetOptionsOf({backendLimits}));
 	fleet.sync(new Map(servers.map((id) => [id, knownServerOf(id, 1)])), now);
 	const deliveries = createDeliveries({
@@ -103,9 +108,15 @@
 		onBroken: () => undefined,
 		onServed: () => undefined,
 		standing,
-		onBadLoad: () => undefined,
+		statements: createStatementIntake({
+			headers: names,
+			onLeaving: standings.leaves,
+			onRest: standings.asksForRest,
+			onLimit: backendLimits.stated,
+			onFault: () => undefined,
+		}),
+		standings,
 		backendLimits,
-		onBadLimit: () => undefined,
 		onWaiting: () => undefined,
 		onRecord(record) {
 			records.push(record);
--- a/tests/gateway/sharing/prompt-sharing.test.ts
+++ b/tests/gateway/sharing/prompt-sharing.test.ts
@@ -7,6 +7,7 @@
 import type {PeerQuestions} from '../../../src/mesh/index.ts';
 import type {FeedAnswer} from '../../../src/prompts/index.ts';
 import {createRegistryMirror} from '../../../src/registry/index.ts';
+import {noStatements} from '../../../src/server-statements/index.ts';
 import {memberOf} from '../../fixtures.ts';
 import {until} from '../../until.ts';
 import {documentOf, serviceOf} from '../fixtures.ts';
@@ -74,6 +75,8 @@
 		memberOf('node-4', 'zone-b'),
 	];
 	const sharing = createPromptSharing({
+		clock: () => 0,
+		statements: {heard: () => noStatements},
 		backendLimits: {readingPauseMs: () => 0},
 		caches: {
 			async events({id}) {
--- a/tests/prompts/cache-reader.test.ts
+++ b/tests/prompts/cache-reader.test.ts
@@ -31,6 +31,8 @@
 			published.push(...changes);
 		},
 		pauseMs: () => 0,
+		clock: () => 0,
+		onHead: () => undefined,
 		smallestTokens: 512,
 		logger: createLogger('test'),
 	});
--- /dev/null
+++ b/tests/server-statements/read-statements.test.ts
@@ -0,0 +1,101 @@
+import {test, type TestContext} from 'node:test';
+import fc from 'fast-check';
+import {
+	answerSources,
+	noStatements,
+} from '../../src/server-statements/index.ts';
+import {answerOf, headerNames, read} from './fixtures.ts';
+
+for (const source of answerSources) {
+	test(`a shutdown announced in a ${source} is read`, (t: TestContext) => {
+		const answer = answerOf({'x-leaving': '1'}, {source});
+		t.assert.strictEqual(read(answer).statements.isLeaving, true);
+	});
+}
+
+for (const source of [
+	'answer',
+	'refusal',
+	'surplus answer',
+	'health check',
+	'cache read',
+	'load report',
+] as const) {
+	test(`Retry-After of a 503 in a ${source} is read, with fractions`, (t: TestContext) => {
+		const answer = answerOf({'retry-after': '1.5'}, {source, status: 503});
+		t.assert.strictEqual(read(answer).statements.restMs, 1500);
+	});
+}
+
+test('Retry-After asks the node for a rest that received the 503 from the server itself', (t: TestContext) => {
+	const relayed = answerOf(
+		{'retry-after': '3'},
+		{source: 'relayed answer', status: 503},
+	);
+	t.assert.strictEqual(read(relayed).statements.restMs, undefined);
+	for (const status of [200, 429, 500, 504]) {
+		const other = answerOf({'retry-after': '3'}, {status});
+		t.assert.strictEqual(read(other).statements.restMs, undefined);
+	}
+});
+
+test('a misdirected answer states nothing about the server that was meant', (t: TestContext) => {
+	const headers = {'x-leaving': '1', 'retry-after': '3', 'x-limit': '4'};
+	t.assert.deepStrictEqual(
+		read(answerOf(headers, {status: 421})).statements,
+		noStatements,
+	);
+});
+
+test('limit and load of a surplus answer are ignored, for its age is unknown', (t: TestContext) => {
+	const headers = {'x-limit': '4', 'x-load': '1,2,4', 'x-cold': '20'};
+	t.assert.deepStrictEqual(
+		read(answerOf(headers, {source: 'surplus answer'})).statements,
+		noStatements,
+	);
+});
+
+test('a missing limit ends one only in an answer that proves work', (t: TestContext) => {
+	const ended = {perSecond: undefined, earliest: 100, latest: 150};
+	t.assert.deepStrictEqual(read(answerOf({})).statements.limit, ended);
+	const unsigned = answerOf({}, {isSigned: false});
+	t.assert.strictEqual(read(unsigned).statements.limit, undefined);
+});
+
+for (const [name, value, kind, reason] of [
+	['x-leaving', 'yes', 'leaving', 'leaving "yes" is neither 0 nor 1'],
+	[
+		'retry-after',
+		'soon',
+		'rest',
+		'Retry-After "soon" is not a number of seconds',
+	],
+	['x-cold', '-1', 'cold', 'cold time "-1" is not a number of milliseconds'],
+	['x-limit', 'x', 'limit', 'limit "x": it is no decimal number'],
+] as const) {
+	test(`"${name}: ${value}" is reported and the rest of the answer is read`, (t: TestContext) => {
+		const answer = answerOf({'x-load': '1,2,4', [name]: value}, {status: 503});
+		const {statements, faults} = read(answer);
+		t.assert.deepStrictEqual(faults, [{kind, reason}]);
+		t.assert.deepStrictEqual(statements.load, {
+			running: 1,
+			waiting: 2,
+			slots: 4,
+		});
+	});
+}
+
+test('no headers make reading fail', (t: TestContext) => {
+	const names = [...Object.values(headerNames), 'retry-after'];
+	fc.assert(
+		fc.property(
+			fc.dictionary(fc.constantFrom(...names), fc.string()),
+			fc.constantFrom(...answerSources),
+			fc.constantFrom(200, 421, 429, 503),
+			(headers, source, status) => {
+				const {statements} = read(answerOf(headers, {source, status}));
+				t.assert.ok((statements.restMs ?? 0) >= 0);
+			},
+		),
+	);
+});
--- /dev/null
+++ b/tests/server-statements/server-standings.test.ts
@@ -0,0 +1,39 @@
+import {test, type TestContext} from 'node:test';
+import {silentLogger} from '../../src/logging/index.ts';
+import {
+	createServerStandings,
+	maximumLeavingLives,
+} from '../../src/server-statements/index.ts';
+import {answerOf} from './fixtures.ts';
+
+test('a shutdown belongs to one life', (t: TestContext) => {
+	const standings = createServerStandings(silentLogger);
+	standings.leaves(answerOf({}));
+	standings.leaves(answerOf({}));
+	t.assert.strictEqual(standings.leavingServers(), 1);
+	standings.sent('a 1', 0);
+	standings.sent('a 2', 0);
+	t.assert.strictEqual(standings.sentToLeaving(), 1);
+});
+
+test('the lives that are remembered are bounded', (t: TestContext) => {
+	const standings = createServerStandings(silentLogger);
+	for (let index = 0; index < maximumLeavingLives + 10; index += 1) {
+		standings.leaves(answerOf({}, {life: `a ${index}`}));
+	}
+
+	t.assert.strictEqual(standings.leavingServers(), maximumLeavingLives);
+});
+
+test('a rest ends when the longest that was asked for is over', (t: TestContext) => {
+	const standings = createServerStandings(silentLogger);
+	standings.asksForRest(answerOf({}, {receivedAt: 0}), 3000);
+	standings.asksForRest(answerOf({}, {receivedAt: 100}), 500);
+	standings.tick(2999);
+	t.assert.strictEqual(standings.restingServers(), 1);
+	standings.sent('a 1', 2999);
+	standings.sent('a 1', 3000);
+	t.assert.strictEqual(standings.sentToResting(), 1);
+	standings.tick(3000);
+	t.assert.strictEqual(standings.restingServers(), 0);
+});
