--- a/stand-ins/backend-server.ts
+++ b/stand-ins/backend-server.ts
@@ -64,6 +64,14 @@
 	Requests a second that it names in its answers as what it takes; 0 for none.
 	*/
 	limit: number;
+	/**
+	Announces its shutdown in the heads of its answers, its load report aside.
+	*/
+	announcesLeaving: boolean;
+	/**
+	Seconds of rest that it asks for when it refuses; 0 for none.
+	*/
+	restSeconds: number;
 };
 
 const {values: options} = parseArgs({
@@ -92,6 +100,8 @@
 	loseEventEvery: 0,
 	stepMs: Number(options['step-ms']),
 	limit: 0,
+	announcesLeaving: false,
+	restSeconds: 0,
 };
 const slots = Number(options.slots);
 const prefillMs = Number(options['prefill-ms']);
@@ -362,7 +372,17 @@
 	}
 
 	if (faults.isRefusing || !(await didGetSlot())) {
-		sendJson(response, 503, {error: 'no slot'}, {'x-not-run': '1'});
+		sendJson(
+			response,
+			503,
+			{error: 'no slot'},
+			{
+				'x-not-run': '1',
+				...(faults.restSeconds > 0 && {
+					'retry-after': String(faults.restSeconds),
+				}),
+			},
+		);
 		return;
 	}
 
@@ -393,6 +413,10 @@
 		response.setHeader('x-requests-per-second', String(faults.limit));
 	}
 
+	if (faults.announcesLeaving) {
+		response.setHeader('x-leaving', '1');
+	}
+
 	switch (url.pathname) {
 		case '/load': {
 			sendJson(response, 200, {
--- a/stand-ins/limited-server.ts
+++ b/stand-ins/stating-server.ts
@@ -13,24 +13,51 @@
 	readonly at: number;
 	readonly method: string;
 	readonly body: string;
+	/**
+	Whether it was refused.
+	*/
+	readonly isRefused: boolean;
 };
 
 /**
-A backend server that can name a limit.
+A backend server that states something about itself in its answers.
 */
-export type LimitedServer = {
+export type StatingServer = {
 	readonly arrivals: readonly Arrival[];
 	/**
 	Names another limit from now on, or none.
 	*/
 	name(perSecond: number | undefined): void;
+	/**
+	Announces its shutdown in each answer from now on.
+	*/
+	announceLeaving(): void;
+	/**
+	Refuses requests with 503 from now on.
+
+	@param retryAfter Asks for so many seconds of rest, if given.
+	@param isShed Which requests, by their bodies.
+	*/
+	shed(retryAfter?: string, isShed?: (body: string) => boolean): void;
+	/**
+	Accepts requests again.
+	*/
+	recover(): void;
+	/**
+	Starts again under the same id and address, at another time of start.
+	*/
+	restart(startedAt: number): void;
+	/**
+	Writes its registry entry again, which says that it is ready.
+	*/
+	register(): void;
 	close(): Promise<void>;
 };
 
 /**
 How a server answers.
 */
-export type LimitedAnswer = {
+export type StatingAnswer = {
 	/**
 	Milliseconds before the answer begins.
 	*/
@@ -44,7 +71,7 @@
 
 const sendEvents = (
 	response: ServerResponse,
-	{events, pauseMs}: LimitedAnswer,
+	{events, pauseMs}: StatingAnswer,
 ) => {
 	let index = 0;
 	const sendNext = () => {
@@ -61,23 +88,53 @@
 };
 
 /**
-Starts a backend server that names its limit in the heads of its answers, and enters it into the registry. It answers all
-that comes: what it gets is the nodes' doing.
+Starts a backend server that states something about itself in the heads of its answers, and enters it into the registry.
 */
-export const startLimitedServer = async (
+export const startStatingServer = async (
 	registry: StandInRegistry,
 	entry: Omit<RegisteredServer, 'coldMs' | 'isLeaving'>,
-	answer: LimitedAnswer,
-): Promise<LimitedServer> => {
+	answer: StatingAnswer,
+): Promise<StatingServer> => {
 	const arrivals: Arrival[] = [];
 	let limit: number | undefined;
+	let isLeaving = false;
+	let shedding:
+		| {
+				readonly retryAfter: string | undefined;
+				readonly isShed: (body: string) => boolean;
+		  }
+		| undefined;
+	let {startedAt} = entry;
 
 	const headers = (id: string) => ({
 		[standInHeaders.requestId]: id,
 		[standInHeaders.signature]: `${entry.id}/${id}`,
 		...(limit !== undefined && {[standInHeaders.limit]: String(limit)}),
+		...(isLeaving && {[standInHeaders.leaving]: '1'}),
 	});
 
+	const refuse = (response: ServerResponse, id: string) => {
+		const retryAfter = shedding?.retryAfter;
+		response.writeHead(503, {
+			...headers(id),
+			[standInHeaders.notRun]: '1',
+			...(retryAfter !== undefined && {'retry-after': retryAfter}),
+		});
+		response.end();
+	};
+
+	const register = () => {
+		registry.write(`server ${entry.id}`, {
+			kind: 'server',
+			server: {
+				...entry,
+				...(startedAt !== undefined && {startedAt}),
+				coldMs: 0,
+				isLeaving: false,
+			},
+		});
+	};
+
 	const server = createServer((request, response) => {
 		const chunks: string[] = [];
 		request.setEncoding('utf8');
@@ -86,8 +143,15 @@
 		});
 		request.on('end', () => {
 			const method = request.method ?? '';
-			arrivals.push({at: performance.now(), method, body: chunks.join('')});
+			const body = chunks.join('');
+			const isRefused = shedding?.isShed(body) ?? false;
+			arrivals.push({at: performance.now(), method, body, isRefused});
 			const id = String(request.headers[standInHeaders.requestId] ?? '');
+			if (isRefused) {
+				refuse(response, id);
+				return;
+			}
+
 			if (method === 'GET') {
 				response.writeHead(200, {
 					...headers(id),
@@ -108,15 +172,29 @@
 		});
 	});
 	await listenAt(server, entry.address);
-	registry.write(`server ${entry.id}`, {
-		kind: 'server',
-		server: {...entry, coldMs: 0, isLeaving: false},
-	});
+	register();
 	return {
 		arrivals,
 		name(perSecond) {
 			limit = perSecond;
 		},
+		announceLeaving() {
+			isLeaving = true;
+		},
+		shed(retryAfter, isShed = () => true) {
+			shedding = {retryAfter, isShed};
+		},
+		recover() {
+			shedding = undefined;
+		},
+		restart(at) {
+			isLeaving = false;
+			shedding = undefined;
+			limit = undefined;
+			startedAt = at;
+			register();
+		},
+		register,
 		close: async () => closeServer(server),
 	};
 };
--- a/tests/gateway/limited-server.test.ts
+++ b/tests/gateway/limited-server.test.ts
@@ -1,36 +1,9 @@
-// Two engines in need named a limit in their answers, the requests a second that each takes from all nodes together, and
-// went on to get ten times as much as one of them had named: requests for them came late, while engines beside them had
-// room. They named it from one moment on, in each answer; nothing changed in what the nodes of their regions sent
-// there, and no line of any node named it.
-//
-// No node read the limit, and room at a server was shared by what runs there at once, never by how many requests come in a
-// second: a server that answers fast looks idle however many it is sent. A node that keeps the limit by itself alone still
-// lets it through as many times as there are nodes. That the limit does reach the nodes shows in the line that each
-// writes with its first answer from the server; that it is not for want of other room, in the test of four
-// servers, where all requests are served beside the limit.
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {request} from 'undici';
-import {
-	startGateways,
-	type GatewayDeployment,
-} from '../../stand-ins/gateways.ts';
-import {
-	startLimitedServer,
-	type Arrival,
-	type LimitedAnswer,
-	type LimitedServer,
-} from '../../stand-ins/limited-server.ts';
-import {createStandInRegistry, writeRoutes} from '../../stand-ins/registry.ts';
-import {standInHeaders} from '../../stand-ins/stand-in-headers.ts';
-import type {Route} from '../../src/routes/index.ts';
+import type {Arrival} from '../../stand-ins/stating-server.ts';
 import {mostInSpan} from '../most-in-span.ts';
 import {until} from '../until.ts';
-import {documentOf, routeOf, serviceOf} from './fixtures.ts';
-
-const zones = {'north-1': 'upland', 'north-2': 'upland'};
-const nodes = 8;
-const deadlineMs = 4000;
+import {play, setUp, stream, whole} from './stating-scene.ts';
 
 // After a limit is named for the first time nodes have so long to take it in, in milliseconds: a fifth of what a slow
 // network is given.
@@ -41,114 +14,6 @@
 const allowedIn = (perSecond: number): number =>
 	1.5 * perSecond * (spanMs / 1000) + 5;
 
-const whole: LimitedAnswer = {beforeMs: 40, events: 0, pauseMs: 0};
-const stream: LimitedAnswer = {beforeMs: 60, events: 6, pauseMs: 25};
-
-type Scene = {
-	readonly deployment: GatewayDeployment;
-	readonly servers: readonly LimitedServer[];
-};
-
-type Answer = {readonly status: number; readonly totalMs: number};
-
-const setUp = async (
-	t: TestContext,
-	servers: number,
-	answer: LimitedAnswer,
-	route: Partial<Route> = {},
-): Promise<Scene> => {
-	const registry = createStandInRegistry();
-	const deployment = await startGateways(zones, nodes, registry);
-	writeRoutes(
-		registry,
-		documentOf({
-			routes: [
-				routeOf({
-					kind: answer.events > 0 ? 'streaming' : 'idempotent',
-					...route,
-				}),
-				routeOf({
-					...route,
-					name: 'urgent',
-					pathPrefix: '/urgent/',
-					priority: 0,
-					kind: answer.events > 0 ? 'streaming' : 'idempotent',
-				}),
-			],
-			services: [serviceOf()],
-		}),
-	);
-	const started = await Promise.all(
-		Array.from({length: servers}, async (_, index) =>
-			startLimitedServer(
-				registry,
-				{
-					id: `engine-${index}`,
-					service: 'engine',
-					address: deployment.nextAddress(),
-					availabilityZone: index % 2 === 0 ? 'north-1' : 'north-2',
-					slots: 32,
-				},
-				answer,
-			),
-		),
-	);
-	t.after(async () => {
-		await deployment.stop();
-		await Promise.all(started.map(async (server) => server.close()));
-	});
-	await until(() =>
-		deployment.nodes.every(
-			(node) => node.isReady() && node.entryAddresses('', '').length === nodes,
-		),
-	);
-	// Nodes know by then how many they are.
-	await sleep(2600);
-	return {deployment, servers: started};
-};
-
-let attempts = 0;
-
-const ask = async (address: string, path = '/a/draft'): Promise<Answer> => {
-	attempts += 1;
-	const startedAt = performance.now();
-	const totalMs = () => performance.now() - startedAt;
-	try {
-		const answer = await request(`http://${address}${path}`, {
-			method: 'POST',
-			body: path,
-			headers: {
-				host: 'site.example',
-				[standInHeaders.requestId]: `attempt-${attempts}`,
-				[standInHeaders.remainingMs]: String(deadlineMs),
-			},
-		});
-		await answer.body.text();
-		return {status: answer.statusCode, totalMs: totalMs()};
-	} catch {
-		return {status: 0, totalMs: totalMs()};
-	}
-};
-
-// Requests at an even pace, by all nodes in turn.
-const play = async (
-	{deployment: {callerAddresses}}: Scene,
-	perSecond: number,
-	lengthMs: number,
-	pathOf: (index: number) => string = () => '/a/draft',
-): Promise<readonly Answer[]> => {
-	const answers: Array<Promise<Answer>> = [];
-	const startedAt = performance.now();
-	for (let index = 0; performance.now() - startedAt < lengthMs; index += 1) {
-		const address = callerAddresses[index % callerAddresses.length]!;
-		answers.push(ask(address, pathOf(index)));
-		const dueAt = startedAt + ((index + 1) * 1000) / perSecond;
-		await sleep(Math.max(0, dueAt - performance.now()));
-	}
-
-	return Promise.all(answers);
-};
-
 const mostIn = (arrivals: readonly Arrival[], from: number): number =>
 	mostInSpan(
 		arrivals.map(({at}) => at).filter((at) => at >= from),
--- /dev/null
+++ b/tests/gateway/stating-scene.ts
@@ -0,0 +1,154 @@
+import type {TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {
+	startGateways,
+	type GatewayDeployment,
+} from '../../stand-ins/gateways.ts';
+import {
+	startStatingServer,
+	type StatingAnswer,
+	type StatingServer,
+} from '../../stand-ins/stating-server.ts';
+import {
+	createStandInRegistry,
+	writeRoutes,
+	type StandInRegistry,
+} from '../../stand-ins/registry.ts';
+import {standInHeaders} from '../../stand-ins/stand-in-headers.ts';
+import type {Route} from '../../src/routes/index.ts';
+import {until} from '../until.ts';
+import {documentOf, routeOf, serviceOf} from './fixtures.ts';
+
+const zones = {'north-1': 'upland', 'north-2': 'upland'};
+export const nodes = 8;
+const deadlineMs = 4000;
+
+export const whole: StatingAnswer = {beforeMs: 40, events: 0, pauseMs: 0};
+export const stream: StatingAnswer = {beforeMs: 60, events: 6, pauseMs: 25};
+
+export type Scene = {
+	readonly deployment: GatewayDeployment;
+	readonly registry: StandInRegistry;
+	readonly servers: readonly StatingServer[];
+};
+
+export type Answer = {
+	readonly status: number;
+	readonly totalMs: number;
+	/**
+	Seconds after which the caller should come back, if the answer names any.
+	*/
+	readonly retryAfter: number | undefined;
+};
+
+/**
+Starts nodes of one region and servers of one service.
+*/
+export const setUp = async (
+	t: TestContext,
+	servers: number,
+	answer: StatingAnswer,
+	route: Partial<Route> = {},
+): Promise<Scene> => {
+	const registry = createStandInRegistry();
+	const deployment = await startGateways(zones, nodes, registry);
+	writeRoutes(
+		registry,
+		documentOf({
+			routes: [
+				routeOf({
+					kind: answer.events > 0 ? 'streaming' : 'idempotent',
+					...route,
+				}),
+				routeOf({
+					...route,
+					name: 'urgent',
+					pathPrefix: '/urgent/',
+					priority: 0,
+					kind: answer.events > 0 ? 'streaming' : 'idempotent',
+				}),
+			],
+			services: [serviceOf()],
+		}),
+	);
+	const started = await Promise.all(
+		Array.from({length: servers}, async (_, index) =>
+			startStatingServer(
+				registry,
+				{
+					id: `engine-${index}`,
+					service: 'engine',
+					address: deployment.nextAddress(),
+					availabilityZone: index % 2 === 0 ? 'north-1' : 'north-2',
+					slots: 32,
+				},
+				answer,
+			),
+		),
+	);
+	t.after(async () => {
+		await deployment.stop();
+		await Promise.all(started.map(async (server) => server.close()));
+	});
+	await until(() =>
+		deployment.nodes.every(
+			(node) => node.isReady() && node.entryAddresses('', '').length === nodes,
+		),
+	);
+	// Nodes know by then how many they are.
+	await sleep(2600);
+	return {deployment, registry, servers: started};
+};
+
+let attempts = 0;
+
+export const ask = async (
+	address: string,
+	path = '/a/draft',
+): Promise<Answer> => {
+	attempts += 1;
+	const startedAt = performance.now();
+	const totalMs = () => performance.now() - startedAt;
+	try {
+		const answer = await request(`http://${address}${path}`, {
+			method: 'POST',
+			body: path,
+			headers: {
+				host: 'site.example',
+				[standInHeaders.requestId]: `attempt-${attempts}`,
+				[standInHeaders.remainingMs]: String(deadlineMs),
+			},
+		});
+		await answer.body.text();
+		const retryAfter = answer.headers['retry-after'];
+		return {
+			status: answer.statusCode,
+			totalMs: totalMs(),
+			retryAfter: retryAfter === undefined ? undefined : Number(retryAfter),
+		};
+	} catch {
+		return {status: 0, totalMs: totalMs(), retryAfter: undefined};
+	}
+};
+
+/**
+Sends requests at an even pace, to all nodes in turn.
+*/
+export const play = async (
+	{deployment: {callerAddresses}}: Scene,
+	perSecond: number,
+	lengthMs: number,
+	pathOf: (index: number) => string = () => '/a/draft',
+): Promise<readonly Answer[]> => {
+	const answers: Array<Promise<Answer>> = [];
+	const startedAt = performance.now();
+	for (let index = 0; performance.now() - startedAt < lengthMs; index += 1) {
+		const address = callerAddresses[index % callerAddresses.length]!;
+		answers.push(ask(address, pathOf(index)));
+		const dueAt = startedAt + ((index + 1) * 1000) / perSecond;
+		await sleep(Math.max(0, dueAt - performance.now()));
+	}
+
+	return Promise.all(answers);
+};
