Heed leaving and resting engines in the product's own path as well

Heads of answers were looked at for a limit and for a refusal only, each in its own place.

Every head, of answers, refusals, answers for another attempt and load reports, now passes the reader that the other path uses. An announcement marks the present process of the engine as leaving, which the zone was already told of by load reports; one that comes before any report holds for the process that the first report names. A resting engine is no candidate of this node until its rest is over and then returns slowly, like one that has just started; other zones are told that it has no room, not that it has gone. Where all rest, the request goes to another zone or is refused at once with the time left. An attempt is looked at again just before its first byte, which also covers a node that was paused while the attempt waited for a connection; it is withdrawn then and counts neither as a failure of the engine nor against its attempts.

--- a/src/engines/engine-client.ts
+++ b/src/engines/engine-client.ts
@@ -7,6 +7,7 @@
 import type {AttemptFailure} from '../retries/index.ts';
 import type {ClearedRegion} from '../routing/index.ts';
 import {dropBody, type Address} from '../shared/index.ts';
+import {withdrawnCode, withdrawUnless} from './withdraw-unless.ts';
 
 /**
 A request as it is sent to a backend server.
@@ -29,6 +30,23 @@
 	*/
 	readonly resumeFrom: number;
 	readonly signal: AbortSignal;
+	/**
+	Asked just before the first byte is written, for the call may have waited for a connection; nothing is sent where it
+	returns false.
+	*/
+	readonly canBegin: () => boolean;
+	/**
+	Told the head of the server's answer, whatever it amounts to.
+	*/
+	readonly onHead: (head: EngineHead) => void;
+};
+
+/**
+The head of an answer of a backend server.
+*/
+export type EngineHead = {
+	readonly status: number;
+	readonly header: (name: string) => string | undefined;
 };
 
 /**
@@ -84,7 +102,10 @@
 		call: BackendCall,
 		cleared: ClearedRegion,
 	): Promise<Result<UpstreamAnswer, AttemptFailure>>;
-	readStatus(address: Address): Promise<Result<EngineStatus, string>>;
+	readStatus(
+		address: Address,
+		onHead: (head: EngineHead) => void,
+	): Promise<Result<EngineStatus, string>>;
 	/**
 	Asks what runs at an address now.
 	*/
@@ -103,6 +124,11 @@
 */
 export const limitHeader = 'x-requests-per-second';
 
+/**
+Header by which a backend server that is shutting down says so: `1`.
+*/
+export const leavingHeader = 'x-leaving';
+
 /**
 Header that carries the attempt id to the server and back.
 */
@@ -139,12 +165,14 @@
 		address: Address,
 		path: string,
 		schema: z.ZodType<Body>,
+		onHead: (head: EngineHead) => void = () => undefined,
 	) => {
 		try {
 			const answer = await request(`http://${translate(address)}${path}`, {
 				dispatcher,
 				signal: AbortSignal.timeout(statusTimeoutMs),
 			});
+			onHead(headOf(answer));
 			const parsed = schema.safeParse(await answer.body.json());
 			return parsed.success
 				? Result.ok<Body, ReadFailure>(parsed.data)
@@ -165,7 +193,7 @@
 				const answer = await request(
 					`http://${translate(address)}${call.path}`,
 					{
-						dispatcher,
+						dispatcher: dispatcher.compose(withdrawUnless(call.canBegin)),
 						method: call.method,
 						headers: {
 							...call.headers,
@@ -177,13 +205,14 @@
 						signal: call.signal,
 					},
 				);
+				call.onHead(headOf(answer));
 				return await judgeAnswer(answer, call.attemptId);
 			} catch (error) {
 				return Result.err(failureOf(error as Error));
 			}
 		},
-		async readStatus(address) {
-			const status = await readJson(address, '/load', statusBody);
+		async readStatus(address, onHead) {
+			const status = await readJson(address, '/load', statusBody, onHead);
 			return status.mapErr(({reason}) => reason);
 		},
 		async readLife(address) {
@@ -203,6 +232,10 @@
  */
 export const failureOf = (error: Error): AttemptFailure => {
 	const code = (error as NodeJS.ErrnoException).code ?? '';
+	if (code === withdrawnCode) {
+		return withdrawn();
+	}
+
 	const isBeforeSend = beforeSendCodes.has(code);
 	return {
 		isStated: false,
@@ -217,6 +250,24 @@
 	};
 };
 
+const withdrawn = (): AttemptFailure => ({
+	outcome: 'not-run',
+	isStated: false,
+	isWithdrawn: true,
+	error: createGatewayError(
+		'overloaded',
+		'The request was withdrawn before it was sent: the backend server leaves or rests, or the node was paused',
+	),
+});
+
+const headOf = ({
+	statusCode,
+	headers,
+}: Dispatcher.ResponseData): EngineHead => ({
+	status: statusCode,
+	header: (name) => firstOf(headers[name]),
+});
+
 const beforeSendCodes: ReadonlySet<string> = new Set([
 	refusedCode,
 	'EHOSTUNREACH',
@@ -245,13 +296,9 @@
 	});
 };
 
-const refusal = ({
-	statusCode,
-	headers,
-}: Dispatcher.ResponseData): AttemptFailure => ({
+const refusal = ({statusCode}: Dispatcher.ResponseData): AttemptFailure => ({
 	outcome: 'not-run',
 	isStated: true,
-	statedLimit: firstOf(headers[limitHeader]),
 	error: createGatewayError(
 		'overloaded',
 		`The backend server refused the request (status ${statusCode})`,
--- a/src/engines/index.ts
+++ b/src/engines/index.ts
@@ -1,1 +1,2 @@
+export * from './withdraw-unless.ts';
 export * from './engine-client.ts';
--- a/src/fleet/fleet-event.ts
+++ b/src/fleet/fleet-event.ts
@@ -47,6 +47,14 @@
 			readonly backendServer: string;
 			readonly incarnation: string;
 	  }
+	/**
+	The server asked this node to send nothing until a time.
+	*/
+	| {
+			readonly kind: 'resting';
+			readonly backendServer: string;
+			readonly until: number;
+	  }
 	| {readonly kind: 'attempt-started'; readonly backendServer: string}
 	| {
 			readonly kind: 'first-token';
--- a/src/fleet/fleet-row.ts
+++ b/src/fleet/fleet-row.ts
@@ -20,6 +20,10 @@
 	failures: number;
 	ejections: number;
 	ejectedUntil: number;
+	/**
+	Until when the present process asked this node to send nothing.
+	*/
+	restUntil: number;
 	availableSince: number;
 	incarnation: string | undefined;
 	/**
@@ -34,6 +38,11 @@
 */
 export const anyIncarnation = '*';
 
+/**
+Stands for the process that was there before its first report named it.
+*/
+export const unnamedIncarnation = '';
+
 const lowestWeight = 0.05;
 
 /**
@@ -49,7 +58,16 @@
 		return;
 	}
 
-	if (row.incarnation !== undefined && row.incarnation !== report.incarnation) {
+	if (
+		row.incarnation === unnamedIncarnation &&
+		row.leavingIncarnations.has(unnamedIncarnation)
+	) {
+		row.leavingIncarnations.add(report.incarnation);
+	} else if (
+		row.incarnation !== undefined &&
+		row.incarnation !== report.incarnation
+	) {
+		row.restUntil = 0;
 		// A new process starts with cold caches.
 		row.availableSince = now;
 		row.failures = 0;
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -39,6 +39,14 @@
 	Requests of this node in flight, by backend server; servers without any are left out.
 	*/
 	inFlight(): Readonly<Record<string, number>>;
+	/**
+	Load and speed as other zones are told: a server that rests for this node has no room, but it is there.
+	*/
+	summary(backendServers: readonly BackendServer[], now: number): FleetCapacity;
+	/**
+	Milliseconds until this node may send anything to a server; 0 where it may now.
+	*/
+	restLeftMs(backendServer: string, now: number): number;
 	states(now: number): readonly BackendServerState[];
 	/**
 	The engine process last heard of, if any.
@@ -78,6 +86,7 @@
 		failures: 0,
 		ejections: 0,
 		ejectedUntil: 0,
+		restUntil: 0,
 		availableSince,
 		incarnation: undefined,
 		isLimited: false,
@@ -182,12 +191,23 @@
 		}
 	};
 
-	const isUsable = (row: Row, now: number): boolean =>
+	// A server returns from its rest as one that has just started: requests that were held back do not arrive all at once.
+	const rest = (row: Row, until: number) => {
+		generation += 1;
+		row.restUntil = Math.max(row.restUntil, until);
+		row.availableSince = Math.max(row.availableSince, row.restUntil);
+	};
+
+	const isThere = (row: Row, now: number): boolean =>
 		!isLeavingRow(row) && row.ejectedUntil <= now;
 
+	const isUsable = (row: Row, now: number): boolean =>
+		isThere(row, now) && row.restUntil <= now;
+
 	const sumUp = (
 		servers: readonly BackendServer[],
 		now: number,
+		isCounted: (row: Row, now: number) => boolean,
 	): FleetCapacity => {
 		let load = 0;
 		let slots = 0;
@@ -196,13 +216,14 @@
 		const firstTokens: number[] = [];
 		for (const {id} of servers) {
 			const row = rows.get(id);
-			if (!(row && isUsable(row, now))) {
+			if (!(row && isCounted(row, now))) {
 				continue;
 			}
 
 			const held = estimateLoad(row, parameters, now);
-			// What a limited server takes is used up here: other zones are not to send it more.
-			load += row.isLimited ? Math.max(held, row.server.slots) : held;
+			// A limited or resting server has no room to offer to other zones.
+			const isUsedUp = row.isLimited || row.restUntil > now;
+			load += isUsedUp ? Math.max(held, row.server.slots) : held;
 			slots += row.server.slots;
 			weightedFirstToken += row.firstTokenMs * row.server.slots;
 			weightedCost += row.server.costPerThousandTokens * row.server.slots;
@@ -231,7 +252,7 @@
 			return known.capacity;
 		}
 
-		const capacity = sumUp(servers, now);
+		const capacity = sumUp(servers, now, isUsable);
 		sums.set(servers, {capacity, at: now, generation});
 		return capacity;
 	};
@@ -291,6 +312,13 @@
 				return;
 			}
 
+			case 'resting': {
+				withRow(event.backendServer, (row) => {
+					rest(row, event.until);
+				});
+				return;
+			}
+
 			case 'attempt-started': {
 				withRow(event.backendServer, (row) => {
 					row.inFlight += 1;
@@ -354,6 +382,8 @@
 			return row && toCandidate(row, now);
 		},
 		capacity: capacityOf,
+		summary: (servers, now) => sumUp(servers, now, isThere),
+		restLeftMs: (id, now) => Math.max(0, (rows.get(id)?.restUntil ?? 0) - now),
 		inFlight: () =>
 			Object.fromEntries(
 				[...rows]
--- a/src/node/create-node.ts
+++ b/src/node/create-node.ts
@@ -9,6 +9,7 @@
 import {createNodeCore} from './node-core.ts';
 import {createNodeLimits} from './node-limits.ts';
 import {createNodeQuarantine} from './node-quarantine.ts';
+import {createNodeStatements} from './node-statements.ts';
 import {createRequestPath} from './request-path.ts';
 
 /**
@@ -34,6 +35,11 @@
 		}
 	};
 
+	const isUpToDate = (): boolean => {
+		controllers.host.checkPause();
+		return !controllers.recovery.isRecovering();
+	};
+
 	const readiness = async (): Promise<GatewayError | undefined> => {
 		if (isLeaving) {
 			return createGatewayError(
@@ -55,8 +61,16 @@
 	const backendLimits = createNodeLimits(core, (to, datagram) => {
 		controllers.membership.send(to, datagram);
 	});
-	const shared = {quarantine, backendLimits};
-	const path = createRequestPath(core, {readiness, caughtUp}, shared);
+	const {statements, standings} = createNodeStatements(
+		core,
+		backendLimits,
+		(engine, incarnation) => {
+			controllers.fleet.leaving(engine, incarnation);
+		},
+	);
+	const shared = {quarantine, backendLimits, statements, standings};
+	const gate = {readiness, caughtUp, isUpToDate};
+	const path = createRequestPath(core, gate, shared);
 	const {chain, executor, inFlight, permits, report} = path;
 	const controllers = createNodeControllers(core, path, shared);
 
--- a/src/node/fleet-controller.ts
+++ b/src/node/fleet-controller.ts
@@ -10,6 +10,7 @@
 } from '../digests/index.ts';
 import type {EngineClient} from '../engines/index.ts';
 import type {ClientLimits, PeerDemand} from '../limits/index.ts';
+import type {RequestStatements} from '../requests/index.ts';
 import {hasDuty, nodesPerDuty} from '../membership/index.ts';
 import {assertNever, rendezvousOrder} from '../shared/index.ts';
 import type {NodeContext} from './node-context.ts';
@@ -41,6 +42,10 @@
 	*/
 	readonly readingPauseMs: (server: BackendServer) => number;
 	/**
+	Takes in what servers state in the heads of their load reports.
+	*/
+	readonly statements: Pick<RequestStatements, 'loadReported'>;
+	/**
 	Called when load may have fallen.
 	*/
 	readonly onCapacity: () => void;
@@ -120,7 +125,10 @@
 
 	const readLoad = async (server: BackendServer) => {
 		polling.add(server.id);
-		const status = await engines.readStatus(server.address);
+		const sentAt = clock();
+		const status = await engines.readStatus(server.address, (head) => {
+			options.statements.loadReported(server, head, sentAt);
+		});
 		polling.delete(server.id);
 		if (status.isErr) {
 			return;
@@ -154,6 +162,7 @@
 			const pauseMs = options.readingPauseMs(server) * nodesPerDuty;
 			if (
 				polling.has(server.id) ||
+				fleet.restLeftMs(server.id, now) > 0 ||
 				now - (readAt.get(server.id) ?? -Infinity) < pauseMs
 			) {
 				continue;
@@ -232,7 +241,7 @@
 		const services: Record<string, ZoneServiceSummary> = {};
 		for (const service of new Set(local.map((server) => server.service))) {
 			const servers = local.filter((server) => server.service === service);
-			services[service] = rounded(fleet.capacity(servers, now));
+			services[service] = rounded(fleet.summary(servers, now));
 		}
 
 		digests.put(
--- a/src/node/node-controllers.ts
+++ b/src/node/node-controllers.ts
@@ -5,7 +5,10 @@
 import {createPeerMessageCodec} from '../peers/peer-message-codec.ts';
 import type {ParsedConfiguration} from '../configuration/index.ts';
 import {createConfigurationController} from './configuration-controller.ts';
-import {createFleetController} from './fleet-controller.ts';
+import {
+	createFleetController,
+	type FleetController,
+} from './fleet-controller.ts';
 import {
 	createMembershipController,
 	type MembershipController,
@@ -25,6 +28,7 @@
 	readonly host: ControllerHost;
 	readonly membership: MembershipController;
 	readonly recovery: RecoveryController;
+	readonly fleet: Pick<FleetController, 'leaving'>;
 };
 
 /**
@@ -36,7 +40,7 @@
 		RequestPath,
 		'limits' | 'capacity' | 'inFlight' | 'metrics' | 'backendLimits'
 	>,
-	{quarantine, backendLimits}: SharedParts,
+	{quarantine, backendLimits, statements, standings}: SharedParts,
 ): NodeControllers => {
 	const {context} = core;
 	const {clock, configuration, digests, fleet} = context;
@@ -47,6 +51,7 @@
 		context,
 		engines: core.engines,
 		limits: path.limits,
+		statements,
 		readingPauseMs: path.backendLimits.readingPauseMs,
 		onCapacity: capacity.notify,
 	});
@@ -154,11 +159,14 @@
 		name: 'waiting',
 		tick(now: number) {
 			quarantine.tick(now);
+			standings.tick(now);
 			keepLimits(now);
 			capacity.expire(now);
 			metrics.gauge('in_flight', inFlight.count());
 			metrics.gauge('requests_quarantined', quarantine.quarantined(now));
 			metrics.gauge('servers_limited', backendLimits.limitedServers());
+			metrics.gauge('servers_leaving', standings.leavingServers());
+			metrics.gauge('servers_resting', standings.restingServers(now));
 		},
 	};
 	for (const controller of [
@@ -172,5 +180,5 @@
 		host.add(controller);
 	}
 
-	return {host, membership, recovery};
+	return {host, membership, recovery, fleet: fleetController};
 };
--- a/src/node/node-quarantine.ts
+++ b/src/node/node-quarantine.ts
@@ -19,7 +19,10 @@
 	const ask = async (id: string, life: string) => {
 		const servers = configuration.current()?.configuration.backendServers;
 		const server = servers?.find((each) => each.id === id);
-		const now = server && (await engines.readLife(server.address));
+		// The refusal that asked for a rest has shown that the engine lives.
+		const canAsk = context.fleet.restLeftMs(id, clock()) === 0;
+		const now =
+			server && canAsk ? await engines.readLife(server.address) : undefined;
 		const verdict = now ? judgeLife(id, life, now) : 'unknown';
 		switch (verdict) {
 			case 'ended': {
--- a/src/node/request-path.ts
+++ b/src/node/request-path.ts
@@ -27,8 +27,10 @@
 	type RequestChain,
 	type RequestExecutor,
 	type RequestLimits,
+	type RequestStatements,
 	type TargetChooser,
 } from '../requests/index.ts';
+import type {ServerStandings} from '../server-statements/index.ts';
 import type {Quarantine} from '../quarantine/index.ts';
 import {createRetryBudget} from '../retries/index.ts';
 import type {NodeContext} from './node-context.ts';
@@ -63,6 +65,10 @@
 	Resolves once the node knows again what happened while it stood still.
 	*/
 	caughtUp(): Promise<void>;
+	/**
+	Whether it knows that now; false after a pause until it has caught up.
+	*/
+	isUpToDate(): boolean;
 };
 
 /**
@@ -71,6 +77,8 @@
 export type SharedParts = {
 	readonly quarantine: Quarantine;
 	readonly backendLimits: BackendLimits;
+	readonly statements: RequestStatements;
+	readonly standings: ServerStandings;
 };
 
 const epochBytes = 8;
@@ -82,7 +90,7 @@
 export const createRequestPath = (
 	core: NodeCore,
 	gate: RequestGate,
-	{quarantine, backendLimits}: SharedParts,
+	{quarantine, backendLimits, statements}: SharedParts,
 ): RequestPath => {
 	const {context} = core;
 	const {settings, clock, configuration} = context;
@@ -107,7 +115,8 @@
 		backendLimits: backendLimitsView,
 		capacity,
 		epoch,
-		caughtUp: gate.caughtUp,
+		gate,
+		statements,
 		quarantine,
 	});
 	const chain = createRequestChain({
@@ -161,8 +170,8 @@
 	});
 
 type ExecutorParts = Pick<RequestPath, 'chooser' | 'capacity'> &
-	Pick<RequestGate, 'caughtUp'> &
-	Pick<SharedParts, 'quarantine'> & {
+	Pick<SharedParts, 'quarantine' | 'statements'> & {
+		readonly gate: Pick<RequestGate, 'caughtUp' | 'isUpToDate'>;
 		readonly backendLimits: RequestLimits;
 		/**
 		Tells the attempts of this life of the node from those of earlier ones.
@@ -176,9 +185,10 @@
 		chooser,
 		capacity,
 		epoch,
-		caughtUp,
+		gate,
 		quarantine,
 		backendLimits,
+		statements,
 	}: ExecutorParts,
 ): RequestExecutor => {
 	const {settings, clock, fleet, peers, logger} = context;
@@ -198,7 +208,9 @@
 			issued += 1;
 			return `${settings.nodeId}.${epoch}.${issued.toString(36)}`;
 		},
-		caughtUp,
+		statements,
+		caughtUp: gate.caughtUp,
+		isUpToDate: gate.isUpToDate,
 		logger,
 	});
 	return createRequestExecutor({
--- a/src/requests/attempt-calls.ts
+++ b/src/requests/attempt-calls.ts
@@ -9,7 +9,9 @@
 export const backendCall = (
 	{request, attemptId, resumeFrom}: AttemptPlan,
 	signal: AbortSignal,
+	guards: Pick<BackendCall, 'canBegin' | 'onHead'>,
 ): BackendCall => ({
+	...guards,
 	method: request.method,
 	path: request.url,
 	headers: {
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Result} from 'true-myth';
+import type {BackendServer} from '../configuration/index.ts';
 import type {EngineClient, UpstreamAnswer} from '../engines/index.ts';
 import {createGatewayError, type GatewayError} from '../errors/index.ts';
 import type {AttemptEnd, Fleet} from '../fleet/index.ts';
@@ -24,6 +25,7 @@
 import type {TargetChooser} from './target-choice.ts';
 import type {GatewayRequest} from './gateway-request.ts';
 import type {RequestLimits} from './request-limits.ts';
+import type {RequestStatements} from './request-statements.ts';
 import {inQuarantine, type RequestQuarantine} from './request-quarantine.ts';
 
 /**
@@ -38,13 +40,18 @@
 	readonly budget: RetryBudget;
 	readonly capacity: CapacityWait;
 	readonly quarantine: RequestQuarantine;
-	readonly limits: Pick<RequestLimits, 'answered' | 'sent'>;
+	readonly limits: Pick<RequestLimits, 'sent'>;
+	readonly statements: Pick<RequestStatements, 'answered'>;
 	readonly issueAttemptId: () => string;
 
 	/**
 	Resolves at once, or after a pause of the process once the node is up to date again.
 	*/
 	readonly caughtUp: () => Promise<void>;
+	/**
+	Whether the node knows what happened up to now; false after a pause until it has caught up.
+	*/
+	readonly isUpToDate: () => boolean;
 	readonly logger: Logger;
 };
 
@@ -128,6 +135,11 @@
 				return Result.ok(attempt.value);
 			}
 
+			if (attempt.error.isWithdrawn) {
+				progress.attempts -= 1;
+				continue;
+			}
+
 			progress.excluded.add(targetId(target.value));
 			const verdict = judge(request, progress, attempt.error, resumeFrom > 0);
 			if (verdict.isErr) {
@@ -182,6 +194,10 @@
 				}
 
 				case 'busy': {
+					if (choice.restLeftMs !== undefined) {
+						return Result.err(busy(choice.restLeftMs / 1000));
+					}
+
 					// A receiver does not queue: the origin may know of a better place. Nor is there anything to wait for
 					// where all servers are limited and this node is not among those that send to them.
 					const isHopeless = progress.isForwarded || choice.perSecond === 0;
@@ -295,9 +311,7 @@
 		}
 
 		options.limits.sent(target.server, startedAt);
-		const sent = await send(plan, signal);
-		options.limits.answered(target.server, sent, startedAt, clock());
-		return sent;
+		return send(plan, signal);
 	};
 
 	const send = async (
@@ -307,7 +321,14 @@
 		const {target} = plan;
 		switch (target.kind) {
 			case 'backend-server': {
-				const call = backendCall(plan, signal);
+				const {server} = target;
+				const sentAt = clock();
+				const call = backendCall(plan, signal, {
+					canBegin: () => canReceive(server),
+					onHead(head) {
+						options.statements.answered(server, plan.attemptId, head, sentAt);
+					},
+				});
 				return options.engines.send(
 					target.server.address,
 					call,
@@ -334,6 +355,11 @@
 		}
 	};
 
+	const canReceive = ({id}: Pick<BackendServer, 'id'>): boolean =>
+		options.isUpToDate() &&
+		!fleet.isLeaving(id) &&
+		fleet.restLeftMs(id, clock()) === 0;
+
 	const judge = (
 		request: GatewayRequest,
 		progress: Progress,
--- a/src/requests/choose-target.ts
+++ b/src/requests/choose-target.ts
@@ -107,6 +107,22 @@
 				};
 	};
 
+	// The shortest rest of a server here that the request may still go to.
+	const restLeftIn = (
+		zones: readonly EligibleZone[],
+		{excluded}: TriedTargets,
+		now: number,
+	): number | undefined => {
+		const own = zones.find(
+			({availabilityZone}) => availabilityZone === options.availabilityZone,
+		);
+		const rests = (own?.backendServers ?? [])
+			.filter(({id}) => !excluded.has(id))
+			.map(({id}) => fleet.restLeftMs(id, now))
+			.filter((leftMs) => leftMs > 0);
+		return rests.length === 0 ? undefined : Math.min(...rests);
+	};
+
 	// Where one without a limit is merely full, its room comes back with the next end.
 	const ratesOf = (
 		servers: readonly BackendServer[],
@@ -182,6 +198,11 @@
 				.map((zone) => judgeZone(zone, request, configuration, now))
 				.filter(({slots}) => slots > 0);
 			const chosen = pickZone(request, zones);
+			const restLeftMs = chosen ? undefined : restLeftIn(reachable, tried, now);
+			if (restLeftMs !== undefined) {
+				return {kind: 'busy', restLeftMs};
+			}
+
 			if (!chosen) {
 				return {kind: 'none', error: whyNone(request, regions.size)};
 			}
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -16,5 +16,6 @@
 export * from './request-chain.ts';
 export * from './request-executor.ts';
 export * from './request-limits.ts';
+export * from './request-statements.ts';
 export * from './request-quarantine.ts';
 export * from './serve-forwarded.ts';
--- a/src/requests/request-limits.ts
+++ b/src/requests/request-limits.ts
@@ -1,12 +1,6 @@
-import type {Result} from 'true-myth';
-import {
-	readLimitStatement,
-	type BackendLimits,
-} from '../backend-limits/index.ts';
+import type {BackendLimits} from '../backend-limits/index.ts';
 import type {BackendServer} from '../configuration/index.ts';
-import {firstOf, limitHeader, type UpstreamAnswer} from '../engines/index.ts';
 import type {Fleet} from '../fleet/index.ts';
-import type {AttemptFailure} from '../retries/index.ts';
 import {engineLife} from './request-quarantine.ts';
 
 type Engine = Pick<BackendServer, 'id'>;
@@ -25,15 +19,6 @@
 	*/
 	readingPauseMs(server: Engine): number;
 	sent(server: Engine, now: number): void;
-	/**
-	An attempt that was sent at a time has been answered, or has failed.
-	*/
-	answered(
-		server: Engine,
-		answer: Result<UpstreamAnswer, AttemptFailure>,
-		sentAt: number,
-		now: number,
-	): void;
 };
 
 /**
@@ -54,19 +39,5 @@
 		sent(server, now) {
 			limits.sent(lifeOf(server), now);
 		},
-		answered(server, answer, sentAt, now) {
-			const text = answer.isOk
-				? firstOf(answer.value.headers[limitHeader])
-				: answer.error.statedLimit;
-			// A failure without a limit does not end one: only a server at work shows that.
-			if (text === undefined && answer.isErr) {
-				return;
-			}
-
-			const statement = readLimitStatement(text, sentAt, now);
-			if (statement.isOk) {
-				limits.stated(lifeOf(server), statement.value, 'answer');
-			}
-		},
 	};
 };
--- a/src/requests/target-choice.ts
+++ b/src/requests/target-choice.ts
@@ -38,6 +38,10 @@
 			Given where all of them have named limits: requests a second that this node may send them.
 			*/
 			readonly perSecond?: number;
+			/**
+			Given where all of them rest: milliseconds until the first of them may be sent a request.
+			*/
+			readonly restLeftMs?: number;
 	  }
 	| {readonly kind: 'none'; readonly error: GatewayError};
 
--- a/src/retries/decide-retry.ts
+++ b/src/retries/decide-retry.ts
@@ -19,9 +19,9 @@
 	*/
 	readonly isStated: boolean;
 	/**
-	What the backend server named as its limit when it refused.
+	Whether nothing was sent, because it must not be any more.
 	*/
-	readonly statedLimit?: string | undefined;
+	readonly isWithdrawn?: boolean;
 };
 
 /**
--- a/src/server-statements/read-statements.ts
+++ b/src/server-statements/read-statements.ts
@@ -30,10 +30,10 @@
 
 	const read = <Value>(
 		kind: StatementFault['kind'],
-		name: string,
+		name: string | undefined,
 		parse: (text: string) => Result<Value, string>,
 	): Value | undefined => {
-		const text = answer.header(name);
+		const text = name === undefined ? undefined : answer.header(name);
 		const parsed = text === undefined ? undefined : parse(text);
 		if (parsed?.isErr) {
 			onFault({kind, reason: parsed.error});
--- a/src/server-statements/statement-headers.ts
+++ b/src/server-statements/statement-headers.ts
@@ -11,13 +11,13 @@
 	*/
 	readonly limit: string;
 	/**
-	`RUNNING,WAITING,SLOTS`.
+	`RUNNING,WAITING,SLOTS`; undefined where servers do not state it in headers, like the next one.
 	*/
-	readonly load: string;
+	readonly load: string | undefined;
 	/**
 	How much longer the server is cold, in milliseconds.
 	*/
-	readonly coldMs: string;
+	readonly coldMs: string | undefined;
 };
 
 /**
--- a/tests/engines/engine-client.test.ts
+++ b/tests/engines/engine-client.test.ts
@@ -15,6 +15,8 @@
 	priority: 0,
 	resumeFrom: 0,
 	signal: AbortSignal.timeout(10_000),
+	canBegin: () => true,
+	onHead: () => undefined,
 };
 
 test('an answer for another attempt is dropped, also when it has arrived whole', async (t: TestContext) => {
@@ -31,3 +33,45 @@
 		t.assert.strictEqual(answer.isErr && answer.error.outcome, 'unknown');
 	}
 });
+
+test('a call that may not begin any more when its connection is up is withdrawn unsent', async (t: TestContext) => {
+	const address = await startForeignServer(t);
+	const client = createEngineClient((known) => known);
+	t.after(client.close);
+	let heads = 0;
+	const sent = client.send(
+		address,
+		{
+			...call,
+			canBegin: () => false,
+			onHead() {
+				heads += 1;
+			},
+		},
+		cleared,
+	);
+	const answer = await sent;
+	t.assert.ok(answer.isErr);
+	t.assert.deepStrictEqual(
+		[answer.error.outcome, answer.error.isWithdrawn, heads],
+		['not-run', true, 0],
+	);
+});
+
+test('the head of each answer is told, also of one for another attempt', async (t: TestContext) => {
+	const address = await startForeignServer(t);
+	const client = createEngineClient((known) => known);
+	t.after(client.close);
+	const statuses: number[] = [];
+	await client.send(
+		address,
+		{
+			...call,
+			onHead({status}) {
+				statuses.push(status);
+			},
+		},
+		cleared,
+	);
+	t.assert.deepStrictEqual(statuses, [200]);
+});
--- a/tests/fleet/fleet.test.ts
+++ b/tests/fleet/fleet.test.ts
@@ -7,6 +7,7 @@
 	createFleet,
 	defaultFleetParameters,
 	type FleetEvent,
+	unnamedIncarnation,
 } from '../../src/fleet/index.ts';
 
 const server = (id: string): BackendServer => ({
@@ -218,3 +219,61 @@
 
 	assert.ok(fleet.capacity(servers, 1000).typicalFirstTokenMs < 100);
 });
+
+test('a resting server is no candidate until its rest is over, and then returns slowly', () => {
+	const fleet = create();
+	fleet.handle({kind: 'resting', backendServer: 'x', until: 3000}, 0);
+	fleet.handle({kind: 'resting', backendServer: 'x', until: 1000}, 100);
+	assert.deepEqual(idsOf(fleet, 2999), ['y']);
+	assert.equal(fleet.restLeftMs('x', 1000), 2000);
+	assert.deepEqual(idsOf(fleet, 3000), ['x', 'y']);
+	assert.ok(fleet.candidate('x', 3000)!.weight < 0.1);
+});
+
+test('other zones are told that a resting server has no room, not that it has gone', () => {
+	const fleet = create();
+	fleet.handle({kind: 'resting', backendServer: 'x', until: 3000}, 0);
+	assert.equal(fleet.capacity(servers, 0).slots, 10);
+	const {slots, load} = fleet.summary(servers, 0);
+	assert.deepEqual([slots, load], [20, 10]);
+});
+
+test('a rest ends with the process that asked for it', () => {
+	const fleet = create();
+	const reported = (incarnation: string, observedAt: number): FleetEvent => ({
+		kind: 'load-reported',
+		backendServer: 'x',
+		report: report(0, incarnation),
+		observedAt,
+	});
+	fleet.handle(reported('one', 0), 0);
+	fleet.handle({kind: 'resting', backendServer: 'x', until: 3000}, 0);
+	fleet.handle(reported('one', 100), 100);
+	assert.deepEqual(idsOf(fleet, 100), ['y']);
+	fleet.handle(reported('two', 200), 200);
+	assert.deepEqual(idsOf(fleet, 200), ['x', 'y']);
+});
+
+test('a shutdown announced before the first load report holds for the process that the report names', () => {
+	const fleet = create();
+	fleet.handle(
+		{kind: 'leaving', backendServer: 'x', incarnation: unnamedIncarnation},
+		0,
+	);
+	assert.deepEqual(idsOf(fleet, 0), ['y']);
+	for (const [incarnation, expected] of [
+		['one', ['y']],
+		['two', ['x', 'y']],
+	] as const) {
+		fleet.handle(
+			{
+				kind: 'load-reported',
+				backendServer: 'x',
+				report: report(0, incarnation),
+				observedAt: 1,
+			},
+			1,
+		);
+		assert.deepEqual(idsOf(fleet, 1), expected);
+	}
+});
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -122,7 +122,7 @@
 			onFault: () => undefined,
 		}),
 		standings,
-		mayReceive: () => true,
+		canReceive: () => true,
 		backendLimits,
 		onWaiting: () => undefined,
 		onRecord(record) {
--- a/tests/requests/request-chain.test.ts
+++ b/tests/requests/request-chain.test.ts
@@ -135,7 +135,8 @@
 	const attempts = createAttempts({
 		clock,
 		quarantine: createRequestQuarantine(quarantine, fleet, clock),
-		limits: {answered: () => undefined, sent: () => undefined},
+		limits: {sent: () => undefined},
+		statements: {answered: () => undefined},
 		fleet,
 		engines,
 		peers,
@@ -154,6 +155,7 @@
 		async caughtUp() {
 			quarantine.tick(clock());
 		},
+		isUpToDate: () => true,
 		logger: silentLogger,
 	});
 	const inFlight = createInFlight();
