--- a/benchmarks/run.ts
+++ b/benchmarks/run.ts
@@ -12,6 +12,7 @@
 import {measureOverhead} from './overhead.ts';
 import {measureProcessor} from './processor.ts';
 import {measureQuarantine} from './quarantine.ts';
+import {measureRests} from './rests.ts';
 import {measureRouting} from './routing.ts';
 import type {Row} from './table.ts';
 
@@ -35,6 +36,7 @@
 	limits: measureLimits,
 	quarantine: measureQuarantine,
 	'backend-limits': measureBackendLimits,
+	rests: measureRests,
 };
 
 const chosen = positionals.length > 0 ? positionals : Object.keys(benchmarks);
