--- a/src/backend-limits/backend-limits.ts
+++ b/src/backend-limits/backend-limits.ts
@@ -7,7 +7,7 @@
 import {createLimitLog, type LimitChange} from './limit-log.ts';
 import {limitShare, readingPart, type LimitShare} from './limit-share.ts';
 import type {LimitStatement} from './limit-statement.ts';
-import {createLimitTelling, freshWordMs} from './limit-telling.ts';
+import {createLimitBroadcast, freshStatementMs} from './limit-broadcast.ts';
 
 /**
 The limits that backend servers name in their answers, each for all nodes together.
@@ -71,7 +71,7 @@
 	/**
 	The part of all such nodes that can be heard, this one included, from 0 to 1.
 	*/
-	readonly heardPart: () => number;
+	readonly reachableFraction: () => number;
 	/**
 	Whether this node may use a limited server: it has had time to hear of the others, and is not leaving.
 	*/
@@ -98,7 +98,7 @@
 export const createBackendLimits = ({
 	self,
 	peers,
-	heardPart,
+	reachableFraction,
 	mayShare,
 	tell,
 	without,
@@ -111,7 +111,7 @@
 		createDerived(peers, (members) => members.map(({id}) => id)),
 	);
 	const isOff = without.has('backend-limits');
-	const telling = createLimitTelling({
+	const broadcast = createLimitBroadcast({
 		self,
 		entries,
 		order,
@@ -131,7 +131,7 @@
 			: limitShare(mayShare() ? perSecond : 0, {
 					rank: order.rank(life),
 					nodes: peers().length + 1,
-					heardPart: heardPart(),
+					reachableFraction: reachableFraction(),
 				});
 
 	const take = (
@@ -154,7 +154,7 @@
 				sentBefore: sent,
 				...(share && {share: share.perSecond}),
 				nodes: peers().length + 1,
-				heardPart: heardPart(),
+				reachableFraction: reachableFraction(),
 			},
 			now,
 		);
@@ -176,7 +176,7 @@
 		hear({from, limits}, now) {
 			for (const {life, perSecond, earliestAgoMs, latestAgoMs} of limits) {
 				// What was delayed on its way, or was read late, may be long over.
-				if (latestAgoMs > freshWordMs) {
+				if (latestAgoMs > freshStatementMs) {
 					continue;
 				}
 
@@ -194,7 +194,7 @@
 			}
 
 			fill(life, entry, now);
-			const isThere = entry.bucket.hasToken();
+			const isThere = entry.bucket.canTake();
 			heldBack += isThere ? 0 : 1;
 			return isThere;
 		},
@@ -230,7 +230,7 @@
 				return;
 			}
 
-			telling.tick(now);
+			broadcast.tick(now);
 		},
 		areThere: () => !isOff && entries.limited() > 0,
 		limitedServers: entries.limited,
--- a/src/backend-limits/index.ts
+++ b/src/backend-limits/index.ts
@@ -5,5 +5,5 @@
 export * from './sender-nodes.ts';
 export * from './limit-entries.ts';
 export * from './limit-log.ts';
-export * from './limit-telling.ts';
+export * from './limit-broadcast.ts';
 export * from './backend-limits.ts';
--- a/src/backend-limits/limit-telling.ts
+++ b/src/backend-limits/limit-broadcast.ts
@@ -7,10 +7,10 @@
 import {lowestStatement} from './limit-statement.ts';
 
 /**
-Tells other nodes of limits: at once when this node hears of a change from the server itself, and again and again while
-what is known is fresh, for those that missed it or have started since.
+Broadcasts limits to the other nodes: at once when this node hears of a change from the server itself, and repeatedly while the
+statement is fresh, for nodes that missed it or have started since.
 */
-export type LimitTelling = {
+export type LimitBroadcast = {
 	/**
 	Called at each tick.
 	*/
@@ -18,9 +18,9 @@
 };
 
 /**
-What telling is built from.
+What a broadcast is built from.
 */
-export type LimitTellingOptions = {
+export type LimitBroadcastOptions = {
 	readonly self: string;
 	readonly entries: LimitEntries;
 	readonly order: NodeOrder;
@@ -31,46 +31,49 @@
 };
 
 /**
-How long after anybody told of a limit it is told again, in milliseconds.
+Interval at which a limit is broadcast by any node, in milliseconds.
 */
-export const remindLimitMs = 1000;
+export const broadcastIntervalMs = 1000;
 
 /**
-So much later the next node in the order tells of it, in milliseconds, when the one before it has not: long enough for the
-word of that one to come.
+Delay after which the next node in rendezvous order broadcasts instead, in milliseconds.
 */
-export const remindStepMs = 200;
+export const broadcastFailoverMs = 200;
 
-// Nodes that come later in the order wait as long as this one, or the last would wait for ever.
-const lastStep = 10;
+// Nodes that come later in the order wait as long as this one.
+const lastFailover = 10;
 
 /**
-A word that is older is told to nobody, in milliseconds: the server may have named another limit since.
+Age beyond which a statement is not passed on, in milliseconds: the server may have changed its limit since.
 */
-export const freshWordMs = 10_000;
+export const freshStatementMs = 10_000;
 
 /**
-A limit that changes all the time is told so often at the most, in milliseconds.
+Shortest time between two broadcasts of a limit that keeps changing, in milliseconds.
 */
-export const tellAgainMs = 500;
+export const minimumBroadcastGapMs = 500;
 
 /**
-Builds telling that has told nothing.
+Builds a broadcast that has told nothing.
 */
-export const createLimitTelling = ({
+export const createLimitBroadcast = ({
 	self,
 	entries,
 	order,
 	tellPeers,
-}: LimitTellingOptions): LimitTelling => {
+}: LimitBroadcastOptions): LimitBroadcast => {
 	const isDue = (
 		life: string,
 		{saidAt, hasNews}: LimitEntry,
 		now: number,
 	): boolean => {
 		const silentMs = now - saidAt;
-		const stepsMs = Math.min(lastStep, order.rank(life)) * remindStepMs;
-		return silentMs >= (hasNews ? tellAgainMs : remindLimitMs + stepsMs);
+		const stepsMs =
+			Math.min(lastFailover, order.rank(life)) * broadcastFailoverMs;
+		return (
+			silentMs >=
+			(hasNews ? minimumBroadcastGapMs : broadcastIntervalMs + stepsMs)
+		);
 	};
 
 	return {
@@ -103,7 +106,7 @@
 	now: number,
 ): ToldLimit | undefined => {
 	const statement = lowestStatement(statements);
-	return statement === undefined || now - statement.latest > freshWordMs
+	return statement === undefined || now - statement.latest > freshStatementMs
 		? undefined
 		: {
 				life,
--- a/src/backend-limits/limit-share.ts
+++ b/src/backend-limits/limit-share.ts
@@ -4,51 +4,51 @@
 export type LimitShare = {
 	readonly perSecond: number;
 	/**
-	Requests that it may send at once after a rest.
+	Burst capacity of the node's token bucket, in requests.
 	*/
-	readonly most: number;
+	readonly burst: number;
 };
 
 /**
-What a share is reckoned from.
+What a share is calculated from.
 */
 export type ShareView = {
 	/**
-	Nodes that go before this one in the order for the server.
+	Place of this node in rendezvous order for the server, from 0.
 	*/
 	readonly rank: number;
 	/**
-	Nodes that send to the server and can be heard, this one included.
+	Reachable nodes that send to the server, this one included.
 	*/
 	readonly nodes: number;
 	/**
-	The part of all nodes that can be heard, from 0 to 1.
+	Fraction of all such nodes that is reachable, from 0 to 1.
 	*/
-	readonly heardPart: number;
+	readonly reachableFraction: number;
 };
 
 /**
-The part of a limit that requests get. The rest is left for health checks and for reading what engines keep.
+Fraction of a limit for requests. The rest is left for health checks and for reading what engines keep.
 */
 export const requestPart = 0.9;
 
 /**
-The part of a limit that is left for reading what an engine keeps.
+Fraction of a limit for reading what an engine keeps.
 */
 export const readingPart = 0.1;
 
 /**
-By so much nodes that cannot hear some others go beyond their part of a limit: those may be cut off and use theirs, or be
-gone. The two sides of a cut together send a quarter more than one.
+Factor by which a node exceeds its share while some members are unreachable. Two sides of a partition together stay below 1.25
+times the limit.
 */
-export const unheardMargin = 1.25;
+export const partitionOvercommit = 1.25;
 
 /**
-A rest of so long is made up for, in milliseconds. All nodes together may send that much at once.
+Burst capacity of the token buckets of all nodes together, in milliseconds of the limit.
 */
-export const restMs = 1250;
+export const burstWindowMs = 1250;
 
-const noShare: LimitShare = {perSecond: 0, most: 0};
+const noShare: LimitShare = {perSecond: 0, burst: 0};
 
 /**
 The share of a node.
@@ -59,15 +59,17 @@
 */
 export const limitShare = (
 	perSecond: number,
-	{rank, nodes, heardPart}: ShareView,
+	{rank, nodes, reachableFraction}: ShareView,
 ): LimitShare => {
 	const whole =
-		perSecond * requestPart * Math.min(1, heardPart * unheardMargin);
+		perSecond *
+		requestPart *
+		Math.min(1, reachableFraction * partitionOvercommit);
 	const senders = Math.min(nodes, Math.max(1, Math.floor(whole)));
 	if (rank >= senders) {
 		return noShare;
 	}
 
 	const own = whole / senders;
-	return {perSecond: own, most: Math.max(1, (own * restMs) / 1000)};
+	return {perSecond: own, burst: Math.max(1, (own * burstWindowMs) / 1000)};
 };
--- a/src/backend-limits/sender-nodes.ts
+++ b/src/backend-limits/sender-nodes.ts
@@ -10,9 +10,9 @@
 	*/
 	peers(): readonly Member[];
 	/**
-	The part of all of them that can be heard, this node included, from 0 to 1.
+	Fraction of all of them that is reachable, this node included, from 0 to 1.
 	*/
-	heardPart(): number;
+	reachableFraction(): number;
 };
 
 /**
@@ -20,7 +20,7 @@
 */
 export type SenderNodesOptions = {
 	/**
-	All nodes ever heard of but this one; replaced when they change.
+	All other nodes ever heard of; replaced when they change.
 	*/
 	readonly others: () => readonly Member[];
 	/**
@@ -35,17 +35,16 @@
 };
 
 /**
-A dead node may be cut off and go on sending. For so long its part of what all may send is left to it, in milliseconds: most
-cuts are over by then, and what is gone for good is not waited for.
+How long the share of a dead node stays reserved, in milliseconds: it may be partitioned and still sending.
 */
 export const deadCountsMs = 30_000;
 
 /**
-The part that a node takes itself for that has never heard another one: it may have started behind a cut, and others like it.
+Fraction assumed by a node that has never heard another one: several may have started behind the same partition.
 */
-export const unheardPart = 0.25;
+export const isolatedFraction = 0.25;
 
-// Deaths are counted anew so often, in milliseconds, and not at each request.
+// Interval at which dead nodes are counted, in milliseconds: a count at each request would grow with the nodes.
 const countEveryMs = 200;
 
 /**
@@ -91,9 +90,9 @@
 
 	return {
 		peers,
-		heardPart() {
+		reachableFraction() {
 			if (lastHeard() === undefined) {
-				return unheardPart;
+				return isolatedFraction;
 			}
 
 			const heard = 1 + peers().length;
--- a/src/backend-limits/token-bucket.ts
+++ b/src/backend-limits/token-bucket.ts
@@ -1,39 +1,39 @@
 import type {LimitShare} from './limit-share.ts';
 
 /**
-Requests that may be sent now, by a rate that may change.
+A token bucket whose rate and burst capacity may change.
 */
 export type TokenBucket = {
 	/**
-	Takes in the time that has passed with a share.
+	Adds the tokens of the time since the last fill.
 	*/
 	fill(share: LimitShare, now: number): void;
-	hasToken(): boolean;
+	canTake(): boolean;
 	/**
-	Counts a request; one that had to be sent without a token is made up for later.
+	Removes a token, also where there is none: the next requests wait for it.
 	*/
 	take(): void;
 };
 
-// What had to be sent without a token is made up for in this many requests at the most.
-const deepestDebt = 5;
+// Tokens that the bucket may go below zero.
+const maximumDebt = 5;
 
 /**
-Builds a bucket without a token: whoever learns of a limit has just sent something.
+Builds an empty bucket: a node that learns of a limit has just sent a request.
 */
 export const createTokenBucket = (createdAt: number): TokenBucket => {
 	let tokens = 0;
 	let filledAt = createdAt;
 
 	return {
-		fill({perSecond, most}, now) {
+		fill({perSecond, burst}, now) {
 			const passedMs = Math.max(0, now - filledAt);
 			filledAt = Math.max(filledAt, now);
-			tokens = Math.min(most, tokens + (perSecond * passedMs) / 1000);
+			tokens = Math.min(burst, tokens + (perSecond * passedMs) / 1000);
 		},
-		hasToken: () => tokens >= 1,
+		canTake: () => tokens >= 1,
 		take() {
-			tokens = Math.max(-deepestDebt, tokens - 1);
+			tokens = Math.max(-maximumDebt, tokens - 1);
 		},
 	};
 };
--- a/src/backends/stated-load.ts
+++ b/src/backends/stated-load.ts
@@ -17,7 +17,7 @@
 
 const parts = 3;
 
-// The build turns an expression with this flag into one that is made anew at each use, where it stands in a function.
+// Hoisted: the bundler does not share literals between calls.
 const digitsOnly = /^\d+$/v;
 
 /**
--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -233,7 +233,7 @@
 	const backendLimits = createBackendLimits({
 		self: options.id,
 		peers: senders.peers,
-		heardPart: senders.heardPart,
+		reachableFraction: senders.reachableFraction,
 		mayShare: () => shares.hasSettled() && mesh.self().status !== 'leaving',
 		tell: mesh.tell,
 		without: options.without,
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -101,7 +101,7 @@
 	};
 };
 
-// Made once: in a function the build would make it anew for each line.
+// Hoisted: the bundler does not share literals between calls.
 const levelField = /"logLevel":(?<level>\d+)/v;
 
 // Reading the one number is much cheaper than parsing the whole line.
--- a/src/node/node-limits.ts
+++ b/src/node/node-limits.ts
@@ -25,7 +25,7 @@
 ): BackendLimits => {
 	const {clock, logger, membership, settings} = context;
 	const startedAt = clock();
-	const {peers, heardPart} = createSenderNodes({
+	const {peers, reachableFraction} = createSenderNodes({
 		others: membership.members,
 		isNear: ({availabilityZone}) =>
 			availabilityZone === settings.availabilityZone,
@@ -36,7 +36,7 @@
 	return createBackendLimits({
 		self: settings.nodeId,
 		peers,
-		heardPart,
+		reachableFraction,
 		mayShare: () =>
 			clock() - startedAt > limitSettlingMs &&
 			membership.self().status !== 'leaving',
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -65,10 +65,9 @@
 };
 
 /**
-How often one other node, drawn anew each time, is told of requests in quarantine, in milliseconds. It reaches those that
-missed the first word: with eight others a node hears of it once a second, and nine in ten hear within two or three.
+Interval at which quarantined fingerprints are gossiped to one random member, in milliseconds.
 */
-export const remindMs = 1000;
+export const quarantineGossipMs = 1000;
 
 /**
 Requests in quarantine that one reminder names at the most; the others follow in turn.
@@ -157,7 +156,7 @@
 			return;
 		}
 
-		remindAt = now + remindMs;
+		remindAt = now + quarantineGossipMs;
 		const first = reminded % entries.length;
 		reminded = first + remindedAtOnce;
 		const some = entries.slice(first, first + remindedAtOnce);
--- a/src/routes/route.ts
+++ b/src/routes/route.ts
@@ -85,7 +85,7 @@
 	*/
 	readonly maximumConnections: number;
 	/**
-	Requests a second that a cold backend server bears from all nodes together; 0 where not bounded.
+	Maximum rate of a cold backend server, over all nodes, in requests a second; 0 where not bounded.
 	*/
 	readonly coldRequestsPerSecond: number;
 	/**
--- a/src/shared/node-order.ts
+++ b/src/shared/node-order.ts
@@ -2,21 +2,21 @@
 import {keyedWeight} from './hash.ts';
 
 /**
-The place of this node in the order of all nodes for a key, such as a backend server. All nodes derive the same order from
-the key, without a message.
+The place of this node in rendezvous order for a key, such as a backend server (highest random weight: Thaler and Ravishankar,
+1998). All nodes derive the same order from the key, without a message.
 */
 export type NodeOrder = {
 	/**
-	Nodes that go before this one.
+	Nodes with a higher weight for the key.
 	*/
 	rank(key: string): number;
 };
 
-// Places are kept of so many keys; beyond that all are worked out again.
+// Keys whose ranks are cached; beyond that the cache is emptied.
 const maximumRanks = 5000;
 
 /**
-Builds the order. A place is worked out once for a key, and anew only when the nodes change.
+Builds the order. Ranks are cached until the nodes change.
 
 @param self This node.
 @param nodes Ids of the nodes, with or without this one; replaced when they change.
--- a/tests/backend-limits/limit-rules.ts
+++ b/tests/backend-limits/limit-rules.ts
@@ -11,7 +11,7 @@
 The rule of the product.
 */
 export const createSharedRule = (node: LimitNode): LimitRule => {
-	const {peers, heardPart} = createSenderNodes({
+	const {peers, reachableFraction} = createSenderNodes({
 		others: node.others,
 		isNear: () => true,
 		lastHeard: node.lastHeard,
@@ -20,7 +20,7 @@
 	return createBackendLimits({
 		...node,
 		peers,
-		heardPart,
+		reachableFraction,
 		without: new Set(),
 		logger: silentLogger,
 	});
@@ -44,7 +44,7 @@
 			}
 
 			bucket.fill(shareOf(limit), now);
-			return bucket.hasToken();
+			return bucket.canTake();
 		},
 		sent() {
 			if (limit !== undefined) {
@@ -60,7 +60,7 @@
 */
 export const createAloneRule = ({clock}: LimitNode): LimitRule =>
 	createLonelyRule(
-		(perSecond) => ({perSecond, most: Math.max(1, perSecond)}),
+		(perSecond) => ({perSecond, burst: Math.max(1, perSecond)}),
 		clock,
 	);
 
@@ -70,7 +70,7 @@
 export const createEqualRule = ({others, clock}: LimitNode): LimitRule =>
 	createLonelyRule((perSecond) => {
 		const own = perSecond / (others().length + 1);
-		return {perSecond: own, most: Math.max(1, own)};
+		return {perSecond: own, burst: Math.max(1, own)};
 	}, clock);
 
 /**
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -61,7 +61,7 @@
 	const backendLimits = createBackendLimits({
 		self: 'node-1',
 		peers: () => [],
-		heardPart: () => 1,
+		reachableFraction: () => 1,
 		mayShare: () => true,
 		tell: () => undefined,
 		without: new Set(),
--- a/tests/quarantine/quarantine.test.ts
+++ b/tests/quarantine/quarantine.test.ts
@@ -4,7 +4,7 @@
 import type {QuarantineMessage} from '../../src/peers/quarantine-messages.ts';
 import {
 	createQuarantine,
-	remindMs,
+	quarantineGossipMs,
 	settleMs,
 	type Quarantine,
 } from '../../src/quarantine/index.ts';
@@ -104,7 +104,7 @@
 	t.assert.strictEqual(world.kind(3, 'fatal'), 'clear');
 	world.cut.delete(3);
 	for (let turn = 0; turn < 5; turn += 1) {
-		world.pass(remindMs);
+		world.pass(quarantineGossipMs);
 	}
 
 	t.assert.strictEqual(world.kind(3, 'fatal'), 'quarantined');
@@ -131,6 +131,6 @@
 
 	t.assert.strictEqual(nodes[0]!.standing(unasked, 0).kind, 'clear');
 	nodes[0]!.served(unasked);
-	pass(10 * remindMs);
+	pass(10 * quarantineGossipMs);
 	t.assert.deepStrictEqual(sent, []);
 });
