Test that unsettled nodes leave limited servers alone, and fail at once without a build

A first form of the check came after the platform and servers had been started, which kept the run waiting as before.

--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -1,6 +1,6 @@
 // Starts a whole deployment as separate processes: platform, backend servers and entry nodes,
 // with relays between the zones. Used by the quickstart, the scenarios and the benchmarks.
-import {mkdtempSync} from 'node:fs';
+import {existsSync, mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -65,12 +65,24 @@
 
 const startTimeoutMs = 30_000;
 
+const builtBinary = 'dist/quillford';
+
 /**
 The command that runs a node; another build can be named for a comparison.
 */
-const binary = (): readonly string[] => {
+const nodeCommand = (): readonly string[] => {
 	const bundle = process.env.QUILLFORD_BUNDLE;
-	return bundle === undefined ? ['dist/quillford'] : [process.execPath, bundle];
+	if (bundle !== undefined) {
+		return [process.execPath, bundle];
+	}
+
+	if (!existsSync(builtBinary)) {
+		throw new Error(
+			`${builtBinary} does not exist: run \`npm run build\` before the tests that start nodes`,
+		);
+	}
+
+	return [builtBinary];
 };
 
 /**
@@ -79,6 +91,8 @@
 export const startDeployment = async (
 	options: DeploymentOptions,
 ): Promise<Deployment> => {
+	// Before anything is started: what runs would keep the tests waiting.
+	const command = nodeCommand();
 	process.once('exit', endAll);
 	const logFolder = mkdtempSync(path.join(tmpdir(), 'quillford-'));
 	const document = structuredClone(options.document);
@@ -122,7 +136,7 @@
 		const started = startProcess({
 			name,
 			address: plan.caller,
-			command: [...binary(), 'serve'],
+			command: [...command, 'serve'],
 			environment: {
 				...environmentOf(name, plans, relays),
 				...options.nodeEnvironment,
--- /dev/null
+++ b/tests/backend-limits/backend-limits.test.ts
@@ -0,0 +1,42 @@
+import {test, type TestContext} from 'node:test';
+import {
+	createBackendLimits,
+	type BackendLimitsOptions,
+} from '../../src/backend-limits/index.ts';
+import {silentLogger} from '../../src/logging/index.ts';
+
+const limitsOf = (change: Partial<BackendLimitsOptions> = {}) =>
+	createBackendLimits({
+		self: 'node-1',
+		peers: () => [],
+		reachableFraction: () => 1,
+		mayShare: () => true,
+		tell: () => undefined,
+		without: new Set(),
+		logger: silentLogger,
+		...change,
+	});
+
+const named = {perSecond: 10, earliest: 0, latest: 10};
+// Long enough for a token at any share.
+const laterMs = 5000;
+
+test('a node that has not settled, or leaves, sends nothing to a limited server', (t: TestContext) => {
+	const limits = limitsOf({mayShare: () => false});
+	limits.stated('a', named, 'answer');
+	limits.tick(laterMs);
+	t.assert.strictEqual(limits.hasRoom('a', laterMs), false);
+	t.assert.strictEqual(limits.rateOf('a'), 0);
+});
+
+test('a node uses its share of a limit once it has settled, and no longer when it leaves', (t: TestContext) => {
+	let mayShare = false;
+	const limits = limitsOf({mayShare: () => mayShare});
+	limits.stated('a', named, 'answer');
+	mayShare = true;
+	t.assert.strictEqual(limits.hasRoom('a', laterMs), true);
+	mayShare = false;
+	limits.sent('a', laterMs);
+	limits.tick(2 * laterMs);
+	t.assert.strictEqual(limits.hasRoom('a', 2 * laterMs), false);
+});
