--- a/tests/backend-limits/backend-limits.test.ts
+++ b/tests/backend-limits/backend-limits.test.ts
@@ -30,12 +30,12 @@
 });
 
 test('a node uses its share of a limit once it has settled, and no longer when it leaves', (t: TestContext) => {
-	let mayShare = false;
-	const limits = limitsOf({mayShare: () => mayShare});
+	let hasSettled = false;
+	const limits = limitsOf({mayShare: () => hasSettled});
 	limits.stated('a', named, 'answer');
-	mayShare = true;
+	hasSettled = true;
 	t.assert.strictEqual(limits.hasRoom('a', laterMs), true);
-	mayShare = false;
+	hasSettled = false;
 	limits.sent('a', laterMs);
 	limits.tick(2 * laterMs);
 	t.assert.strictEqual(limits.hasRoom('a', 2 * laterMs), false);
