--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -22,7 +22,6 @@
     And the load stops
     Then "quill-scribes-1" began no request that was sent more than 3 seconds after
 
-  @known-red
   Scenario: One node is frozen through the announcement and thawed afterwards
     When node "abj-wuse-1" is frozen
     And 2 seconds pass
