--- /dev/null
+++ b/soak/check-soak.ts
@@ -0,0 +1,194 @@
+/**
+The promises of a gateway, checked against what callers received and servers did.
+*/
+import {eventOf} from '../stand-ins/registered-server.ts';
+import {nodeOfRequest, type CallerRecord} from './soak-callers.ts';
+import type {Disturbance} from './soak-nodes.ts';
+import {eventsPerStream, type ServerEvent} from './soak-server.ts';
+
+/**
+A broken promise.
+*/
+export type Violation = {
+	readonly promise:
+		| 'at most once'
+		| 'own answer'
+		| 'true refusal'
+		| 'whole stream'
+		| 'attempts'
+		| 'leaving'
+		| 'rest'
+		| 'recovery';
+	readonly detail: string;
+};
+
+/**
+What was seen in a soak, by one clock in milliseconds.
+*/
+export type SoakHistory = {
+	readonly records: readonly CallerRecord[];
+	readonly events: readonly ServerEvent[];
+	readonly disturbances: readonly Disturbance[];
+	/**
+	From when on all is sound again.
+	*/
+	readonly calmFrom: number;
+};
+
+/**
+Servers that a request may be sent to, as the routes of a soak say.
+*/
+export const maximumAttempts = 2;
+
+const drainMs = 3000;
+const inFlightMs = 500;
+const allowedPerRest = 2;
+// A disturbed node may act on what it had not read by then.
+const settleMs = 1000;
+const recoveredPart = 0.95;
+
+/**
+Finds what was broken; each finding names the request.
+*/
+export const checkSoak = (history: SoakHistory): readonly Violation[] => {
+	const byRequest = Map.groupBy(history.events, ({requestId}) => requestId);
+	return [
+		...history.records.flatMap((record) =>
+			checkRecord(record, byRequest.get(record.requestId) ?? []),
+		),
+		...checkStatements(history),
+		...checkRecovery(history),
+	];
+};
+
+const checkRecord = (
+	record: CallerRecord,
+	events: readonly ServerEvent[],
+): readonly Violation[] => {
+	const {requestId, kind, status, signature, body, isWhole} = record;
+	const runs = events.filter(({isRun}) => isRun);
+	const found: Violation[] = [];
+	const note = (promise: Violation['promise'], isBroken: boolean) => {
+		if (!isBroken) {
+			return;
+		}
+
+		const detail = `${kind} ${requestId}: status ${status}, ${runs.length} runs, body ${JSON.stringify(body.slice(0, 80))}`;
+		found.push({promise, detail});
+	};
+
+	const isServed = status === 200 && isWhole;
+	note('at most once', kind === 'once' && runs.length > 1);
+	note('attempts', events.length > maximumAttempts);
+	note(
+		'true refusal',
+		kind === 'once' && (status === 503 || status === 429) && runs.length > 0,
+	);
+	note(
+		'own answer',
+		isServed &&
+			(!signature.endsWith(`/${requestId}`) ||
+				(kind !== 'stream' && body !== requestId)),
+	);
+	note('whole stream', kind === 'stream' && isServed && body !== wholeStream);
+	note(
+		'whole stream',
+		kind === 'stream' && status === 200 && !wholeStream.startsWith(body),
+	);
+	return found;
+};
+
+const wholeStream = Array.from({length: eventsPerStream}, (_, index) =>
+	eventOf(index + 1),
+).join('');
+
+// What a server says binds the node that it told, until that node is disturbed.
+const checkStatements = ({
+	events,
+	disturbances,
+}: SoakHistory): readonly Violation[] => {
+	const found: Violation[] = [];
+	const byPair = Map.groupBy(
+		events,
+		({server, requestId}) => `${server} ${nodeOfRequest(requestId)}`,
+	);
+	for (const [pair, ofPair] of byPair) {
+		const node = nodeOfRequest(ofPair[0]!.requestId);
+		const isExcused = (from: number, until: number) =>
+			disturbances.some(
+				(each) =>
+					each.node === node &&
+					each.from <= until &&
+					each.until + settleMs >= from,
+			);
+		for (const [index, told] of ofPair.entries()) {
+			const later = ofPair.slice(index + 1);
+			found.push(
+				...checkLeaving(pair, told, later, isExcused),
+				...checkRest(pair, told, later, isExcused),
+			);
+		}
+	}
+
+	return found;
+};
+
+type Excuse = (from: number, until: number) => boolean;
+
+const checkLeaving = (
+	pair: string,
+	told: ServerEvent,
+	later: readonly ServerEvent[],
+	isExcused: Excuse,
+): readonly Violation[] => {
+	// A later answer without the announcement is one of the server's next life.
+	const late = told.isLeaving
+		? later.find(({at}) => at > told.at + drainMs + inFlightMs)
+		: undefined;
+	return !late?.isLeaving || isExcused(told.at, late.at)
+		? []
+		: [
+				{
+					promise: 'leaving',
+					detail: `${pair}: ${late.requestId} ${Math.round(late.at - told.at)} ms after`,
+				},
+			];
+};
+
+const checkRest = (
+	pair: string,
+	told: ServerEvent,
+	later: readonly ServerEvent[],
+	isExcused: Excuse,
+): readonly Violation[] => {
+	const {at, restMs} = told;
+	if (restMs === undefined || isExcused(at, at + restMs)) {
+		return [];
+	}
+
+	const within = later.filter(
+		(each) =>
+			each.restMs !== undefined &&
+			each.at > at + inFlightMs &&
+			each.at < at + restMs,
+	);
+	return within.length <= allowedPerRest
+		? []
+		: [{promise: 'rest', detail: `${pair}: ${within.length} in ${restMs} ms`}];
+};
+
+const checkRecovery = ({
+	records,
+	calmFrom,
+}: SoakHistory): readonly Violation[] => {
+	const calm = records.filter(({sentAt}) => sentAt >= calmFrom);
+	const served = calm.filter(({status, isWhole}) => status === 200 && isWhole);
+	return served.length >= calm.length * recoveredPart
+		? []
+		: [
+				{
+					promise: 'recovery',
+					detail: `${served.length} of ${calm.length} served`,
+				},
+			];
+};
--- /dev/null
+++ b/soak/fault-plan.ts
@@ -0,0 +1,94 @@
+/**
+What goes wrong in a soak, derived from a seed.
+*/
+import {createRandom, type Random} from '../src/shared/index.ts';
+
+/**
+One fault and its target.
+*/
+export type Fault =
+	| {
+			readonly kind: 'freeze' | 'kill' | 'stop';
+			/**
+			Index of the node.
+			*/
+			readonly node: number;
+			readonly forMs: number;
+	  }
+	| {
+			readonly kind:
+				'leave' | 'refuse' | 'rest' | 'fail' | 'break' | 'hang' | 'crash';
+			/**
+			Index of the backend server.
+			*/
+			readonly server: number;
+			readonly forMs: number;
+	  }
+	| {readonly kind: 'registry-away'; readonly forMs: number};
+
+/**
+A fault and the time of its beginning, in milliseconds from the start of the load.
+*/
+export type PlannedFault = {readonly at: number; readonly fault: Fault};
+
+/**
+What a plan is derived from.
+*/
+export type PlanOptions = {
+	readonly seed: number;
+	readonly nodes: number;
+	readonly servers: number;
+	readonly lengthMs: number;
+};
+
+const nodeFaults = ['freeze', 'kill', 'stop'] as const;
+const serverFaults = [
+	'leave',
+	'refuse',
+	'rest',
+	'fail',
+	'break',
+	'hang',
+	'crash',
+] as const;
+
+const shortestMs = 500;
+const longestMs = 4000;
+const shortestGapMs = 50;
+const longestGapMs = 900;
+
+/**
+Plans faults that overlap, until some time before the end.
+*/
+export const planFaults = (options: PlanOptions): readonly PlannedFault[] => {
+	const random = createRandom(options.seed);
+	const plan: PlannedFault[] = [];
+	let at = 500;
+	while (at < options.lengthMs) {
+		plan.push({at, fault: drawFault(random, options)});
+		at += shortestGapMs + random.below(longestGapMs);
+	}
+
+	return plan;
+};
+
+const drawFault = (random: Random, {nodes, servers}: PlanOptions): Fault => {
+	const forMs = shortestMs + random.below(longestMs - shortestMs);
+	const draw = random.below(10);
+	if (draw === 0) {
+		return {kind: 'registry-away', forMs};
+	}
+
+	// The last node and the last server stay sound: what remains can be told from what is lost.
+	return draw < 4
+		? {
+				kind: nodeFaults[random.below(nodeFaults.length)]!,
+				node: random.below(nodes - 1),
+				forMs,
+			}
+		: {
+				kind: serverFaults[random.below(serverFaults.length)]!,
+				server: random.below(servers - 1),
+				forMs,
+			};
+};
--- /dev/null
+++ b/soak/play-soak.ts
@@ -0,0 +1,250 @@
+/**
+Plays one soak: real nodes as processes, servers and callers in this one.
+*/
+import {randomInt} from 'node:crypto';
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {createRandom} from '../src/shared/index.ts';
+import {endAll} from '../stand-ins/child-process.ts';
+import {startRegistryServer} from '../stand-ins/registry-server.ts';
+import {createStandInRegistry, writeRoutes} from '../stand-ins/registry.ts';
+import {documentOf, routeOf, serviceOf} from '../tests/gateway/fixtures.ts';
+import {
+	checkSoak,
+	maximumAttempts,
+	type SoakHistory,
+	type Violation,
+} from './check-soak.ts';
+import {planFaults, type Fault} from './fault-plan.ts';
+import {startSoakCallers} from './soak-callers.ts';
+import {startSoakNodes, type SoakNodes} from './soak-nodes.ts';
+import {startSoakServer, type SoakServer} from './soak-server.ts';
+
+/**
+What a soak is played with.
+*/
+export type SoakOptions = {
+	readonly seed: number;
+	readonly nodes: number;
+	readonly servers: number;
+	readonly lengthMs: number;
+	readonly perSecond: number;
+	readonly binary: string;
+	/**
+	Told how far it has come.
+	*/
+	readonly onProgress?: (text: string) => void;
+};
+
+/**
+How a soak ended.
+*/
+export type SoakResult = {
+	readonly violations: readonly Violation[];
+	readonly history: SoakHistory;
+	readonly logFolder: string;
+};
+
+const zones = ['north', 'south'];
+const serverHost = 100;
+const registryHost = 250;
+const port = 8002;
+// Time in which nodes come up and find each other.
+const settleMs = 3000;
+// Time after the last fault in which all becomes sound, and then in which callers are served again.
+const healMs = 5000;
+const calmMs = 3000;
+const readyTurns = 300;
+
+/**
+Plays a soak and checks it.
+*/
+export const playSoak = async (options: SoakOptions): Promise<SoakResult> => {
+	const network = `127.${randomInt(2, 250)}.${randomInt(1, 250)}`;
+	const logFolder = mkdtempSync(path.join(tmpdir(), 'quillford-soak-'));
+	const registry = createStandInRegistry();
+	const registryAddress = `${network}.${registryHost}:${port}`;
+	const registryServer = await startRegistryServer(registry, registryAddress);
+	writeSoakRoutes(registry);
+	const servers = await Promise.all(
+		Array.from({length: options.servers}, async (_, index) =>
+			startSoakServer(
+				registry,
+				`engine-${index}`,
+				`${network}.${serverHost + index}:${port}`,
+				zones[index % zones.length]!,
+			),
+		),
+	);
+	const nodes = startSoakNodes({
+		...options,
+		network,
+		zones,
+		registryAddress,
+		logFolder,
+	});
+	process.once('exit', endAll);
+	try {
+		await untilReady(nodes);
+		await sleep(settleMs);
+		const finish = startSoakCallers(
+			nodes.callerAddresses,
+			options.perSecond,
+			createRandom(options.seed + 1),
+		);
+		await playFaults(options, {nodes, servers, registry});
+		for (const server of servers) {
+			server.restart();
+		}
+
+		await sleep(healMs);
+		const calmFrom = performance.now();
+		await sleep(calmMs);
+		const records = await finish();
+		const history: SoakHistory = {
+			records,
+			events: servers
+				.flatMap(({events}) => events)
+				.toSorted((left, right) => left.at - right.at),
+			disturbances: nodes.disturbances,
+			calmFrom,
+		};
+		return {violations: checkSoak(history), history, logFolder};
+	} finally {
+		await nodes.stop();
+		await Promise.all(servers.map(async (server) => server.close()));
+		await registryServer.close();
+	}
+};
+
+const writeSoakRoutes = (
+	registry: ReturnType<typeof createStandInRegistry>,
+) => {
+	const common = {maximumAttempts, timeoutMs: 3000, targetLatencyMs: 400};
+	writeRoutes(
+		registry,
+		documentOf({
+			routes: [
+				routeOf({
+					...common,
+					name: 'once',
+					pathPrefix: '/once/',
+					kind: 'non-idempotent',
+				}),
+				routeOf({
+					...common,
+					name: 'repeatable',
+					pathPrefix: '/repeatable/',
+					kind: 'idempotent',
+				}),
+				routeOf({
+					...common,
+					name: 'stream',
+					pathPrefix: '/stream/',
+					kind: 'streaming',
+					isResumable: true,
+				}),
+			],
+			services: [serviceOf()],
+		}),
+	);
+};
+
+const untilReady = async ({callerAddresses}: SoakNodes) => {
+	for (let turn = 0; turn < readyTurns; turn += 1) {
+		const statuses = await Promise.all(
+			callerAddresses.map(async (address) => {
+				try {
+					const {statusCode, body} = await request(`http://${address}/none`, {
+						headers: {host: 'site.example'},
+					});
+					await body.dump();
+					return statusCode;
+				} catch {
+					return 0;
+				}
+			}),
+		);
+		if (statuses.every((status) => status > 0 && status !== 503)) {
+			return;
+		}
+
+		await sleep(100);
+	}
+
+	throw new Error('the nodes of the soak do not become ready');
+};
+
+type Scene = {
+	readonly nodes: SoakNodes;
+	readonly servers: readonly SoakServer[];
+	readonly registry: ReturnType<typeof createStandInRegistry>;
+};
+
+const playFaults = async (options: SoakOptions, scene: Scene) => {
+	const startedAt = performance.now();
+	const ends: Array<Promise<void>> = [];
+	for (const {at, fault} of planFaults(options)) {
+		await sleep(Math.max(0, startedAt + at - performance.now()));
+		options.onProgress?.(`${(at / 1000).toFixed(1)} s ${describe(fault)}`);
+		ends.push(playFault(fault, scene));
+	}
+
+	await Promise.all(ends);
+};
+
+const describe = (fault: Fault): string =>
+	Object.entries(fault)
+		.map(([name, value]) => `${name} ${value}`)
+		.join(', ');
+
+const playFault = async (
+	fault: Fault,
+	{nodes, servers, registry}: Scene,
+): Promise<void> => {
+	switch (fault.kind) {
+		case 'freeze': {
+			nodes.freeze(fault.node);
+			await sleep(fault.forMs);
+			nodes.thaw(fault.node);
+			return;
+		}
+
+		case 'kill': {
+			return nodes.restart(fault.node, 'SIGKILL', fault.forMs / 4);
+		}
+
+		case 'stop': {
+			return nodes.restart(fault.node, 'SIGTERM', fault.forMs / 4);
+		}
+
+		case 'leave': {
+			servers[fault.server]!.leave();
+			await sleep(fault.forMs + 4000);
+			servers[fault.server]!.restart();
+			return;
+		}
+
+		case 'refuse':
+		case 'rest':
+		case 'fail':
+		case 'break':
+		case 'hang':
+		case 'crash': {
+			servers[fault.server]!.behave(fault.kind);
+			await sleep(fault.forMs);
+			servers[fault.server]!.behave('sound');
+			return;
+		}
+
+		case 'registry-away': {
+			registry.setUp(false);
+			await sleep(fault.forMs);
+			registry.setUp(true);
+		}
+	}
+};
--- /dev/null
+++ b/soak/soak-nodes.ts
@@ -0,0 +1,149 @@
+/**
+The nodes of a soak: processes that are frozen, killed, stopped and started again.
+*/
+import {startProcess, type Process} from '../stand-ins/child-process.ts';
+
+/**
+When a node was not itself, by the checker's clock in milliseconds.
+*/
+export type Disturbance = {
+	readonly node: number;
+	readonly from: number;
+	until: number;
+};
+
+/**
+A set of nodes.
+*/
+export type SoakNodes = {
+	readonly callerAddresses: readonly string[];
+	readonly disturbances: readonly Disturbance[];
+	freeze(node: number): void;
+	thaw(node: number): void;
+	/**
+	Ends a node by a signal and starts it again after a while.
+	*/
+	restart(
+		node: number,
+		signal: 'SIGKILL' | 'SIGTERM',
+		afterMs: number,
+	): Promise<void>;
+	stop(): Promise<void>;
+};
+
+/**
+What nodes are started from.
+*/
+export type SoakNodesOptions = {
+	readonly binary: string;
+	readonly network: string;
+	readonly nodes: number;
+	readonly zones: readonly string[];
+	readonly registryAddress: string;
+	readonly logFolder: string;
+};
+
+const callerPort = 8000;
+const peerPort = 8001;
+const drainMs = 3000;
+
+/**
+Starts nodes of one region.
+*/
+export const startSoakNodes = ({
+	binary,
+	network,
+	nodes,
+	zones,
+	registryAddress,
+	logFolder,
+}: SoakNodesOptions): SoakNodes => {
+	const disturbances: Disturbance[] = [];
+	const hostOf = (node: number) => `${network}.${node + 1}`;
+	const callerAddresses = Array.from(
+		{length: nodes},
+		(_, node) => `${hostOf(node)}:${callerPort}`,
+	);
+	const seeds = Array.from(
+		{length: Math.min(nodes, 3)},
+		(_, node) => `${hostOf(nodes - 1 - node)}:${peerPort}`,
+	);
+
+	const start = (node: number): Process =>
+		startProcess({
+			name: `node-${node}`,
+			address: callerAddresses[node]!,
+			command: [
+				binary,
+				'gateway',
+				`--node-id=node-${node}`,
+				`--availability-zone=${zones[node % zones.length]!}`,
+				`--zones=${zones.map((zone) => `${zone}=upland`).join(',')}`,
+				`--caller-address=${callerAddresses[node]!}`,
+				`--peer-address=${hostOf(node)}:${peerPort}`,
+				`--seed-peers=${seeds.join(',')}`,
+				`--registry-address=${registryAddress}`,
+				`--drain-timeout-ms=${drainMs}`,
+			],
+			logFolder,
+		});
+
+	const processes = Array.from({length: nodes}, (_, node) => start(node));
+	const busy = new Set<number>();
+
+	const begin = (node: number): Disturbance => {
+		const disturbance = {node, from: performance.now(), until: Infinity};
+		disturbances.push(disturbance);
+		return disturbance;
+	};
+
+	return {
+		callerAddresses,
+		disturbances,
+		freeze(node) {
+			if (busy.has(node)) {
+				return;
+			}
+
+			busy.add(node);
+			begin(node);
+			processes[node]!.child.kill('SIGSTOP');
+		},
+		thaw(node) {
+			const open = disturbances.findLast(
+				(each) => each.node === node && each.until === Infinity,
+			);
+			if (!open || !busy.has(node)) {
+				return;
+			}
+
+			processes[node]!.child.kill('SIGCONT');
+			open.until = performance.now();
+			busy.delete(node);
+		},
+		async restart(node, signal, afterMs) {
+			if (busy.has(node)) {
+				return;
+			}
+
+			busy.add(node);
+			const disturbance = begin(node);
+			processes[node]!.child.kill(signal);
+			await processes[node]!.exited;
+			await new Promise((resolve) => {
+				setTimeout(resolve, afterMs);
+			});
+			processes[node] = start(node);
+			disturbance.until = performance.now();
+			busy.delete(node);
+		},
+		async stop() {
+			for (const {child} of processes) {
+				child.kill('SIGCONT');
+				child.kill('SIGKILL');
+			}
+
+			await Promise.all(processes.map(async ({exited}) => exited));
+		},
+	};
+};
--- /dev/null
+++ b/tests/soak/fault-plan.test.ts
@@ -0,0 +1,24 @@
+import {test, type TestContext} from 'node:test';
+import {planFaults} from '../../soak/index.ts';
+
+const options = {seed: 1, nodes: 6, servers: 5, lengthMs: 120_000};
+
+test('a seed gives one plan', (t: TestContext) => {
+	t.assert.deepStrictEqual(planFaults(options), planFaults(options));
+	t.assert.notDeepStrictEqual(
+		planFaults(options),
+		planFaults({...options, seed: 2}),
+	);
+});
+
+test('all kinds of faults occur, and the last node and server stay sound', (t: TestContext) => {
+	const faults = planFaults(options).map(({fault}) => fault);
+	t.assert.strictEqual(new Set(faults.map(({kind}) => kind)).size, 11);
+	t.assert.ok(
+		faults.every(
+			(fault) =>
+				!('node' in fault && fault.node === 5) &&
+				!('server' in fault && fault.server === 4),
+		),
+	);
+});
