--- a/tests/backend-limits/backend-limits.test.ts
+++ b/tests/backend-limits/backend-limits.test.ts
@@ -1,21 +1,5 @@
 import {test, type TestContext} from 'node:test';
-import {
-	createBackendLimits,
-	type BackendLimitsOptions,
-} from '../../src/backend-limits/index.ts';
-import {silentLogger} from '../../src/logging/index.ts';
-
-const limitsOf = (change: Partial<BackendLimitsOptions> = {}) =>
-	createBackendLimits({
-		self: 'node-1',
-		peers: () => [],
-		reachableFraction: () => 1,
-		mayShare: () => true,
-		tell: () => undefined,
-		without: new Set(),
-		logger: silentLogger,
-		...change,
-	});
+import {limitsOf} from './fixtures.ts';
 
 const named = {perSecond: 10, earliest: 0, latest: 10};
 // Long enough for a token at any share.
--- /dev/null
+++ b/tests/backend-limits/fixtures.ts
@@ -0,0 +1,23 @@
+import {
+	createBackendLimits,
+	type BackendLimits,
+	type BackendLimitsOptions,
+} from '../../src/backend-limits/index.ts';
+import {silentLogger} from '../../src/logging/index.ts';
+
+/**
+The limits of the only node of a region.
+*/
+export const limitsOf = (
+	change: Partial<BackendLimitsOptions> = {},
+): BackendLimits =>
+	createBackendLimits({
+		self: 'node-1',
+		peers: () => [],
+		reachableFraction: () => 1,
+		mayShare: () => true,
+		tell: () => undefined,
+		without: new Set(),
+		logger: silentLogger,
+		...change,
+	});
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -24,12 +24,12 @@
 import type {Standing} from '../../../src/quarantine/index.ts';
 import {createWindowRetryBudget} from '../../../src/retries/index.ts';
 import type {Route} from '../../../src/routes/index.ts';
-import {createBackendLimits} from '../../../src/backend-limits/index.ts';
 import {hopHeaders} from '../../../src/gateway/delivery/hop.ts';
 import {assumedPerSecond} from '../../../src/gateway/delivery/room-outlook.ts';
 import {isolationPatienceMs} from '../../../src/gateway/delivery/wait-for-room.ts';
 import {fingerprintOfExchange} from '../../../src/gateway/fingerprint-of-exchange.ts';
 import {createRouteDurations} from '../../../src/gateway/delivery/route-durations.ts';
+import {limitsOf} from '../../backend-limits/fixtures.ts';
 import {memberOf} from '../../fixtures.ts';
 import {
 	exchangeOf,
@@ -58,15 +58,7 @@
 	const clock = () => now;
 	const sent: Sent[] = [];
 	const records: DeliveryRecord[] = [];
-	const backendLimits = createBackendLimits({
-		self: 'node-1',
-		peers: () => [],
-		reachableFraction: () => 1,
-		mayShare: () => true,
-		tell: () => undefined,
-		without: new Set(),
-		logger: silentLogger,
-	});
+	const backendLimits = limitsOf();
 	const standings = createServerStandings({
 		logger: silentLogger,
 		onLeaving: () => undefined,
--- a/tests/gateway/leaving-server.test.ts
+++ b/tests/gateway/leaving-server.test.ts
@@ -1,6 +1,13 @@
 import {test, type TestContext} from 'node:test';
 import type {StatingServer} from '../../stand-ins/stating-server.ts';
-import {play, setUp, stream, whole, type Scene} from './stating-scene.ts';
+import {
+	play,
+	setUp,
+	stream,
+	twoRegions,
+	whole,
+	type Scene,
+} from './stating-scene.ts';
 
 // A node may send to a server for this long after it has passed on the server's announcement, in milliseconds.
 const drainMs = 3000;
@@ -74,6 +81,18 @@
 	t.assert.ok(requestsAfter(leaving!, from) > 10);
 });
 
+test('another region serves when all servers of a region leave', async (t: TestContext) => {
+	const scene = await setUp(t, 2, whole, {}, twoRegions);
+	await play(scene, 40, 500);
+	const from = await announceAndDrain(scene, scene.servers[0]!);
+	const answers = await play(scene, 40, 1000);
+	t.assert.strictEqual(requestsAfter(scene.servers[0]!, from), 0);
+	t.assert.deepStrictEqual(
+		answers.filter(({status}) => status !== 200),
+		[],
+	);
+});
+
 test('requests are refused at once when all servers leave', async (t: TestContext) => {
 	const scene = await setUp(t, 1, whole);
 	const from = await announceAndDrain(scene, scene.servers[0]!);
--- a/tests/gateway/resting-server.test.ts
+++ b/tests/gateway/resting-server.test.ts
@@ -1,6 +1,6 @@
 import {test, type TestContext} from 'node:test';
 import type {Arrival, StatingServer} from '../../stand-ins/stating-server.ts';
-import {nodes, play, setUp, whole} from './stating-scene.ts';
+import {nodes, play, setUp, twoRegions, whole} from './stating-scene.ts';
 
 const restMs = 3000;
 // Requests that were under way when a node received the refusal may still arrive, in milliseconds.
@@ -82,6 +82,25 @@
 	);
 });
 
+test('another region serves when all servers of a region rest', async (t: TestContext) => {
+	const scene = await setUp(t, 2, whole, {}, twoRegions);
+	const [resting, other] = scene.servers;
+	await play(scene, 40, 500, pathOf);
+	resting!.shed('30');
+	await play(scene, 40, 1000, pathOf);
+	const from = performance.now();
+	const answers = await play(scene, 40, 1500, pathOf);
+	t.assert.deepStrictEqual(
+		answers.filter(({status}) => status !== 200),
+		[],
+	);
+	t.assert.strictEqual(
+		resting!.arrivals.filter(({at}) => at >= from).length,
+		0,
+	);
+	t.assert.ok(other!.arrivals.filter(({at}) => at >= from).length >= 50);
+});
+
 test('a rest belongs to one life of a server', async (t: TestContext) => {
 	const scene = await setUp(t, 2, whole);
 	const [resting] = scene.servers;
--- a/tests/gateway/stating-scene.ts
+++ b/tests/gateway/stating-scene.ts
@@ -20,7 +20,18 @@
 import {until} from '../until.ts';
 import {documentOf, routeOf, serviceOf} from './fixtures.ts';
 
-const zones = {'north-1': 'upland', 'north-2': 'upland'};
+const oneRegion: Readonly<Record<string, string>> = {
+	'north-1': 'upland',
+	'north-2': 'upland',
+};
+
+/**
+Two regions with one zone each; nodes and servers are in them by turns.
+*/
+export const twoRegions: Readonly<Record<string, string>> = {
+	'north-1': 'upland',
+	'south-1': 'lowland',
+};
 export const nodes = 8;
 const deadlineMs = 4000;
 
@@ -43,14 +54,16 @@
 };
 
 /**
-Starts nodes of one region and servers of one service.
+Starts nodes of one region, if not said otherwise, and servers of one service.
 */
 export const setUp = async (
 	t: TestContext,
 	servers: number,
 	answer: StatingAnswer,
 	route: Partial<Route> = {},
+	zones = oneRegion,
 ): Promise<Scene> => {
+	const names = Object.keys(zones);
 	const registry = createStandInRegistry();
 	const deployment = await startGateways(zones, nodes, registry);
 	writeRoutes(
@@ -80,7 +93,7 @@
 					id: `engine-${index}`,
 					service: 'engine',
 					address: deployment.nextAddress(),
-					availabilityZone: index % 2 === 0 ? 'north-1' : 'north-2',
+					availabilityZone: names[index % names.length]!,
 					slots: 32,
 				},
 				answer,
