Tell a caller of another region's rests only where they are known, and refuse it at once

A node that refuses a forwarded request passed on its prediction of room as if it were known, and the node of the caller took the shorter of both times: in ordinary overload callers would have been told to come back sooner than before, and be refused again. Now only the end of rests is passed on. A request whose only servers rest in another region waited in the line of a node that could not send it anywhere; it is refused at once with the time at which a server there may be sent it. Two tests of the delivery, one of which failed before (no refusal).

--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -120,7 +120,7 @@
 	*/
 	hasServerHere: boolean;
 	/**
-	When another region that had no room expects some, if it said so.
+	When a server of another region may be sent it, where all of that region rest.
 	*/
 	remoteRoomAt: number | undefined;
 	/**
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -137,7 +137,11 @@
 		retryAfterSeconds:
 			run.outcome === 'not-run' ? comeBackSeconds() : undefined,
 	});
-	run.sink.refuse(error, run.tried);
+	const roomInMs =
+		run.restUntil === undefined
+			? undefined
+			: Math.max(0, run.restUntil - context.clock());
+	run.sink.refuse(error, run.tried, roomInMs);
 	recordRun(context, run, {result: 'refused', status: 0, reason});
 };
 
--- a/src/gateway/delivery/hop.ts
+++ b/src/gateway/delivery/hop.ts
@@ -32,7 +32,7 @@
 	*/
 	tried: 'quillford-hop-tried',
 	/**
-	In refusals: when room is expected, in milliseconds from now.
+	In refusals by a node whose servers all rest: when the first of them may be sent a request, in milliseconds from now.
 	*/
 	roomInMs: 'quillford-hop-room-in-ms',
 	/**
@@ -59,7 +59,7 @@
 			readonly reason: string;
 			readonly tried: readonly string[];
 			/**
-			When room is expected there, in milliseconds from now, if that is known.
+			When a server there may be sent a request, in milliseconds from now, where all of them rest.
 			*/
 			readonly roomInMs: number | undefined;
 	  };
--- a/src/gateway/delivery/wait-for-room.ts
+++ b/src/gateway/delivery/wait-for-room.ts
@@ -45,6 +45,11 @@
 		return false;
 	}
 
+	// All servers of another region rest, and here there is none: when it may come back is known.
+	if (!run.hasServerHere && run.remoteRoomAt !== undefined) {
+		return false;
+	}
+
 	const now = clock();
 	const {service, route} = run.exchange;
 	const before = line.before(service, route.priority);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -91,7 +91,17 @@
 	Ends the connection without an end of the answer.
 	*/
 	breakOff(): void;
-	refuse(error: GatewayError, tried: readonly string[]): void;
+	/**
+	Refuses the request.
+
+	@param tried The backend servers that it was sent to.
+	@param roomInMs When a server may be sent it, where that is known and not predicted; for another node.
+	*/
+	refuse(
+		error: GatewayError,
+		tried: readonly string[],
+		roomInMs?: number,
+	): void;
 	onDrain(resume: () => void): void;
 };
 
--- a/src/gateway/intake/hop-sink.ts
+++ b/src/gateway/intake/hop-sink.ts
@@ -18,7 +18,7 @@
 			} as const;
 			sink.begin(status, [...headers, ...encodeHopResult(result)], server);
 		},
-		refuse({outcome, message, retryAfterSeconds}, tried) {
+		refuse({outcome, message}, tried, roomInMs) {
 			if (response.headersSent || response.destroyed) {
 				response.destroy();
 				return;
@@ -30,10 +30,7 @@
 					outcome,
 					reason: message,
 					tried,
-					roomInMs:
-						retryAfterSeconds === undefined
-							? undefined
-							: retryAfterSeconds * 1000,
+					roomInMs,
 				}),
 				'content-length',
 				'0',
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -481,6 +481,32 @@
 	assert.equal(full.sent.length, 1);
 });
 
+test('a caller is told when the rests of another region end, where only that one has servers', () => {
+	const {deliveries, sent} = setUp([], 1000, true, chooseOtherNode);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({}), sink);
+	answer(sent[0]!, 503, {
+		[hopHeaders.result]: 'refused',
+		[hopHeaders.outcome]: 'not-run',
+		[hopHeaders.roomInMs]: '12000',
+	});
+	assert.equal(seen.error?.kind, 'overloaded');
+	assert.equal(seen.error?.retryAfterSeconds, 12);
+});
+
+test('a server that asks for a rest is not tried again, and its callers are told when the rest ends', () => {
+	const {deliveries, sent} = setUp(['a']);
+	const first = createSink();
+	deliveries.deliver(exchangeFor({maximumAttempts: 3}), first.sink);
+	answer(sent[0]!, 503, {'x-test-not-run': '1', 'retry-after': '20'});
+	const second = createSink();
+	deliveries.deliver(exchangeFor({}), second.sink);
+	assert.equal(sent.length, 1);
+	assert.equal(second.seen.error?.kind, 'overloaded');
+	const seconds = second.seen.error?.retryAfterSeconds ?? 0;
+	assert.ok(seconds >= 20 && seconds < 20.1, String(seconds));
+});
+
 test('a request whose time was over before the node came to it is sent nowhere', () => {
 	const {deliveries, sent, pass} = setUp(['a']);
 	pass(1200);
