--- a/src/backend-limits/backend-limits.ts
+++ b/src/backend-limits/backend-limits.ts
@@ -93,7 +93,7 @@
 const transitMs = 100;
 
 /**
-Builds limits of which none is known.
+Builds an empty set of limits.
 */
 export const createBackendLimits = ({
 	self,
--- a/src/backend-limits/limit-log.ts
+++ b/src/backend-limits/limit-log.ts
@@ -15,7 +15,7 @@
 	readonly before: number | undefined;
 	readonly perSecond: number | undefined;
 	/**
-	What it was learned from: an answer to a request or to a health check, or another node's word.
+	The kind of answer that stated it, or another node.
 	*/
 	readonly source: AnswerSource | 'node';
 	/**
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -24,7 +24,7 @@
 /**
 What another node says of one server.
 */
-export type ReadingWord = {
+export type PeerReading = {
 	/**
 	One life of the node.
 	*/
@@ -32,7 +32,7 @@
 	readonly server: string;
 	readonly tokens: number;
 	/**
-	Rises with each word of the node.
+	Rises with each message of the node.
 	*/
 	readonly sequence: number;
 };
@@ -73,7 +73,7 @@
 	/**
 	Another node of the region has told how many tokens of its long prompts a server has still to read.
 	*/
-	heardReading(word: ReadingWord, now: number): void;
+	heardReading(reading: PeerReading, now: number): void;
 	/**
 	Takes it that servers may have turned cold; they are asked before they get their full share.
 	*/
--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -218,7 +218,7 @@
 					state.handler,
 				);
 			} catch (error) {
-				// Later, so that whoever calls holds the call before it hears of its failure.
+				// Deferred: the caller must hold the call before it hears of its failure.
 				queueMicrotask(() => {
 					state.fail(error as Error);
 				});
--- a/src/fleet/fleet-row.ts
+++ b/src/fleet/fleet-row.ts
@@ -34,7 +34,7 @@
 };
 
 /**
-Leaving word about whichever process is meant, used by a source that names none.
+Stands for any process, in announcements of sources that name none.
 */
 export const anyIncarnation = '*';
 
@@ -117,7 +117,7 @@
 	);
 
 /**
-Whether leaving word is about the server's present process.
+Whether the server's present process has announced its shutdown.
 */
 export const isLeavingRow = (row: Row): boolean =>
 	row.leavingIncarnations.has(anyIncarnation) ||
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -113,7 +113,7 @@
 	const markLeaving = (row: Row, incarnation: string) => {
 		generation += 1;
 		row.leavingIncarnations.add(incarnation);
-		// A word that came before the first report of the process it names must hold as well.
+		// An announcement may arrive before the first report of the process that it names.
 		row.incarnation ??=
 			incarnation === anyIncarnation ? undefined : incarnation;
 	};
--- a/src/gateway/delivery/room-in.ts
+++ b/src/gateway/delivery/room-in.ts
@@ -2,7 +2,7 @@
 import type {DeliveryRun} from './delivery-run.ts';
 
 /**
-Milliseconds until a request gets room that has so many before it in the line. Infinite where all servers are limited and
+Milliseconds until a request gets room, by the number of requests before it in the line. Infinite where all servers are limited and
 this node is not among those that send to them.
 
 The rate at which limited servers take requests is known, and so is the end of a rest. Those that were refused and come back
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -123,7 +123,7 @@
 						fleet.vouched(id, clock());
 					}
 
-					// Connections from before the fault may be dead without a word.
+					// Connections from before the fault may be dead without a reset.
 					if (isSound && fleet.isSuspect(id)) {
 						logger.info({server: id, coldMs}, 'backend server healthy');
 						client.forget(`server ${id}`);
--- a/src/gateway/delivery/wait-for-room.ts
+++ b/src/gateway/delivery/wait-for-room.ts
@@ -41,12 +41,9 @@
 		return true;
 	}
 
-	if (hasNoPlace && hasSettled()) {
-		return false;
-	}
-
-	// All servers of another region rest, and here there is none: when it may come back is known.
-	if (!run.hasServerHere && run.remoteRoomAt !== undefined) {
+	// Where all servers of another region rest and there is none here, the end of the rest is known.
+	const isRemoteOnly = !run.hasServerHere && run.remoteRoomAt !== undefined;
+	if (isRemoteOnly || (hasNoPlace && hasSettled())) {
 		return false;
 	}
 
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -55,7 +55,7 @@
 export const linesPerSecond = 40;
 
 /**
-One of so many answered requests is logged.
+Sampling of answered requests in the log: one in this number.
 */
 export const answeredSample = 50;
 
--- a/src/gateway/wire-headers.ts
+++ b/src/gateway/wire-headers.ts
@@ -81,7 +81,7 @@
 */
 export const lastEventIdHeader = 'last-event-id';
 
-// Of one connection only, and set anew for the next (RFC 9110, 7.6.1).
+// Hop-by-hop headers (RFC 9110, 7.6.1).
 const connectionHeaders: ReadonlySet<string> = new Set([
 	'connection',
 	'keep-alive',
--- a/src/node/fleet-controller.ts
+++ b/src/node/fleet-controller.ts
@@ -25,7 +25,7 @@
 	*/
 	heard(values: readonly DatedValue[]): void;
 	/**
-	Takes a leaving word from any source and passes it on.
+	Takes in an announced shutdown from any source and passes it on.
 	*/
 	leaving(backendServer: string, incarnation: string): void;
 };
--- a/src/peers/peer-message-codec.ts
+++ b/src/peers/peer-message-codec.ts
@@ -61,7 +61,7 @@
 */
 export type PeerMessageCodec = {
 	/**
-	One datagram or more, each of which can be read alone.
+	One datagram or more; each can be read alone.
 	*/
 	encode(message: PeerMessage): readonly Buffer[];
 	/**
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -163,7 +163,7 @@
 		tellEntries([members[random.below(members.length)]!], some, now);
 	};
 
-	// Whoever starts, or comes back from a cut, is told at once.
+	// Members that have started, or returned from a partition, are told at once.
 	const tellNewcomers = (now: number) => {
 		const members = usable();
 		if (members === told) {
--- a/src/registry/registry-mirror.ts
+++ b/src/registry/registry-mirror.ts
@@ -379,7 +379,7 @@
 	};
 };
 
-// Routes that can be read outlast what cannot, for whoever asks this node later; and the entry of a server's
+// Readable routes outlast unreadable ones, also for nodes that ask this one later; and the entry of a server's
 // earlier life may arrive after that of its later one.
 const isSuperseded = (
 	{value}: RegistryItem,
--- a/src/server-statements/leaving-broadcast.ts
+++ b/src/server-statements/leaving-broadcast.ts
@@ -49,7 +49,7 @@
 export const lastFailover = 10;
 
 /**
-A broadcast is repeated, for datagrams are lost, so many times and at this interval in milliseconds.
+Broadcasts of one shutdown, and the interval between them in milliseconds: datagrams are lost.
 */
 export const leavingBroadcasts = 3;
 export const leavingRepeatMs = 700;
--- a/src/server-statements/server-rests.ts
+++ b/src/server-statements/server-rests.ts
@@ -13,8 +13,10 @@
 	*/
 	leftMs(life: string, now: number): number;
 	/**
-	Whether one more request may be sent to a server that has so many of this node under way. After its rest that many are
-	allowed as double with each round of answers, so that the requests that were held back do not arrive all at once.
+	Whether one more request may be sent to a server. After a rest the allowed requests in flight double with each round of
+	answers (slow start), so that those that were held back do not arrive all at once.
+
+	@param inFlight Requests of this node in flight at the server.
 	*/
 	hasRoom(life: string, inFlight: number, now: number): boolean;
 	/**
@@ -66,7 +68,7 @@
 };
 
 /**
-Builds rests of which there are none.
+Builds an empty set of rests.
 
 @param draw A number from 0 to 1.
 */
--- a/src/server-statements/server-standings.ts
+++ b/src/server-statements/server-standings.ts
@@ -53,7 +53,7 @@
 };
 
 /**
-Builds standings of which none is known.
+Builds standings of servers that have announced nothing.
 */
 export const createServerStandings = ({
 	logger,
