--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -115,6 +115,7 @@
 		};
 		return {violations: checkSoak(history), history, logFolder};
 	} finally {
+		process.off('exit', endAll);
 		await nodes.stop();
 		await Promise.all(servers.map(async (server) => server.close()));
 		await registryServer.close();
