Soak with limits and callers that leave

Checks that all nodes together keep to a limit that a server names, and that work for callers that left ends within half a second but for a quarter. Both find a planted violation.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -1,6 +1,7 @@
 /**
 The promises of a gateway, checked against what callers received and servers did.
 */
+import {mostInSpan} from '../tests/most-in-span.ts';
 import {eventOf} from '../stand-ins/registered-server.ts';
 import {nodeOfRequest, type CallerRecord} from './soak-callers.ts';
 import type {Disturbance} from './soak-nodes.ts';
@@ -18,6 +19,8 @@
 		| 'attempts'
 		| 'leaving'
 		| 'rest'
+		| 'limit'
+		| 'gone'
 		| 'recovery';
 	readonly detail: string;
 };
@@ -46,6 +49,10 @@
 // A disturbed node may act on what it had not read by then.
 const settleMs = 1000;
 const recoveredPart = 0.95;
+const takeInMs = 1500;
+const limitWindowMs = 4000;
+const goneMs = 500;
+const fewestGone = 3;
 
 /**
 Finds what was broken; each finding names the request.
@@ -57,6 +64,8 @@
 			checkRecord(record, byRequest.get(record.requestId) ?? []),
 		),
 		...checkStatements(history),
+		...checkLimits(history),
+		...checkGone(history),
 		...checkRecovery(history),
 	];
 };
@@ -177,11 +186,109 @@
 		: [{promise: 'rest', detail: `${pair}: ${within.length} in ${restMs} ms`}];
 };
 
+const checkLimits = ({
+	events,
+	disturbances,
+}: SoakHistory): readonly Violation[] =>
+	Map.groupBy(events, ({server}) => server)
+		.values()
+		.flatMap((ofServer) => limitedSpans(ofServer))
+		.flatMap((span) => checkLimit(span, disturbances))
+		.toArray();
+
+// Of all nodes together, but for those that were disturbed since the limit was stated first.
+const checkLimit = (
+	span: LimitedSpan,
+	disturbances: readonly Disturbance[],
+): readonly Violation[] => {
+	const [{at: statedAt, server, limit = 0}] = span;
+	const times = span
+		.filter(
+			({at, requestId}) =>
+				at > statedAt + takeInMs &&
+				disturbances.every(
+					({node, from, until}) =>
+						node !== nodeOfRequest(requestId) ||
+						from > at ||
+						until + settleMs < statedAt,
+				),
+		)
+		.map(({at}) => at);
+	const most = mostInSpan(times, limitWindowMs);
+	const allowed = 1.5 * limit * (limitWindowMs / 1000) + 5;
+	return most <= allowed
+		? []
+		: [
+				{
+					promise: 'limit',
+					detail: `${server}: ${most} in ${limitWindowMs} ms, allowed ${allowed}`,
+				},
+			];
+};
+
+type LimitedSpan = readonly [ServerEvent, ...ServerEvent[]];
+
+// The runs of requests whose answers state a limit.
+const limitedSpans = (
+	events: readonly ServerEvent[],
+): readonly LimitedSpan[] => {
+	const spans: Array<[ServerEvent, ...ServerEvent[]]> = [];
+	let current: [ServerEvent, ...ServerEvent[]] | undefined;
+	for (const event of events) {
+		if (event.limit === undefined) {
+			current = undefined;
+		} else if (current) {
+			current.push(event);
+		} else {
+			current = [event];
+			spans.push(current);
+		}
+	}
+
+	return spans;
+};
+
+// Work for callers that left is to end within half a second, but for a quarter of it at most.
+const checkGone = ({
+	records,
+	events,
+	disturbances,
+}: SoakHistory): readonly Violation[] => {
+	const left = new Map(
+		records
+			.filter(
+				({leftAt, node}) =>
+					leftAt < Infinity &&
+					disturbances.every(
+						(each) =>
+							each.node !== node ||
+							each.from > leftAt + goneMs ||
+							each.until + settleMs < leftAt,
+					),
+			)
+			.map(({requestId, leftAt}) => [requestId, leftAt]),
+	);
+	const works = events.filter(({requestId}) => left.has(requestId));
+	const late = works.filter(
+		({requestId, endedAt}) => endedAt > left.get(requestId)! + goneMs,
+	);
+	return late.length > Math.max(fewestGone, works.length / 4)
+		? [
+				{
+					promise: 'gone',
+					detail: `${late.length} of ${works.length} go on, such as ${late[0]!.requestId}`,
+				},
+			]
+		: [];
+};
+
 const checkRecovery = ({
 	records,
 	calmFrom,
 }: SoakHistory): readonly Violation[] => {
-	const calm = records.filter(({sentAt}) => sentAt >= calmFrom);
+	const calm = records.filter(
+		({sentAt, leftAt}) => sentAt >= calmFrom && leftAt === Infinity,
+	);
 	const served = calm.filter(({status, isWhole}) => status === 200 && isWhole);
 	return served.length >= calm.length * recoveredPart
 		? []
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -17,7 +17,14 @@
 	  }
 	| {
 			readonly kind:
-				'leave' | 'refuse' | 'rest' | 'fail' | 'break' | 'hang' | 'crash';
+				| 'leave'
+				| 'limit'
+				| 'refuse'
+				| 'rest'
+				| 'fail'
+				| 'break'
+				| 'hang'
+				| 'crash';
 			/**
 			Index of the backend server.
 			*/
@@ -44,6 +51,7 @@
 const nodeFaults = ['freeze', 'kill', 'stop'] as const;
 const serverFaults = [
 	'leave',
+	'limit',
 	'refuse',
 	'rest',
 	'fail',
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -59,6 +59,8 @@
 const healMs = 5000;
 const calmMs = 3000;
 const readyTurns = 300;
+const limitPerSecond = 4;
+const limitMs = 6000;
 
 /**
 Plays a soak and checks it.
@@ -230,6 +232,13 @@
 			return;
 		}
 
+		case 'limit': {
+			servers[fault.server]!.limit(limitPerSecond);
+			await sleep(fault.forMs + limitMs);
+			servers[fault.server]!.limit(undefined);
+			return;
+		}
+
 		case 'refuse':
 		case 'rest':
 		case 'fail':
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -31,9 +31,16 @@
 	readonly body: string;
 	readonly isWhole: boolean;
 	readonly latencyMs: number;
+	/**
+	When the caller closed its connection without waiting for the answer; infinite where it did not.
+	*/
+	readonly leftAt: number;
 };
 
 const deadlineMs = 3000;
+// One request in this many is left by its caller, after this time in milliseconds.
+const leaveEvery = 20;
+const leaveAfterMs = 25;
 
 /**
 The node that a request was sent to, by its id.
@@ -61,6 +68,7 @@
 	): Promise<CallerRecord> => {
 		sent += 1;
 		const requestId = `${node}-${sent}`;
+		const willLeave = kind !== 'once' && sent % leaveEvery === 0;
 		const base = {requestId, kind, node, sentAt: performance.now()};
 		const passedMs = () => performance.now() - base.sentAt;
 		let head = {status: 0, signature: ''};
@@ -77,7 +85,9 @@
 						[productHeaders.requestId]: requestId,
 						[productHeaders.remainingMs]: String(deadlineMs),
 					},
-					signal: AbortSignal.timeout(deadlineMs + 500),
+					signal: AbortSignal.timeout(
+						willLeave ? leaveAfterMs : deadlineMs + 500,
+					),
 				},
 			);
 			head = {
@@ -88,9 +98,23 @@
 				body += String(chunk);
 			}
 
-			return {...base, ...head, body, isWhole: true, latencyMs: passedMs()};
+			return {
+				...base,
+				...head,
+				body,
+				isWhole: true,
+				latencyMs: passedMs(),
+				leftAt: Infinity,
+			};
 		} catch {
-			return {...base, ...head, body, isWhole: false, latencyMs: passedMs()};
+			return {
+				...base,
+				...head,
+				body,
+				isWhole: false,
+				latencyMs: passedMs(),
+				leftAt: willLeave ? base.sentAt + leaveAfterMs : Infinity,
+			};
 		}
 	};
 
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -35,6 +35,14 @@
 	Rest that the answer asked for, in milliseconds.
 	*/
 	readonly restMs: number | undefined;
+	/**
+	Requests a second over all nodes that the answer stated; undefined for no limit.
+	*/
+	readonly limit: number | undefined;
+	/**
+	When its answer was complete or its connection had closed.
+	*/
+	endedAt: number;
 };
 
 /**
@@ -54,6 +62,10 @@
 	*/
 	leave(): void;
 	/**
+	States a rate limit, or none.
+	*/
+	limit(perSecond: number | undefined): void;
+	/**
 	Starts again under its id, sound.
 	*/
 	restart(): void;
@@ -82,6 +94,7 @@
 	const events: ServerEvent[] = [];
 	let behaviour: Behaviour = 'sound';
 	let isLeaving = false;
+	let limit: number | undefined;
 	let startedAt = 1;
 
 	const register = () => {
@@ -103,6 +116,7 @@
 	const headersOf = (requestId: string) => ({
 		[productHeaders.requestId]: requestId,
 		...(isLeaving && {[productHeaders.leaving]: '1'}),
+		...(limit !== undefined && {[productHeaders.limit]: String(limit)}),
 	});
 
 	const refuse = (
@@ -202,7 +216,7 @@
 			const requestId = String(request.headers[productHeaders.requestId]);
 			const isRefused = behaviour === 'refuse' || behaviour === 'rest';
 			const restMs = behaviour === 'rest' ? restSeconds * 1000 : undefined;
-			events.push({
+			const event: ServerEvent = {
 				at: performance.now(),
 				server: id,
 				requestId,
@@ -210,6 +224,12 @@
 				isRun: !isRefused,
 				isLeaving,
 				restMs,
+				limit,
+				endedAt: Infinity,
+			};
+			events.push(event);
+			response.once('close', () => {
+				event.endedAt = performance.now();
 			});
 			if (isRefused) {
 				refuse(response, requestId, restMs);
@@ -231,8 +251,12 @@
 		leave() {
 			isLeaving = true;
 		},
+		limit(perSecond) {
+			limit = perSecond;
+		},
 		restart() {
 			isLeaving = false;
+			limit = undefined;
 			behaviour = 'sound';
 			startedAt += 1;
 			register();
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -19,6 +19,7 @@
 	body: '0-1',
 	isWhole: true,
 	latencyMs: 20,
+	leftAt: Infinity,
 	...change,
 });
 
@@ -30,6 +31,8 @@
 	isRun: true,
 	isLeaving: false,
 	restMs: undefined,
+	limit: undefined,
+	endedAt: 30,
 	...change,
 });
 
@@ -125,6 +128,31 @@
 			),
 		},
 	],
+	[
+		'more requests than a limit of all nodes allows',
+		'limit',
+		{
+			events: Array.from({length: 60}, (_, index) =>
+				eventFor({
+					at: index * 100,
+					requestId: `${index % 3}-${index}`,
+					limit: 4,
+				}),
+			),
+		},
+	],
+	[
+		'work that goes on for callers that left',
+		'gone',
+		{
+			records: Array.from({length: 10}, (_, index) =>
+				recordOf({requestId: `0-${index}`, status: 0, leftAt: 25}),
+			),
+			events: Array.from({length: 10}, (_, index) =>
+				eventFor({requestId: `0-${index}`, endedAt: 600}),
+			),
+		},
+	],
 	[
 		'callers that are not served when all is sound again',
 		'recovery',
