--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -16,7 +16,7 @@
 	type RegistryMirror,
 } from '../../registry/index.ts';
 import {createQuarantine, type Quarantine} from '../../quarantine/index.ts';
-import type {ServerLeavingMessage} from '../../peers/server-leaving-messages.ts';
+import type {ServerLeavingMessage} from '../../peers/leaving-messages.ts';
 import type {CallerLimits} from '../../routes/index.ts';
 import {
 	createSenderNodes,
--- a/src/peers/peer-message-codec.ts
+++ b/src/peers/peer-message-codec.ts
@@ -16,7 +16,7 @@
 	readServerLeavingRows,
 	serverLeavingRows,
 	type ServerLeavingMessage,
-} from './server-leaving-messages.ts';
+} from './leaving-messages.ts';
 import {checkChoice, checkCount, checkList, checkText} from './tuple-checks.ts';
 import {
 	readUsage,
--- a/src/server-statements/leaving-broadcast.ts
+++ b/src/server-statements/leaving-broadcast.ts
@@ -1,7 +1,7 @@
 import type {
 	LeavingServer,
 	ServerLeavingMessage,
-} from '../peers/server-leaving-messages.ts';
+} from '../peers/leaving-messages.ts';
 import type {NodeOrder} from '../shared/index.ts';
 
 /**
--- a/tests/node/node-quarantine.test.ts
+++ b/tests/node/node-quarantine.test.ts
@@ -12,6 +12,7 @@
 const crashesAfter = async (
 	life: string,
 	answer: EngineLife,
+	restLeftMs = 0,
 ): Promise<number> => {
 	const core = {
 		context: {
@@ -21,6 +22,7 @@
 					configuration: {backendServers: [{id: 'engine', address: 'there'}]},
 				}),
 			},
+			fleet: {restLeftMs: () => restLeftMs},
 			logger: silentLogger,
 			membership: {usable: () => []},
 			settings: {nodeId: 'node'},
@@ -54,3 +56,7 @@
 	t.assert.strictEqual(await crashesAfter(life, {kind: 'silent'}), 0);
 	t.assert.strictEqual(await crashesAfter(engineLife('engine'), running), 0);
 });
+
+test('an engine that rests is not asked whether it lives', async (t: TestContext) => {
+	t.assert.strictEqual(await crashesAfter(life, {kind: 'gone'}, 1000), 0);
+});
--- a/tests/server-statements/leaving-broadcast.test.ts
+++ b/tests/server-statements/leaving-broadcast.test.ts
@@ -1,5 +1,5 @@
 import {test, type TestContext} from 'node:test';
-import type {ServerLeavingMessage} from '../../src/peers/server-leaving-messages.ts';
+import type {ServerLeavingMessage} from '../../src/peers/leaving-messages.ts';
 import {createNodeOrder, createRandom} from '../../src/shared/index.ts';
 import {
 	createLeavingBroadcast,
