Count the calls to a resting engine by node and rest, as they are bounded

The test counted all calls in any 2 s and allowed 6, two for each of three nodes. It failed once in the whole test command run alone (8 in 2 s). Its bound was wrong: what is bounded is what one node sends within a rest that it was asked for, and a span of 2 s also holds the calls with which each node's rest ends. Trace of two runs, milliseconds from the first refusal: the three nodes at 0, 580 and 602, nothing of them until 3498, 3922 and 4085; the same in the other run, with two reads of the load after the rests.

--- a/stand-ins/backend-server.ts
+++ b/stand-ins/backend-server.ts
@@ -116,6 +116,8 @@
 let lastBegunAt = 0;
 // All that came from nodes, with the time of day.
 const arrivals: number[] = [];
+// The same calls by the node of the attempt, which is empty for reads of the load.
+const calls: Array<{at: number; node: string; isRefused: boolean}> = [];
 let queued = 0;
 let report = {running: 0, queued: 0};
 
@@ -407,6 +409,9 @@
 	const url = new URL(request.url ?? '/', 'http://server');
 	if (!url.pathname.startsWith('/control/')) {
 		arrivals.push(Date.now());
+		const [node = ''] = headerOf(request, 'x-attempt-id').split('.', 1);
+		const isRefused = faults.isRefusing && url.pathname !== '/load';
+		calls.push({at: Date.now(), node, isRefused});
 	}
 
 	if (faults.limit > 0) {
@@ -457,6 +462,7 @@
 				queued,
 				lastBegunAt,
 				arrivals,
+				calls,
 			});
 			return;
 		}
--- a/tests/acceptance/engine-scene.ts
+++ b/tests/acceptance/engine-scene.ts
@@ -13,6 +13,18 @@
 */
 export const nodesOfZone = 3;
 
+/**
+A call that reached the first engine.
+*/
+export type EngineCall = {
+	readonly at: number;
+	/**
+	The node of the attempt; empty for reads of the load.
+	*/
+	readonly node: string;
+	readonly isRefused: boolean;
+};
+
 /**
 Engines of one zone and the nodes before them, as processes.
 */
@@ -33,6 +45,7 @@
 	counts(): Promise<{
 		readonly arrivals: readonly number[];
 		readonly lastBegunAt: number;
+		readonly calls: readonly EngineCall[];
 	}>;
 };
 
