Read the registry's era, and log answers with an earlier revision than before

No decision uses the era yet.

tests/platform/store-source.test.ts: era from a number, no header, text, a negative number; pages of two eras and of a falling revision.

--- a/src/registry/http-source.ts
+++ b/src/registry/http-source.ts
@@ -116,6 +116,7 @@
 ]);
 
 const answerSchema = z.object({
+	era: z.int().nonnegative().optional(),
 	revision: z.number(),
 	items: z.array(
 		z.object({
@@ -159,8 +160,13 @@
 			return {kind: 'unavailable', reason};
 		}
 
-		const {revision, items} = answerSchema.parse(JSON.parse(text));
-		return {kind, revision, items: decodeItems(items, logger)};
+		const {era, revision, items} = answerSchema.parse(JSON.parse(text));
+		return {
+			kind,
+			...(era !== undefined && {era}),
+			revision,
+			items: decodeItems(items, logger),
+		};
 	};
 
 	const guarded = async (
--- a/src/registry/registry-entry.ts
+++ b/src/registry/registry-entry.ts
@@ -58,6 +58,11 @@
 The whole registry at a revision.
 */
 export type RegistrySnapshot = {
+	/**
+	Counts how often the registry has come back from an older copy of itself, as the registry states it; revisions rise
+	within one era only.
+	*/
+	readonly era?: number;
 	readonly revision: number;
 	readonly items: readonly RegistryItem[];
 };
@@ -68,6 +73,7 @@
 export type RegistryAnswer =
 	| {
 			readonly kind: 'changes';
+			readonly era?: number;
 			readonly revision: number;
 			readonly items: readonly RegistryItem[];
 	  }
--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -178,6 +178,18 @@
 		}
 	};
 
+	const noteRevision = (answer: RegistryAnswer, known: number) => {
+		if (!('revision' in answer) || answer.revision >= known) {
+			return;
+		}
+
+		const {era, revision, items} = answer;
+		logger.warn(
+			{era, revision, known, items: items.length},
+			'registry answers with an earlier revision than before',
+		);
+	};
+
 	const askPeer = async (peer: Address) => {
 		if (isAskingPeer) {
 			return;
@@ -194,13 +206,16 @@
 	const askRegistry = async (): Promise<number> => {
 		const isFull = isNeedsSnapshot || mirror.revision() === 0;
 		const askedAt = clock();
+		const known = mirror.revision();
 		const answer = isFull
 			? await registry.snapshot()
-			: await registry.changes(mirror.revision(), watchWaitMs);
+			: await registry.changes(known, watchWaitMs);
 		if (!isRunning) {
 			return 0;
 		}
 
+		noteRevision(answer, known);
+
 		if (take(answer, 'registry') === 'taken') {
 			isNeedsSnapshot = answer.kind === 'history-lost';
 			confirmedAt = confirmationTime(answer, askedAt, clock());
--- a/tests/platform/store-source.test.ts
+++ b/tests/platform/store-source.test.ts
@@ -90,3 +90,75 @@
 	t.assert.strictEqual(lines.length, 1);
 	t.assert.doesNotMatch(JSON.stringify(lines), /secret/v);
 });
+
+const startPagedStore = async (
+	t: TestContext,
+	pages: ReadonlyArray<{readonly era?: string; readonly revision: number}>,
+) => {
+	const address = await freeAddress();
+	let next = 0;
+	const store = createServer((_request, response) => {
+		const {era, revision} = pages[next]!;
+		next += 1;
+		if (era !== undefined) {
+			response.setHeader('Store-Era', era);
+		}
+
+		sendJson(response, 200, {
+			items: [{key: `servers/i-${next}`, revision: next, value: soundEntry}],
+			truncated: next < pages.length,
+			events: [],
+			as_of: revision,
+		});
+	});
+	await listenAt(store, address);
+	const ignore = () => undefined;
+	const source = createStoreSource(address, {
+		debug: ignore,
+		info: ignore,
+		warn: ignore,
+		error: ignore,
+	});
+	t.after(async () => {
+		await source.close();
+		await closeServer(store);
+	});
+	return source;
+};
+
+const eras = [
+	{name: 'a whole number', header: '7', era: 7},
+	{name: 'no header', header: undefined, era: undefined},
+	{name: 'text', header: 'seven', era: undefined},
+	{name: 'a negative number', header: '-1', era: undefined},
+] as const;
+
+for (const {name, header, era} of eras) {
+	test(`the era of the store's answers is read from ${name}`, async (t: TestContext) => {
+		const page = {revision: 4, ...(header !== undefined && {era: header})};
+		const source = await startPagedStore(t, [page, page]);
+		const whole = await source.snapshot();
+		t.assert.strictEqual('era' in whole ? whole.era : undefined, era);
+	});
+}
+
+test('the era of changes is read as well', async (t: TestContext) => {
+	const source = await startPagedStore(t, [{era: '3', revision: 4}]);
+	t.assert.deepStrictEqual(await source.changes(1, 0), {
+		kind: 'changes',
+		era: 3,
+		revision: 4,
+		items: [],
+	});
+});
+
+for (const [name, second] of [
+	['era', {era: '2', revision: 9}],
+	['revision', {era: '1', revision: 3}],
+] as const) {
+	test(`pages from before and after a return from a copy are not mixed: another ${name}`, async (t: TestContext) => {
+		const source = await startPagedStore(t, [{era: '1', revision: 4}, second]);
+		const answer = await source.snapshot();
+		t.assert.strictEqual(answer.kind, 'unavailable');
+	});
+}
