--- a/stand-ins/registry.ts
+++ b/stand-ins/registry.ts
@@ -16,23 +16,57 @@
 	Whether it answers; while it does not, each question fails.
 	*/
 	setUp(isUp: boolean): void;
+	/**
+	Comes back from the copy that it was after a revision: what was written since is gone, and its revisions are given
+	out again. Held questions end.
+	*/
+	restore(revision: number): void;
+	revision(): number;
 	source(): RegistrySource;
 	/**
 	Questions that were asked so far.
 	*/
 	calls(): number;
+	/**
+	Questions for everything that were asked so far.
+	*/
+	fullReads(): number;
+};
+
+/**
+How a registry tells that it came back from a copy.
+*/
+export type StandInRegistryOptions = {
+	/**
+	Whether its answers state an era.
+	*/
+	readonly hasEras?: boolean;
 };
 
 /**
 Builds an empty registry.
 */
-export const createStandInRegistry = (): StandInRegistry => {
+export const createStandInRegistry = ({
+	hasEras = false,
+}: StandInRegistryOptions = {}): StandInRegistry => {
 	const rows = new Map<string, RegistryItem>();
-	const history: RegistryItem[] = [];
+	let history: RegistryItem[] = [];
 	const held = createHeldCalls();
+	let era = 1;
 	let revision = 0;
 	let isUp = true;
 	let calls = 0;
+	let fullReads = 0;
+
+	const stated = () => (hasEras ? {era, revision} : {revision});
+
+	const put = (item: RegistryItem) => {
+		if (item.value === undefined) {
+			rows.delete(item.key);
+		} else {
+			rows.set(item.key, item);
+		}
+	};
 
 	const down: RegistryAnswer = {kind: 'unavailable', reason: 'down'};
 
@@ -41,38 +75,51 @@
 			revision += 1;
 			const item = {key, revision, value};
 			history.push(item);
-			if (value === undefined) {
-				rows.delete(key);
-			} else {
-				rows.set(key, item);
-			}
-
+			put(item);
 			held.release();
 		},
 		setUp(isNow) {
 			isUp = isNow;
 		},
+		restore(to) {
+			era += 1;
+			revision = to;
+			history = history.filter((item) => item.revision <= to);
+			rows.clear();
+			for (const item of history) {
+				put(item);
+			}
+
+			held.release();
+		},
+		revision: () => revision,
 		calls: () => calls,
+		fullReads: () => fullReads,
 		source: () => ({
 			async snapshot() {
 				calls += 1;
+				fullReads += 1;
 				return isUp
-					? {kind: 'snapshot', revision, items: rows.values().toArray()}
+					? {kind: 'snapshot', ...stated(), items: rows.values().toArray()}
 					: down;
 			},
 			async changes(after, waitMs) {
 				calls += 1;
-				if (isUp && revision <= after) {
+				if (isUp && revision === after) {
 					await held.wait(waitMs);
 				}
 
-				return isUp
-					? {
+				if (!isUp) {
+					return down;
+				}
+
+				return after > revision
+					? {kind: 'history-lost'}
+					: {
 							kind: 'changes',
-							revision,
+							...stated(),
 							items: history.filter((item) => item.revision > after),
-						}
-					: down;
+						};
 			},
 			close: async () => undefined,
 		}),
