--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -2,11 +2,8 @@
 import type {Address} from '../shared/index.ts';
 import type {RegistryAnswer, RegistrySource} from './registry-entry.ts';
 import type {RelayedAnswer} from './registry-relay.ts';
-import type {
-	AnswerOrigin,
-	MirrorChange,
-	RegistryMirror,
-} from './registry-mirror.ts';
+import type {MirrorChange} from './mirror-change.ts';
+import type {AnswerOrigin, RegistryMirror} from './registry-mirror.ts';
 
 /**
 Keeps a node's copy of the registry up to date, from the registry itself and from other nodes.
--- a/src/registry/registry-mirror.ts
+++ b/src/registry/registry-mirror.ts
@@ -1,39 +1,12 @@
 import {createRouteTable, type RouteTable} from '../routes/index.ts';
-import {createBoundedSet} from '../shared/index.ts';
-import {lifeOf} from './server-life.ts';
+import type {MirrorChange} from './mirror-change.ts';
 import type {
-	RegisteredServer,
 	RegistryAnswer,
 	RegistryItem,
 	RegistrySnapshot,
 } from './registry-entry.ts';
-
-/**
-A backend server as this node knows it.
-*/
-export type KnownServer = {
-	readonly server: RegisteredServer;
-	/**
-	When it was first seen cold, plus how long it stays so, on this node's clock.
-	*/
-	readonly coldUntil: number;
-};
-
-/**
-What changed by taking in an answer.
-*/
-export type MirrorChange =
-	| {readonly kind: 'routes'; readonly version: number}
-	| {
-			readonly kind: 'server';
-			readonly id: string;
-			readonly isUsable: boolean;
-	  }
-	| {
-			readonly kind: 'evacuation';
-			readonly availabilityZone: string;
-			readonly isActive: boolean;
-	  };
+import {createRegistryHistory} from './registry-history.ts';
+import {createRegistryServers, type KnownServer} from './registry-servers.ts';
 
 /**
 Who gave an answer.
@@ -83,40 +56,20 @@
 	snapshot(now: number): RegistrySnapshot;
 };
 
-/**
-How long a backend server stays in use when its entry went missing while the registry was away, in
-milliseconds. Its entry is back about two seconds after the registry is, if it lives.
-*/
-export const lapseGraceMs = 2200;
-
 /**
 For how long after a failure of the registry a missing entry may be a lapsed one, in milliseconds.
 */
 export const lapseWindowMs = 3000;
 
-/**
-Changes kept for other nodes that are a little behind.
-*/
-export const keptChanges = 400;
-
-/**
-Lives of servers whose announced shutdown is remembered; the earliest is forgotten first. A life does not return from its
-shutdown, so nothing else ends the memory.
-*/
-export const maximumLeavingLives = 2000;
-
 /**
 Builds an empty copy.
 */
 export const createRegistryMirror = (): RegistryMirror => {
-	const announced = createBoundedSet<string>(maximumLeavingLives);
 	const rows = new Map<string, RegistryItem>();
 	const removedAt = new Map<string, number>();
-	const known = new Map<string, KnownServer>();
-	const lapsed = new Map<string, number>();
+	const servers = createRegistryServers();
 	const evacuated = new Set<string>();
-	const history: RegistryItem[] = [];
-	let historyFrom = 0;
+	const history = createRegistryHistory();
 	let revision = 0;
 	let table: RouteTable | undefined;
 	let failedAt = -Infinity;
@@ -141,10 +94,7 @@
 			return [];
 		}
 
-		history.push(item);
-		if (history.length > keptChanges) {
-			historyFrom = Math.max(historyFrom, history.shift()!.revision);
-		}
+		history.add(item);
 
 		if (item.value === undefined) {
 			rows.delete(item.key);
@@ -163,7 +113,7 @@
 	): readonly MirrorChange[] => {
 		switch (value?.kind) {
 			case 'server': {
-				return takeServer(value.server, now);
+				return servers.take(value.server, now);
 			}
 
 			case 'routes': {
@@ -192,24 +142,6 @@
 		}
 	};
 
-	const takeServer = (
-		entry: RegisteredServer,
-		now: number,
-	): readonly MirrorChange[] => {
-		const server = announced.has(lifeOf(entry))
-			? {...entry, isLeaving: true}
-			: entry;
-		const before = known.get(server.id);
-		const isSameLife = before?.server.startedAt === server.startedAt;
-		const coldBefore = isSameLife ? (before?.coldUntil ?? 0) : 0;
-		lapsed.delete(server.id);
-		known.set(server.id, {
-			server,
-			coldUntil: Math.max(coldBefore, now + server.coldMs),
-		});
-		return [{kind: 'server', id: server.id, isUsable: !server.isLeaving}];
-	};
-
 	const removed = (
 		{value}: RegistryItem,
 		canBeLapse: boolean,
@@ -217,7 +149,7 @@
 	): readonly MirrorChange[] => {
 		switch (value?.kind) {
 			case 'server': {
-				return removeServer(value.server, canBeLapse, now);
+				return servers.remove(value.server.id, canBeLapse, now);
 			}
 
 			case 'evacuation': {
@@ -234,20 +166,6 @@
 		}
 	};
 
-	const removeServer = (
-		{id}: RegisteredServer,
-		canBeLapse: boolean,
-		now: number,
-	): readonly MirrorChange[] => {
-		if (canBeLapse && !known.get(id)?.server.isLeaving) {
-			lapsed.set(id, now + lapseGraceMs);
-			return [];
-		}
-
-		known.delete(id);
-		return [{kind: 'server', id, isUsable: false}];
-	};
-
 	// What a snapshot does not name has been removed at the latest by its revision.
 	const removeMissing = (
 		snapshot: RegistrySnapshot,
@@ -272,28 +190,16 @@
 			.toArray();
 	};
 
-	const isAhead = (row: RegistryItem, after: number) => row.revision > after;
-
-	// The remaining cold time shrinks while the entry is kept. A node that has just started hears of announced shutdowns.
-	const outgoing = (item: RegistryItem, now: number): RegistryItem => {
-		if (item.value?.kind !== 'server') {
-			return item;
-		}
-
-		const {server} = item.value;
-		const coldUntil = known.get(server.id)?.coldUntil ?? 0;
-		return {
-			...item,
-			value: {
-				kind: 'server',
-				server: {
-					...server,
-					isLeaving: server.isLeaving || announced.has(lifeOf(server)),
-					coldMs: Math.max(0, coldUntil - now),
-				},
-			},
-		};
-	};
+	const outgoing = (item: RegistryItem, now: number): RegistryItem =>
+		item.value?.kind === 'server'
+			? {
+					...item,
+					value: {
+						kind: 'server',
+						server: servers.outgoing(item.value.server, now),
+					},
+				}
+			: item;
 
 	const snapshot = (now: number): RegistrySnapshot => ({
 		revision,
@@ -309,52 +215,30 @@
 				return [];
 			}
 
+			// What changed between the last known revision and a snapshot is in the history, each key
+			// once and in its latest form; only before the first snapshot nothing is known.
+			if (answer.kind === 'snapshot' && revision === 0) {
+				history.restart(answer.revision);
+			}
+
 			const changes = answer.items.flatMap((item) =>
 				takeItem(item, now, origin),
 			);
 			if (answer.kind === 'snapshot') {
 				changes.push(...removeMissing(answer, now));
-				// What changed between the last known revision and the snapshot is in the history, each key
-				// once and in its latest form; only before the first snapshot nothing is known.
-				historyFrom = revision === 0 ? answer.revision : historyFrom;
 			}
 
 			revision = Math.max(revision, answer.revision);
 			return changes;
 		},
-		expire(now) {
-			return [...lapsed]
-				.filter(([, until]) => until <= now)
-				.map(([id]) => {
-					lapsed.delete(id);
-					known.delete(id);
-					return {kind: 'server', id, isUsable: false} as const;
-				});
-		},
-		leavingAnnounced(id, life) {
-			announced.add(life);
-			const current = known.get(id);
-			if (
-				!current ||
-				current.server.isLeaving ||
-				lifeOf(current.server) !== life
-			) {
-				return [];
-			}
-
-			lapsed.delete(id);
-			known.set(id, {
-				...current,
-				server: {...current.server, isLeaving: true},
-			});
-			return [{kind: 'server', id, isUsable: false}];
-		},
+		expire: servers.expire,
+		leavingAnnounced: servers.leavingAnnounced,
 		sourceFailed(now) {
 			failedAt = now;
 		},
 		revision: () => revision,
 		routes: () => table,
-		servers: () => known,
+		servers: servers.known,
 		unreadable: () =>
 			rows
 				.values()
@@ -365,13 +249,12 @@
 		isEvacuated: (availabilityZone) => evacuated.has(availabilityZone),
 		evacuatedZones: () => [...evacuated],
 		answerFor(after, now) {
-			return after >= historyFrom && after > 0
+			const items = history.after(after);
+			return items
 				? {
 						kind: 'changes',
 						revision,
-						items: history
-							.filter((item) => isAhead(item, after))
-							.map((item) => outgoing(item, now)),
+						items: items.map((item) => outgoing(item, now)),
 					}
 				: {kind: 'snapshot', ...snapshot(now)};
 		},
--- a/tests/gateway/fixtures.ts
+++ b/tests/gateway/fixtures.ts
@@ -1,7 +1,7 @@
 import type {BackendFleetOptions} from '../../src/backends/index.ts';
 import type {ClientAccount} from '../../src/clients/index.ts';
 import type {Exchange} from '../../src/gateway/exchange.ts';
-import type {KnownServer} from '../../src/registry/registry-mirror.ts';
+import type {KnownServer} from '../../src/registry/index.ts';
 import type {Route, RouteDocument, Service} from '../../src/routes/index.ts';
 import {createServerRests} from '../../src/server-statements/index.ts';
 import {sha256} from '../../src/shared/index.ts';
