--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -230,18 +230,19 @@
 		}
 
 		const era = answerEra.of(answer, asked);
-		apply({...answer, era}, 'registry');
-		if (era === asked.era && era === mirror.position().era) {
+		const own = mirror.position();
+		if (era === asked.era && era === own.era) {
+			apply({...answer, era}, 'registry');
 			confirmedAt = confirmationTime(answer, askedAt, clock());
 			noteAnswered(answer.kind);
 			return options.hasJustStarted() ? newcomerPauseMs : watchPauseMs;
 		}
 
-		if (era > mirror.position().era) {
+		// Changes after a revision of another era have a gap before them. Another node may have told of the later era meanwhile.
+		if (era > own.era) {
 			progress = 'outdated';
 		}
 
-		// Another node may have told of the later era meanwhile.
 		return 0;
 	};
 
--- a/src/registry/registry-mirror.ts
+++ b/src/registry/registry-mirror.ts
@@ -55,7 +55,8 @@
 	position(): RegistryPosition;
 	/**
 	Whether a whole answer of the registry to a question asked at a position shows that the registry has come back from an
-	older copy since: a key has an earlier revision than it had, or another version of the routes at the same one.
+	older copy since: a key has an earlier revision than it had, another version of the routes at the same one, or an early
+	revision though it had been removed.
 	*/
 	isContradictedBy(
 		snapshot: RegistrySnapshot,
@@ -193,7 +194,9 @@
 		snapshot: RegistrySnapshot,
 		now: number,
 	): readonly MirrorChange[] => {
-		const named = new Set(snapshot.items.map(({key}) => key));
+		const named = new Set(
+			snapshot.items.filter((item) => !isKeptOnly(item)).map(({key}) => key),
+		);
 		return rows
 			.values()
 			.filter((row) => !named.has(row.key) && row.revision <= snapshot.revision)
@@ -336,13 +339,22 @@
 	};
 };
 
-// A key that had a later revision when the question was asked, or other routes at the same one.
+// What another node keeps though the registry does not name it.
+const isKeptOnly = ({value, provisionalMs}: RegistryItem): boolean =>
+	value?.kind === 'evacuation' && provisionalMs !== undefined;
+
+// Against what was known when the question was asked: a key whose later revision was known, other routes at the same one, or an entry
+// that was not there.
 const isEarlierThan = (
 	item: RegistryItem,
 	row: RegistryItem | undefined,
 	asked: RegistryPosition,
 ): boolean => {
-	if (!row || row.revision > asked.revision) {
+	if (!row) {
+		return item.revision <= asked.revision;
+	}
+
+	if (row.revision > asked.revision) {
 		return false;
 	}
 
--- a/src/registry/registry-servers.ts
+++ b/src/registry/registry-servers.ts
@@ -26,8 +26,14 @@
 	remove(id: string, canBeLapse: boolean, now: number): readonly MirrorChange[];
 	/**
 	Takes an entry of the older copy that the registry came back from.
+
+	@param toldMs How much longer another node holds it back, in milliseconds.
 	*/
-	takeFromCopy(entry: RegisteredServer, now: number): readonly MirrorChange[];
+	takeFromCopy(
+		entry: RegisteredServer,
+		toldMs: number,
+		now: number,
+	): readonly MirrorChange[];
 	/**
 	Does not use a server whose entry an older copy brought back, until it is written again or has lasted.
 	*/
@@ -177,11 +183,33 @@
 		remainingMs: number,
 		now: number,
 	): readonly MirrorChange[] => {
+		if (isKnownLeaving(entry)) {
+			return [];
+		}
+
 		const {id} = entry;
-		const wasUsed = known.delete(id);
+		const until = Math.max(held.get(id)?.until ?? 0, now + remainingMs);
+		held.set(id, {entry, until});
 		lapsed.delete(id);
-		held.set(id, {entry, until: now + remainingMs});
-		return wasUsed ? [{kind: 'server', id, isUsable: false}] : [];
+		return known.delete(id) ? [{kind: 'server', id, isUsable: false}] : [];
+	};
+
+	const keepLeaving = (entry: RegisteredServer, now: number) => {
+		leavingBeyondCopy.add(entry.id);
+		if (entry.startedAt !== undefined) {
+			announced.add(lifeOf(entry));
+		}
+
+		put({...entry, isLeaving: true}, now);
+	};
+
+	const replace = (
+		entry: RegisteredServer,
+		now: number,
+	): readonly MirrorChange[] => {
+		const wasLeaving = known.get(entry.id)?.server.isLeaving;
+		const changes = put(entry, now);
+		return wasLeaving === entry.isLeaving ? [] : changes;
 	};
 
 	return {
@@ -190,35 +218,28 @@
 			return put(entry, now);
 		},
 		remove,
-		takeFromCopy(entry, now) {
-			const {id} = entry;
-			const life = lifeOf(entry);
+		takeFromCopy(entry, toldMs, now) {
 			if (isKnownLeaving(entry) && !entry.isLeaving) {
-				leavingBeyondCopy.add(id);
-				if (entry.startedAt !== undefined) {
-					announced.add(life);
-				}
-
-				put({...entry, isLeaving: true}, now);
+				keepLeaving(entry, now);
 				return [];
 			}
 
-			const current = known.get(id);
-			if (current && lifeOf(current.server) === life) {
-				const changes = put(entry, now);
-				return current.server.isLeaving === known.get(id)?.server.isLeaving
-					? []
-					: changes;
-			}
+			const current = known.get(entry.id)?.server;
+			const isKnown = current && lifeOf(current) === lifeOf(entry);
+			const standing = isKnown ? 'unknown' : gone.standing(entry);
+			switch (standing) {
+				case 'unknown': {
+					return toldMs > 0
+						? holdBack(entry, toldMs, now)
+						: replace(entry, now);
+				}
 
-			switch (gone.standing(entry)) {
-				case 'unknown':
 				case 'written since': {
 					return put(entry, now);
 				}
 
 				case 'gone': {
-					return holdBack(entry, heldBackMs, now);
+					return holdBack(entry, Math.max(heldBackMs, toldMs), now);
 				}
 
 				case 'left': {
--- a/src/registry/restored-copy.ts
+++ b/src/registry/restored-copy.ts
@@ -75,9 +75,7 @@
 	rows.set(key, item);
 	switch (value?.kind) {
 		case 'server': {
-			return provisionalMs === undefined
-				? servers.takeFromCopy(value.server, now)
-				: servers.holdBack(value.server, provisionalMs, now);
+			return servers.takeFromCopy(value.server, provisionalMs ?? 0, now);
 		}
 
 		case 'routes': {
--- a/tests/registry/restored-copy.test.ts
+++ b/tests/registry/restored-copy.test.ts
@@ -278,3 +278,12 @@
 	assert.equal(mirror.answerFor({era: 1, revision: 100}, 0).kind, 'snapshot');
 	assert.equal(mirror.answerFor({era: 2, revision: 20}, 0).kind, 'changes');
 });
+
+test('an evacuation that ended after the return ends also where another node still keeps it', () => {
+	const keeper = nodeWith(evacuationItem(50));
+	take(keeper, 'snapshot', [2, 30], []);
+	const mirror = createRegistryMirror();
+	take(mirror, 'snapshot', [2, 20], [evacuationItem(15)]);
+	mirror.apply({kind: 'snapshot', ...keeper.snapshot(0)}, 0, 'peer');
+	assert.ok(!mirror.isEvacuated(zone));
+});
