--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -4,6 +4,7 @@
 import {mostInSpan} from '../tests/most-in-span.ts';
 import {eventOf} from '../stand-ins/registered-server.ts';
 import {nodeOfRequest, type CallerRecord} from './soak-callers.ts';
+import {applyMs, maximumAttempts} from './soak-routes.ts';
 import type {Disturbance} from './soak-nodes.ts';
 import {eventsPerStream, type ServerEvent} from './soak-server.ts';
 
@@ -21,6 +22,7 @@
 		| 'rest'
 		| 'limit'
 		| 'gone'
+		| 'configuration'
 		| 'recovery';
 	readonly detail: string;
 };
@@ -38,11 +40,6 @@
 	readonly calmFrom: number;
 };
 
-/**
-Servers that a request may be sent to, as the routes of a soak say.
-*/
-export const maximumAttempts = 2;
-
 const drainMs = 3000;
 const inFlightMs = 500;
 const allowedPerRest = 2;
@@ -66,6 +63,7 @@
 		...checkStatements(history),
 		...checkLimits(history),
 		...checkGone(history),
+		...checkRoutes(history),
 		...checkRecovery(history),
 	];
 };
@@ -282,6 +280,28 @@
 		: [];
 };
 
+// A route that was added is not refused as unknown once it must be in force.
+const checkRoutes = ({
+	records,
+	disturbances,
+}: SoakHistory): readonly Violation[] =>
+	records
+		.filter(
+			({kind, status, node, sentAt}) =>
+				kind === 'added' &&
+				status === 404 &&
+				disturbances.every(
+					(each) =>
+						each.node !== node ||
+						each.from > sentAt ||
+						each.until + applyMs < sentAt,
+				),
+		)
+		.map(({requestId, path}) => ({
+			promise: 'configuration',
+			detail: `${requestId}: 404 for ${path}`,
+		}));
+
 const checkRecovery = ({
 	records,
 	calmFrom,
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -31,7 +31,16 @@
 			readonly server: number;
 			readonly forMs: number;
 	  }
-	| {readonly kind: 'registry-away'; readonly forMs: number};
+	| {readonly kind: 'registry-away'; readonly forMs: number}
+	| {
+			readonly kind: 'registry-restored';
+			readonly forMs: number;
+			/**
+			Writes that the copy lacks.
+			*/
+			readonly writes: number;
+	  }
+	| {readonly kind: 'routes'; readonly forMs: number};
 
 /**
 A fault and the time of its beginning, in milliseconds from the start of the load.
@@ -60,6 +69,7 @@
 	'crash',
 ] as const;
 
+const mostWritesLost = 8;
 const shortestMs = 500;
 const longestMs = 4000;
 const shortestGapMs = 50;
@@ -82,13 +92,38 @@
 
 const drawFault = (random: Random, {nodes, servers}: PlanOptions): Fault => {
 	const forMs = shortestMs + random.below(longestMs - shortestMs);
-	const draw = random.below(10);
-	if (draw === 0) {
-		return {kind: 'registry-away', forMs};
+	const draw = random.below(13);
+	switch (draw) {
+		case 0: {
+			return {kind: 'registry-away', forMs};
+		}
+
+		case 1: {
+			return {
+				kind: 'registry-restored',
+				forMs,
+				writes: 1 + random.below(mostWritesLost),
+			};
+		}
+
+		case 2:
+		case 3: {
+			return {kind: 'routes', forMs};
+		}
+
+		default: {
+			return drawPartFault(random, {nodes, servers}, forMs);
+		}
 	}
+};
 
+const drawPartFault = (
+	random: Random,
+	{nodes, servers}: Pick<PlanOptions, 'nodes' | 'servers'>,
+	forMs: number,
+): Fault =>
 	// The last node and the last server stay sound: what remains can be told from what is lost.
-	return draw < 4
+	random.below(9) < 3
 		? {
 				kind: nodeFaults[random.below(nodeFaults.length)]!,
 				node: random.below(nodes - 1),
@@ -99,4 +134,3 @@
 				server: random.below(servers - 1),
 				forMs,
 			};
-};
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -11,17 +11,12 @@
 import {createRandom} from '../src/shared/index.ts';
 import {endAll} from '../stand-ins/child-process.ts';
 import {startRegistryServer} from '../stand-ins/registry-server.ts';
-import {createStandInRegistry, writeRoutes} from '../stand-ins/registry.ts';
-import {documentOf, routeOf, serviceOf} from '../tests/gateway/fixtures.ts';
-import {
-	checkSoak,
-	maximumAttempts,
-	type SoakHistory,
-	type Violation,
-} from './check-soak.ts';
+import {createStandInRegistry} from '../stand-ins/registry.ts';
+import {checkSoak, type SoakHistory, type Violation} from './check-soak.ts';
 import {planFaults, type Fault} from './fault-plan.ts';
 import {startSoakCallers} from './soak-callers.ts';
 import {startSoakNodes, type SoakNodes} from './soak-nodes.ts';
+import {createSoakRoutes, type SoakRoutes} from './soak-routes.ts';
 import {startSoakServer, type SoakServer} from './soak-server.ts';
 
 /**
@@ -68,10 +63,10 @@
 export const playSoak = async (options: SoakOptions): Promise<SoakResult> => {
 	const network = `127.${randomInt(2, 250)}.${randomInt(1, 250)}`;
 	const logFolder = mkdtempSync(path.join(tmpdir(), 'quillford-soak-'));
-	const registry = createStandInRegistry();
+	const registry = createStandInRegistry({hasEras: options.seed % 2 === 0});
 	const registryAddress = `${network}.${registryHost}:${port}`;
 	const registryServer = await startRegistryServer(registry, registryAddress);
-	writeSoakRoutes(registry);
+	const routes = createSoakRoutes(registry);
 	const servers = await Promise.all(
 		Array.from({length: options.servers}, async (_, index) =>
 			startSoakServer(
@@ -97,8 +92,9 @@
 			nodes.callerAddresses,
 			options.perSecond,
 			createRandom(options.seed + 1),
+			routes.appliedVersion,
 		);
-		await playFaults(options, {nodes, servers, registry});
+		await playFaults(options, {nodes, servers, routes});
 		for (const server of servers) {
 			server.restart();
 		}
@@ -124,39 +120,6 @@
 	}
 };
 
-const writeSoakRoutes = (
-	registry: ReturnType<typeof createStandInRegistry>,
-) => {
-	const common = {maximumAttempts, timeoutMs: 3000, targetLatencyMs: 400};
-	writeRoutes(
-		registry,
-		documentOf({
-			routes: [
-				routeOf({
-					...common,
-					name: 'once',
-					pathPrefix: '/once/',
-					kind: 'non-idempotent',
-				}),
-				routeOf({
-					...common,
-					name: 'repeatable',
-					pathPrefix: '/repeatable/',
-					kind: 'idempotent',
-				}),
-				routeOf({
-					...common,
-					name: 'stream',
-					pathPrefix: '/stream/',
-					kind: 'streaming',
-					isResumable: true,
-				}),
-			],
-			services: [serviceOf()],
-		}),
-	);
-};
-
 const untilReady = async ({callerAddresses}: SoakNodes) => {
 	for (let turn = 0; turn < readyTurns; turn += 1) {
 		const statuses = await Promise.all(
@@ -185,7 +148,7 @@
 type Scene = {
 	readonly nodes: SoakNodes;
 	readonly servers: readonly SoakServer[];
-	readonly registry: ReturnType<typeof createStandInRegistry>;
+	readonly routes: SoakRoutes;
 };
 
 const playFaults = async (options: SoakOptions, scene: Scene) => {
@@ -207,7 +170,7 @@
 
 const playFault = async (
 	fault: Fault,
-	{nodes, servers, registry}: Scene,
+	{nodes, servers, routes}: Scene,
 ): Promise<void> => {
 	switch (fault.kind) {
 		case 'freeze': {
@@ -252,9 +215,15 @@
 		}
 
 		case 'registry-away': {
-			registry.setUp(false);
-			await sleep(fault.forMs);
-			registry.setUp(true);
+			return routes.away(fault.forMs);
+		}
+
+		case 'registry-restored': {
+			return routes.restore(fault.forMs, fault.writes);
+		}
+
+		case 'routes': {
+			routes.change();
 		}
 	}
 };
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -8,7 +8,7 @@
 /**
 The kinds of requests.
 */
-export const requestKinds = ['once', 'repeatable', 'stream'] as const;
+export const requestKinds = ['once', 'repeatable', 'stream', 'added'] as const;
 
 /**
 One of the kinds of requests.
@@ -21,6 +21,7 @@
 export type CallerRecord = {
 	readonly requestId: string;
 	readonly kind: RequestKind;
+	readonly path: string;
 	readonly node: number;
 	readonly sentAt: number;
 	/**
@@ -57,6 +58,7 @@
 	addresses: readonly string[],
 	perSecond: number,
 	random: Random,
+	appliedVersion: () => number,
 ): (() => Promise<readonly CallerRecord[]>) => {
 	const dispatcher = new Agent({connections: 20, connect: {timeout: 500}});
 	const records: Array<Promise<CallerRecord>> = [];
@@ -69,27 +71,28 @@
 		sent += 1;
 		const requestId = `${node}-${sent}`;
 		const willLeave = kind !== 'once' && sent % leaveEvery === 0;
-		const base = {requestId, kind, node, sentAt: performance.now()};
+		const path =
+			kind === 'added'
+				? `/added/${appliedVersion()}/${sent}`
+				: `/${kind}/${sent}`;
+		const base = {requestId, kind, path, node, sentAt: performance.now()};
 		const passedMs = () => performance.now() - base.sentAt;
 		let head = {status: 0, signature: ''};
 		let body = '';
 		try {
-			const answer = await request(
-				`http://${addresses[node]!}/${kind}/${sent}`,
-				{
-					dispatcher,
-					method: 'POST',
-					body: 'work',
-					headers: {
-						host: 'site.example',
-						[productHeaders.requestId]: requestId,
-						[productHeaders.remainingMs]: String(deadlineMs),
-					},
-					signal: AbortSignal.timeout(
-						willLeave ? leaveAfterMs : deadlineMs + 500,
-					),
+			const answer = await request(`http://${addresses[node]!}${path}`, {
+				dispatcher,
+				method: 'POST',
+				body: 'work',
+				headers: {
+					host: 'site.example',
+					[productHeaders.requestId]: requestId,
+					[productHeaders.remainingMs]: String(deadlineMs),
 				},
-			);
+				signal: AbortSignal.timeout(
+					willLeave ? leaveAfterMs : deadlineMs + 500,
+				),
+			});
 			head = {
 				status: answer.statusCode,
 				signature: String(answer.headers[productHeaders.signature] ?? ''),
@@ -119,7 +122,9 @@
 	};
 
 	const timer = setInterval(() => {
-		const kind = requestKinds[random.below(requestKinds.length)]!;
+		const drawn = requestKinds[random.below(requestKinds.length)]!;
+		const kind =
+			drawn === 'added' && appliedVersion() === 0 ? 'repeatable' : drawn;
 		records.push(send(random.below(addresses.length), kind));
 	}, 1000 / perSecond);
 
--- a/stand-ins/registry.ts
+++ b/stand-ins/registry.ts
@@ -19,8 +19,10 @@
 	/**
 	Comes back from the copy that it was after a revision: what was written since is gone, and its revisions are given
 	out again. Held questions end.
+
+	@returns Writes again what was lost and has not been written since.
 	*/
-	restore(revision: number): void;
+	restore(revision: number): () => void;
 	/**
 	Forgets its changes so far, so that questions for those after an earlier revision fail.
 	*/
@@ -58,6 +60,9 @@
 	const held = createHeldCalls();
 	let era = 1;
 	let historyFrom = 0;
+	// Other than revisions, these are not given out again.
+	let writes = 0;
+	const writtenAt = new Map<string, number>();
 	let revision = 0;
 	let isUp = true;
 	let calls = 0;
@@ -75,18 +80,28 @@
 
 	const down: RegistryAnswer = {kind: 'unavailable', reason: 'down'};
 
+	const write = (key: string, value: RegistryValue | undefined) => {
+		writes += 1;
+		writtenAt.set(key, writes);
+		revision += 1;
+		const item = {key, revision, value};
+		history.push(item);
+		put(item);
+		held.release();
+	};
+
 	return {
-		write(key, value) {
-			revision += 1;
-			const item = {key, revision, value};
-			history.push(item);
-			put(item);
-			held.release();
-		},
+		write,
 		setUp(isNow) {
 			isUp = isNow;
 		},
 		restore(to) {
+			const lost = new Map(
+				history
+					.filter((item) => item.revision > to)
+					.map(({key, value}) => [key, value]),
+			);
+			const writesBefore = writes;
 			era += 1;
 			revision = to;
 			historyFrom = Math.min(historyFrom, to);
@@ -97,6 +112,13 @@
 			}
 
 			held.release();
+			return () => {
+				for (const [key, value] of lost) {
+					if ((writtenAt.get(key) ?? 0) <= writesBefore) {
+						write(key, value);
+					}
+				}
+			};
 		},
 		forgetHistory() {
 			historyFrom = revision;
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -12,6 +12,7 @@
 const recordOf = (change: Partial<CallerRecord> = {}): CallerRecord => ({
 	requestId: '0-1',
 	kind: 'once',
+	path: '/once/1',
 	node: 0,
 	sentAt: 0,
 	status: 200,
@@ -141,6 +142,11 @@
 			),
 		},
 	],
+	[
+		'a route refused as unknown though it must be in force',
+		'configuration',
+		{records: [recordOf({kind: 'added', path: '/added/2/1', status: 404})]},
+	],
 	[
 		'work that goes on for callers that left',
 		'gone',
--- a/tests/soak/fault-plan.test.ts
+++ b/tests/soak/fault-plan.test.ts
@@ -13,7 +13,7 @@
 
 test('all kinds of faults occur, and the last node and server stay sound', (t: TestContext) => {
 	const faults = planFaults(options).map(({fault}) => fault);
-	t.assert.strictEqual(new Set(faults.map(({kind}) => kind)).size, 12);
+	t.assert.strictEqual(new Set(faults.map(({kind}) => kind)).size, 14);
 	t.assert.ok(
 		faults.every(
 			(fault) =>
