--- a/benchmarks/run.ts
+++ b/benchmarks/run.ts
@@ -12,6 +12,7 @@
 import {measureOverhead} from './overhead.ts';
 import {measureProcessor} from './processor.ts';
 import {measureQuarantine} from './quarantine.ts';
+import {measureRegistryOrders} from './registry-orders.ts';
 import {measureRests} from './rests.ts';
 import {measureRouting} from './routing.ts';
 import type {Row} from './table.ts';
@@ -37,6 +38,7 @@
 	quarantine: measureQuarantine,
 	'backend-limits': measureBackendLimits,
 	rests: measureRests,
+	'registry-orders': measureRegistryOrders,
 };
 
 const chosen = positionals.length > 0 ? positionals : Object.keys(benchmarks);
--- a/tests/registry/registry-scene.ts
+++ b/tests/registry/registry-scene.ts
@@ -68,6 +68,10 @@
 	Of these nodes stamps and answers are those of the version before, which knows no eras.
 	*/
 	readonly oldNodes?: readonly number[];
+	/**
+	Builds the copy of the registry of each node.
+	*/
+	readonly createMirror?: () => RegistryMirror;
 };
 
 type RunningNode = SceneNode & {
@@ -96,8 +100,15 @@
 Starts the nodes; time stands still until it is made to pass.
 */
 export const createRegistryScene = (
-	{mock}: TestContext,
-	{zones, nodes: count, hasEras, seed = 1, oldNodes = []}: RegistrySceneOptions,
+	{mock}: Pick<TestContext, 'mock'>,
+	{
+		zones,
+		nodes: count,
+		hasEras,
+		seed = 1,
+		oldNodes = [],
+		createMirror = createRegistryMirror,
+	}: RegistrySceneOptions,
 ): RegistryScene => {
 	mock.timers.enable({apis: ['setTimeout']});
 	const random = createRandom(seed);
@@ -175,7 +186,7 @@
 
 	const startNode = (index: number): RunningNode => {
 		const startedAt = now;
-		const mirror = createRegistryMirror();
+		const mirror = createMirror();
 		const follower = createRegistryFollower({
 			mirror,
 			registry: sourceFor(() => node),
--- a/tests/registry/restored-registry-model.ts
+++ b/tests/registry/restored-registry-model.ts
@@ -6,7 +6,11 @@
 import {createRandom, type Random} from '../../src/shared/index.ts';
 import {documentOf} from '../gateway/fixtures.ts';
 import {registeredServerOf} from './fixtures.ts';
-import {createRegistryScene, type RegistryScene} from './registry-scene.ts';
+import {
+	createRegistryScene,
+	type RegistryScene,
+	type RegistrySceneOptions,
+} from './registry-scene.ts';
 
 /**
 What a play is made from.
@@ -19,6 +23,7 @@
 	Called at each step; may do what the check must find.
 	*/
 	readonly plant?: (scene: RegistryScene) => void;
+	readonly createMirror?: RegistrySceneOptions['createMirror'];
 };
 
 /**
@@ -58,14 +63,21 @@
 @returns What was broken; empty where nothing was.
 */
 export const playRestoredRegistry = async (
-	t: TestContext,
-	{seed, hasEras, lengthMs, plant = () => undefined}: ModelOptions,
+	t: Pick<TestContext, 'mock'>,
+	{
+		seed,
+		hasEras,
+		lengthMs,
+		plant = () => undefined,
+		createMirror,
+	}: ModelOptions,
 ): Promise<readonly string[]> => {
 	const scene = createRegistryScene(t, {
 		zones,
 		nodes: nodeCount,
 		hasEras,
 		seed,
+		...(createMirror && {createMirror}),
 	});
 	const random = createRandom(seed);
 	const truth: Truth = {version: 0, servers: new Map(), evacuated: new Map()};
