--- a/benchmarks/registry-orders.ts
+++ b/benchmarks/registry-orders.ts
@@ -1,6 +1,7 @@
 /**
 Ways to order statements of a registry that comes back from older copies, on the same random plays.
 */
+import process from 'node:process';
 import {createRegistryMirror} from '../src/registry/index.ts';
 import {playRestoredRegistry} from '../tests/registry/restored-registry-model.ts';
 import {
@@ -30,7 +31,7 @@
 Counts the plays in which each promise broke.
 */
 export const measureRegistryOrders = async (): Promise<readonly Row[]> => {
-	const {mock} = await import('node:test');
+	const {mock} = process.getBuiltinModule('node:test');
 	const rows: Row[] = [];
 	for (const [order, createMirror] of Object.entries(orders)) {
 		for (const hasEras of [true, false]) {
