Do not take a whole answer of an earlier era for current, and name six comments' subjects plainly

A whole answer that was asked for before another node told of a later era counted as the present state until the next question. Comments of six files follow the style's examples.

--- a/src/backend-limits/limit-entries.ts
+++ b/src/backend-limits/limit-entries.ts
@@ -64,8 +64,7 @@
 export const endedKeptMs = 20_000;
 
 /**
-A limit of which nothing was heard for so long is forgotten, in milliseconds: the server has gone. One that lives and has a
-limit is sent requests, and says so again.
+Retention of a limit without updates, in milliseconds. Longer than a live server needs to state it again.
 */
 export const silentKeptMs = 600_000;
 
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -91,8 +91,8 @@
 export const doubtMs = 500;
 
 /**
-A server that has sent nothing of what it owes for so long is not used, whatever it says of its
-health, in milliseconds. Callers give up on a stream after about two seconds of silence.
+Time without bytes on an open response after which a server is ejected, in milliseconds, whatever its health checks
+say. Callers give up on a stream after about two seconds of silence.
 */
 export const longestSilenceMs = 2500;
 
--- a/src/gateway/sharing/registry-sharing.ts
+++ b/src/gateway/sharing/registry-sharing.ts
@@ -70,7 +70,7 @@
 // Its holders read the registry and relay it to the others of their zone.
 const duty = 'registry';
 
-// A second reader would double the calls and save nothing: whoever loses its relay reads by itself.
+// A second reader would double the calls and save nothing: a node whose relay fails reads the registry directly.
 const readersPerZone = 1;
 
 /**
--- a/src/limits/admission-part.ts
+++ b/src/limits/admission-part.ts
@@ -22,8 +22,8 @@
 	readonly passedBySilent: number;
 };
 
-// Within this time what is too much, or too little, of the window's sum is made up for, in seconds. Counts are up to
-// a second old; made up for faster, all nodes would let through too much and too little by turns.
+// Time constant of the correction towards the window's limit, in seconds. Counts are up to a second old, so a faster correction would
+// oscillate.
 const correctionSeconds = 2;
 
 // What the sum over a window is steered to, by what the limit allows in it: it settles above, for counts are late and
--- a/src/limits/shared-limits.ts
+++ b/src/limits/shared-limits.ts
@@ -149,7 +149,7 @@
 };
 
 /**
-A zone is taken for silent when it was not heard for so long, in milliseconds: some intervals of its word.
+Time without a report after which a zone counts as unreachable, in milliseconds.
 */
 export const zoneSilentMs = 1600;
 
--- a/src/node/configuration-controller.ts
+++ b/src/node/configuration-controller.ts
@@ -22,7 +22,7 @@
 	*/
 	heard(stamp: ConfigurationStamp, from: Address): void;
 	/**
-	Asks the platform once, whoever holds the duty.
+	Polls the platform once, on every node, not only the one that polls for its zone.
 	*/
 	askPlatform(): Promise<PlatformAnswer>;
 };
--- a/src/node/vm-list-controller.ts
+++ b/src/node/vm-list-controller.ts
@@ -10,7 +10,7 @@
 */
 export type VmListController = Controller & {
 	/**
-	Reads the list once, whoever holds the duty.
+	Reads the list once, on every node, not only the one that reads it for its zone.
 	*/
 	ask(): Promise<PlatformAnswer>;
 };
--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -251,9 +251,15 @@
 		asked: RegistryPosition,
 		askedAt: number,
 	): number => {
-		apply({...answer, era: answerEra.of(answer, asked)}, 'registry');
-		progress = 'current';
+		const era = answerEra.of(answer, asked);
+		apply({...answer, era}, 'registry');
 		fullReadAt = clock();
+		// Another node has told of a later era meanwhile.
+		if (era < mirror.position().era) {
+			return watchPauseMs;
+		}
+
+		progress = 'current';
 		confirmedAt = askedAt;
 		noteAnswered(answer.kind);
 		return options.hasJustStarted() ? newcomerPauseMs : watchPauseMs;
