--- a/tests/registry/registry-scene.test.ts
+++ b/tests/registry/registry-scene.test.ts
@@ -229,7 +229,8 @@
 		await scene.pass(100);
 	}
 
-	t.assert.ok(scene.registry.fullReads() - source <= 20);
+	// Twice a second at most, and the first at once.
+	t.assert.ok(scene.registry.fullReads() - source <= 7);
 	await scene.pass(applyMs);
 	t.assert.deepStrictEqual(versions(scene), everyNode(scene, 31));
 });
