Give the copy of the registry one stamp, in place of three that are put together from its parts

The stamp for heartbeats was assembled in the node's knowledge, in the test scene and in the question to peers, and the version of the routes derived in three places; whether routes are beyond the registry stood twice. The copy now gives its stamp and the version. The type of the encoded stamp was that of configurations. A server of a life is looked up in one place; optional eras need no spreading.

--- a/benchmarks/model/registry-orders.ts
+++ b/benchmarks/model/registry-orders.ts
@@ -19,6 +19,7 @@
 				? []
 				: mirror.apply({...answer, era: 0}, now, origin),
 		position: () => ({era: 0, revision: mirror.revision()}),
+		stamp: () => ({...mirror.stamp(), era: 0}),
 		isContradictedBy: () => false,
 	};
 };
@@ -91,6 +92,7 @@
 			era: undefined,
 		}),
 		position: () => ({era: 0, revision: mirror.revision()}),
+		stamp: () => ({...mirror.stamp(), era: 0}),
 		isContradictedBy: () => false,
 	};
 };
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -77,7 +77,7 @@
 		backendLimits,
 		standings,
 	} = knowledge;
-	const routesVersion = () => mirror.routes()?.document.version ?? 0;
+	const {routesVersion} = mirror;
 	const {choose, peerFailed} = createGatewayChooser({
 		...knowledge,
 		zones: options.zones,
@@ -172,7 +172,7 @@
 			loopLagMilliseconds: schedule.lagMs,
 			registryEra: () => mirror.position().era,
 			registryRevision: mirror.revision,
-			registryKeptBeyondCopy: () => Number(mirror.isBeyondRegistry()),
+			registryKeptBeyondCopy: () => Number(mirror.stamp().isBeyondRegistry),
 			registryItemsUnreadable: mirror.unreadable,
 			routesVersion,
 			nodesUsable: () => mesh.usable().length,
--- a/src/gateway/sharing/node-knowledge.ts
+++ b/src/gateway/sharing/node-knowledge.ts
@@ -169,11 +169,7 @@
 	const mesh = createMesh({
 		...options,
 		regionOf,
-		registryStamp: () => ({
-			...mirror.position(),
-			routesVersion: mirror.routes()?.document.version ?? 0,
-			isBeyondRegistry: mirror.isBeyondRegistry(),
-		}),
+		registryStamp: mirror.stamp,
 		onRegistryStamp(stamp, from) {
 			registry.heard(stamp, from);
 		},
--- a/src/registry/http-source.ts
+++ b/src/registry/http-source.ts
@@ -166,12 +166,7 @@
 		}
 
 		const {era, revision, items} = answerSchema.parse(JSON.parse(text));
-		return {
-			kind,
-			...(era !== undefined && {era}),
-			revision,
-			items: decodeItems(items, logger),
-		};
+		return {kind, era, revision, items: decodeItems(items, logger)};
 	};
 
 	const guarded = async (
--- a/src/registry/outgoing-items.ts
+++ b/src/registry/outgoing-items.ts
@@ -44,10 +44,9 @@
 ): readonly RegistryItem[] => {
 	const {rows, routes, evacuations} = state;
 	const inForce = routes.item();
-	const isBeyondRegistry = routes.version() > routes.registeredVersion();
 	return [
 		...rows.values().map((item) => outgoingItem(state, item, now)),
-		...(inForce && isBeyondRegistry ? [inForce] : []),
+		...(inForce && routes.isBeyondRegistry() ? [inForce] : []),
 		...evacuations
 			.kept(now)
 			.map(({key, availabilityZone, remainingMs}): RegistryItem => ({
--- a/src/registry/peer-question.ts
+++ b/src/registry/peer-question.ts
@@ -1,4 +1,3 @@
-import type {RegistryMirror} from './registry-mirror.ts';
 import {
 	isBefore,
 	startPosition,
@@ -12,19 +11,18 @@
 nothing once an era is known.
 */
 export const questionFor = (
-	mirror: Pick<RegistryMirror, 'position' | 'routes'>,
-	stamp: RegistryStamp,
+	own: RegistryStamp & RegistryPosition,
+	told: RegistryStamp,
 	introducedEra: number | undefined,
 ): RegistryPosition | undefined => {
-	const own = mirror.position();
-	const told = {...stamp, era: stamp.era ?? startPosition.era};
-	if (isBefore(own, told)) {
-		return own;
+	const era = told.era ?? startPosition.era;
+	if (isBefore(own, {era, revision: told.revision})) {
+		return {era: own.era, revision: own.revision};
 	}
 
-	const hasLaterRoutes =
-		stamp.routesVersion > (mirror.routes()?.document.version ?? 0);
 	const canKeepMore =
-		stamp.isBeyondRegistry && told.era === own.era && introducedEra !== own.era;
-	return hasLaterRoutes || canKeepMore ? startPosition : undefined;
+		told.isBeyondRegistry && era === own.era && introducedEra !== own.era;
+	return canKeepMore || told.routesVersion > own.routesVersion
+		? startPosition
+		: undefined;
 };
--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -418,14 +418,14 @@
 		heard(stamp, from) {
 			if (
 				behindTimer !== undefined ||
-				questionFor(mirror, stamp, introducedEra) === undefined
+				questionFor(mirror.stamp(), stamp, introducedEra) === undefined
 			) {
 				return;
 			}
 
 			behindTimer = setTimeout(() => {
 				behindTimer = undefined;
-				const after = questionFor(mirror, stamp, introducedEra);
+				const after = questionFor(mirror.stamp(), stamp, introducedEra);
 				if (isRunning && after !== undefined) {
 					void askPeer(from, after);
 				}
--- a/src/registry/registry-mirror.ts
+++ b/src/registry/registry-mirror.ts
@@ -16,6 +16,7 @@
 	type RegistryPosition,
 } from './registry-position.ts';
 import type {KnownServer} from './registry-servers.ts';
+import type {RegistryStamp} from './registry-stamp.ts';
 import {takeCopy} from './restored-copy.ts';
 
 /**
@@ -63,14 +64,18 @@
 		asked: RegistryPosition,
 	): boolean;
 	/**
-	Whether this node holds to what the registry has lost.
+	What other nodes are told with every heartbeat.
 	*/
-	isBeyondRegistry(): boolean;
+	stamp(): RegistryStamp & RegistryPosition;
 	/**
 	Whether routes may exist that the registry has lost and nobody has written again yet.
 	*/
 	mayLackRoutes(now: number): boolean;
 	routes(): RouteTable | undefined;
+	/**
+	Version of the routes in force; 0 for none.
+	*/
+	routesVersion(): number;
 	servers(): ReadonlyMap<string, KnownServer>;
 	isEvacuated(availabilityZone: string): boolean;
 	/**
@@ -305,12 +310,18 @@
 		isContradictedBy: ({items}, asked) =>
 			asked.era === era &&
 			items.some((item) => isEarlierThan(item, rows.get(item.key), asked)),
-		isBeyondRegistry: () =>
-			servers.isBeyondRegistry() ||
-			evacuations.hasKept() ||
-			routes.version() > routes.registeredVersion(),
+		stamp: () => ({
+			era,
+			revision,
+			routesVersion: routes.version(),
+			isBeyondRegistry:
+				servers.isBeyondRegistry() ||
+				evacuations.hasKept() ||
+				routes.isBeyondRegistry(),
+		}),
 		mayLackRoutes: routes.mayLack,
 		routes: routes.table,
+		routesVersion: routes.version,
 		servers: servers.known,
 		unreadable: () =>
 			rows
--- a/src/registry/registry-routes.ts
+++ b/src/registry/registry-routes.ts
@@ -33,6 +33,10 @@
 	*/
 	registeredVersion(): number;
 	/**
+	Whether those in force are later than what the registry holds.
+	*/
+	isBeyondRegistry(): boolean;
+	/**
 	Whether routes may exist that the registry has lost and nobody has written again yet.
 	*/
 	mayLack(now: number): boolean;
@@ -86,6 +90,7 @@
 		table: () => inForce?.table,
 		version,
 		registeredVersion: () => registeredVersion,
+		isBeyondRegistry: () => version() > registeredVersion,
 		mayLack: (now) => now < mayLackUntil,
 		item: () =>
 			inForce && {
--- a/src/registry/registry-servers.ts
+++ b/src/registry/registry-servers.ts
@@ -151,13 +151,14 @@
 		return [];
 	};
 
-	const leave = (id: string, life: string): readonly MirrorChange[] => {
+	const ofLife = (id: string, life: string): KnownServer | undefined => {
 		const current = known.get(id);
-		if (
-			!current ||
-			current.server.isLeaving ||
-			lifeOf(current.server) !== life
-		) {
+		return current && lifeOf(current.server) === life ? current : undefined;
+	};
+
+	const leave = (id: string, life: string): readonly MirrorChange[] => {
+		const current = ofLife(id, life);
+		if (!current || current.server.isLeaving) {
 			return [];
 		}
 
@@ -169,14 +170,8 @@
 		return [{kind: 'server', id, isUsable: false}];
 	};
 
-	const isKnownLeaving = (entry: RegisteredServer): boolean => {
-		const current = known.get(entry.id)?.server;
-		return (
-			current !== undefined &&
-			current.isLeaving &&
-			lifeOf(current) === lifeOf(entry)
-		);
-	};
+	const isKnownLeaving = (entry: RegisteredServer): boolean =>
+		ofLife(entry.id, lifeOf(entry))?.server.isLeaving ?? false;
 
 	const holdBack = (
 		entry: RegisteredServer,
@@ -224,9 +219,9 @@
 				return [];
 			}
 
-			const current = known.get(entry.id)?.server;
-			const isKnown = current && lifeOf(current) === lifeOf(entry);
-			const standing = isKnown ? 'unknown' : gone.standing(entry);
+			const standing = ofLife(entry.id, lifeOf(entry))
+				? 'unknown'
+				: gone.standing(entry);
 			switch (standing) {
 				case 'unknown': {
 					return toldMs > 0
--- a/src/registry/registry-stamp.ts
+++ b/src/registry/registry-stamp.ts
@@ -1,3 +1,4 @@
+import type {ConfigurationStamp} from '../configuration/index.ts';
 import type {RegistryCursor} from './registry-position.ts';
 
 /**
@@ -14,18 +15,15 @@
 	readonly isBeyondRegistry: boolean;
 };
 
-/**
-A stamp as it travels in a heartbeat. Nodes of versions without eras send and heed the version only.
-*/
-export type EncodedStamp = {readonly version: number; readonly digest: string};
-
 const digestPattern =
 	/^(?<era>\d{1,15})\.(?<routes>\d{1,15})\.(?<beyond>[01])$/v;
 
 /**
-Encodes a stamp.
+Encodes a stamp as heartbeats carry it. Nodes of versions without eras send and heed the version only.
 */
-export const encodeRegistryStamp = (stamp: RegistryStamp): EncodedStamp => ({
+export const encodeRegistryStamp = (
+	stamp: RegistryStamp,
+): ConfigurationStamp => ({
 	version: stamp.revision,
 	digest: `${stamp.era ?? 0}.${stamp.routesVersion}.${stamp.isBeyondRegistry ? 1 : 0}`,
 });
@@ -36,7 +34,7 @@
 export const decodeRegistryStamp = ({
 	version,
 	digest,
-}: EncodedStamp): RegistryStamp => {
+}: ConfigurationStamp): RegistryStamp => {
 	const parts = digestPattern.exec(digest)?.groups;
 	return {
 		era: parts && Number(parts.era),
--- a/tests/registry/registry-scene.ts
+++ b/tests/registry/registry-scene.ts
@@ -252,12 +252,7 @@
 	};
 
 	const stampOf = (index: number) => {
-		const {mirror} = nodes[index]!;
-		const encoded = encodeRegistryStamp({
-			...mirror.position(),
-			routesVersion: mirror.routes()?.document.version ?? 0,
-			isBeyondRegistry: mirror.isBeyondRegistry(),
-		});
+		const encoded = encodeRegistryStamp(nodes[index]!.mirror.stamp());
 		return decodeRegistryStamp(
 			oldNodes.includes(index) ? {...encoded, digest: ''} : encoded,
 		);
--- a/tests/registry/restored-copy.test.ts
+++ b/tests/registry/restored-copy.test.ts
@@ -256,7 +256,7 @@
 		serverItemOf('removed', 12),
 	];
 	take(mirror, 'snapshot', [2, 20], copy);
-	assert.ok(mirror.isBeyondRegistry());
+	assert.ok(mirror.stamp().isBeyondRegistry);
 	const newcomer = createRegistryMirror();
 	take(newcomer, 'snapshot', [2, 20], copy);
 	assert.ok(isUsed(newcomer, 'leaving') && isUsed(newcomer, 'removed'));
