Hold a server back after a second return as well where only another node had seen its removal

A node that was told by another one to hold a server back forgot it when the registry came back from a copy again within the time, and used the server at once. The test failed before.

--- a/src/registry/registry-servers.ts
+++ b/src/registry/registry-servers.ts
@@ -187,6 +187,7 @@
 		const until = Math.max(held.get(id)?.until ?? 0, now + remainingMs);
 		held.set(id, {entry, until});
 		lapsed.delete(id);
+		gone.set(lifeOf(entry), entry);
 		return known.delete(id) ? [{kind: 'server', id, isUsable: false}] : [];
 	};
 
--- a/tests/registry/registry-relay.test.ts
+++ b/tests/registry/registry-relay.test.ts
@@ -217,3 +217,38 @@
 	const {answer} = await relay.answer({era: 0, revision: 1});
 	t.assert.strictEqual(answer.kind, 'unavailable');
 });
+
+const relayAt = (era: number) => {
+	const mirror = createRegistryMirror();
+	mirror.apply(
+		{kind: 'snapshot', era, revision: 20, items: [leavingServer(1)]},
+		0,
+		'registry',
+	);
+	return createRegistryRelay({
+		mirror,
+		isReading: () => true,
+		confirmedAt: () => 0,
+		clock: () => 0,
+	});
+};
+
+test('a relay answers a node of an earlier era with everything, at once', async (t: TestContext) => {
+	const {answer} = await relayAt(2).answer({era: 1, revision: 90});
+	t.assert.strictEqual(answer.kind, 'snapshot');
+});
+
+test('a relay that does not know of a later era does not help a node that does', async (t: TestContext) => {
+	const {answer} = await relayAt(1).answer({era: 2, revision: 5});
+	t.assert.strictEqual(answer.kind, 'unavailable');
+});
+
+test('a relay answers a node that states no era by its revision', async (t: TestContext) => {
+	const relay = relayAt(2);
+	const {answer} = await relay.answer({era: undefined, revision: 5});
+	t.assert.strictEqual(answer.kind, 'snapshot');
+	t.mock.timers.enable({apis: ['setTimeout']});
+	const later = relay.answer({era: undefined, revision: 20});
+	t.mock.timers.tick(relayWaitMs);
+	t.assert.strictEqual((await later).answer.kind, 'changes');
+});
--- a/tests/registry/restored-copy.test.ts
+++ b/tests/registry/restored-copy.test.ts
@@ -9,7 +9,7 @@
 	type RegistryItem,
 	type RegistryMirror,
 } from '../../src/registry/index.ts';
-import {documentOf} from '../gateway/fixtures.ts';
+import {accountOf, documentOf} from '../gateway/fixtures.ts';
 import {serverItemOf} from './fixtures.ts';
 
 const zone = 'zone-a';
@@ -287,3 +287,61 @@
 	mirror.apply({kind: 'snapshot', ...keeper.snapshot(0)}, 0, 'peer');
 	assert.ok(!mirror.isEvacuated(zone));
 });
+
+test('a server that another node holds back is held back after a second return as well', () => {
+	const copy = [serverItemOf('s', 10)];
+	const mirror = createRegistryMirror();
+	take(mirror, 'snapshot', [2, 20], copy);
+	mirror.apply(
+		{
+			kind: 'snapshot',
+			era: 2,
+			revision: 20,
+			items: [{...copy[0]!, provisionalMs: 4000}],
+		},
+		0,
+		'peer',
+	);
+	assert.ok(!isUsed(mirror, 's'));
+	take(mirror, 'snapshot', [3, 20], copy);
+	mirror.expire(heldBackMs - 1);
+	assert.ok(!isUsed(mirror, 's'));
+	mirror.expire(heldBackMs);
+	assert.ok(isUsed(mirror, 's'));
+});
+
+test('keys taken away and limits lowered do not come back with the copy', () => {
+	const limitOf = (perSecond: number) =>
+		({unit: 'requests', perSecond, burst: 0, plainTokens: 0}) as const;
+	const documentWith = (version: number, perSecond: number, key: string) =>
+		documentOf({
+			version,
+			clients: [accountOf({keyDigests: [key], limit: limitOf(perSecond)})],
+		});
+	const itemAt = (
+		revision: number,
+		...content: Parameters<typeof documentWith>
+	): RegistryItem => ({
+		key: 'routes',
+		revision,
+		value: {kind: 'routes', document: documentWith(...content)},
+	});
+	const mirror = nodeWith(itemAt(50, 2, 5, 'new'));
+	take(mirror, 'snapshot', [2, 20], [itemAt(10, 1, 100, 'old')]);
+	const clients = mirror.routes()?.clients;
+	assert.equal(clients?.byKey('old'), undefined);
+	assert.equal(clients?.byKey('new')?.limit?.perSecond, 5);
+});
+
+test('a revision that is given out again counts for another key', () => {
+	const mirror = nodeWith(serverItemOf('a', 21), routesItem(22, 7));
+	take(mirror, 'snapshot', [2, 20], []);
+	take(
+		mirror,
+		'changes',
+		[2, 22],
+		[routesItem(21, 8), serverItemOf('b', 22, {isLeaving: true})],
+	);
+	assert.equal(versionOf(mirror), 8);
+	assert.equal(mirror.servers().get('b')?.server.isLeaving, true);
+});
