--- a/tests/gateway/restored-registry.test.ts
+++ b/tests/gateway/restored-registry.test.ts
@@ -1,43 +1,18 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-	startGateways,
-	type GatewayDeployment,
-} from '../../stand-ins/gateways.ts';
+import type {GatewayDeployment} from '../../stand-ins/gateways.ts';
 import {
 	createStandInRegistry,
 	writeRoutes,
 	type StandInRegistry,
 } from '../../stand-ins/registry.ts';
-import {
-	startStatingServer,
-	type StatingServer,
-} from '../../stand-ins/stating-server.ts';
-import {until} from '../until.ts';
+import {registeredServerOf} from '../registry/fixtures.ts';
 import {documentOf, routeOf, serviceOf} from './fixtures.ts';
-import {ask, whole} from './stating-scene.ts';
+import {ask, nodes, setUp, whole, type Scene} from './stating-scene.ts';
 
 // A change binds all nodes this long after the registry has it, in milliseconds.
 const applyMs = 3000;
 
-const zones = {'north-1': 'upland', 'north-2': 'upland'};
-const nodes = 4;
-
-type Scene = {
-	readonly deployment: GatewayDeployment;
-	readonly registry: StandInRegistry;
-	readonly servers: readonly StatingServer[];
-};
-
-const serverOf = (id: string, address: string) => ({
-	id,
-	startedAt: 1,
-	service: 'engine',
-	address,
-	availabilityZone: 'north-1',
-	slots: 32,
-});
-
 const writeVersion = (registry: StandInRegistry, version: number) => {
 	const added = Array.from({length: version}, (_, index) =>
 		routeOf({name: `added-${index + 1}`, pathPrefix: `/added-${index + 1}/`}),
@@ -52,28 +27,8 @@
 	);
 };
 
-const setUp = async (t: TestContext, hasEras: boolean): Promise<Scene> => {
-	const registry = createStandInRegistry({hasEras});
-	const deployment = await startGateways(zones, nodes, registry);
-	writeVersion(registry, 1);
-	const addresses = [deployment.nextAddress(), deployment.nextAddress()];
-	const servers = await Promise.all(
-		addresses.map(async (address, index) =>
-			startStatingServer(registry, serverOf(`engine-${index}`, address), whole),
-		),
-	);
-	t.after(async () => {
-		await deployment.stop();
-		await Promise.all(servers.map(async (server) => server.close()));
-	});
-	await until(() =>
-		deployment.nodes.every(
-			(node) => node.isReady() && node.entryAddresses('', '').length === nodes,
-		),
-	);
-	await sleep(2600);
-	return {deployment, registry, servers};
-};
+const setUpWith = async (t: TestContext, hasEras: boolean): Promise<Scene> =>
+	setUp(t, 2, whole, {}, undefined, createStandInRegistry({hasEras}));
 
 // The registry is away for a moment and comes back from the copy that it was after a revision.
 const restore = async (registry: StandInRegistry, revision: number) => {
@@ -98,7 +53,7 @@
 	const kind = hasEras ? 'with eras' : 'without eras';
 
 	test(`routes added after a registry ${kind} came back from a copy are served by all nodes in time`, async (t: TestContext) => {
-		const {deployment, registry} = await setUp(t, hasEras);
+		const {deployment, registry} = await setUpWith(t, hasEras);
 		const copy = registry.revision();
 		for (const version of [2, 3, 4]) {
 			writeVersion(registry, version);
@@ -115,7 +70,7 @@
 	});
 
 	test(`a server whose shutdown is written after a registry ${kind} came back from a copy receives nothing after 3 s`, async (t: TestContext) => {
-		const {deployment, registry, servers} = await setUp(t, hasEras);
+		const {deployment, registry, servers} = await setUpWith(t, hasEras);
 		const copy = registry.revision();
 		for (const version of [2, 3, 4]) {
 			writeVersion(registry, version);
@@ -125,11 +80,7 @@
 		await restore(registry, copy);
 		registry.write('server engine-0', {
 			kind: 'server',
-			server: {
-				...serverOf('engine-0', '127.0.0.1:1'),
-				coldMs: 0,
-				isLeaving: true,
-			},
+			server: registeredServerOf('engine-0', {isLeaving: true}),
 		});
 		await sleep(applyMs);
 		const from = performance.now();
--- a/tests/gateway/stating-scene.ts
+++ b/tests/gateway/stating-scene.ts
@@ -62,9 +62,9 @@
 	answer: StatingAnswer,
 	route: Partial<Route> = {},
 	zones = oneRegion,
+	registry = createStandInRegistry(),
 ): Promise<Scene> => {
 	const names = Object.keys(zones);
-	const registry = createStandInRegistry();
 	const deployment = await startGateways(zones, nodes, registry);
 	writeRoutes(
 		registry,
