--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
-import type {Address} from '../shared/index.ts';
+import {headerReader, type Address} from '../shared/index.ts';
 
 /**
 One request to a backend server or another node.
@@ -290,10 +290,7 @@
 
 			listener.onHead({
 				status,
-				header(name) {
-					const value = headers[name];
-					return Array.isArray(value) ? value[0] : value;
-				},
+				header: headerReader(headers),
 				rawHeaders: textsOf(started.rawHeaders),
 			});
 		},
--- a/src/engines/engine-client.ts
+++ b/src/engines/engine-client.ts
@@ -6,7 +6,7 @@
 import type {LoadReport} from '../fleet/index.ts';
 import type {AttemptFailure} from '../retries/index.ts';
 import type {ClearedRegion} from '../routing/index.ts';
-import {dropBody, type Address} from '../shared/index.ts';
+import {dropBody, headerReader, type Address} from '../shared/index.ts';
 import {withdrawnCode, withdrawUnless} from './withdraw-unless.ts';
 
 /**
@@ -265,7 +265,7 @@
 	headers,
 }: Dispatcher.ResponseData): EngineHead => ({
 	status: statusCode,
-	header: (name) => firstOf(headers[name]),
+	header: headerReader(headers),
 });
 
 const beforeSendCodes: ReadonlySet<string> = new Set([
@@ -305,13 +305,6 @@
 	),
 });
 
-/**
-The first value of a header.
-*/
-export const firstOf = (
-	value: string | string[] | undefined,
-): string | undefined => (Array.isArray(value) ? value[0] : value);
-
 const foreignAnswer = (): AttemptFailure => ({
 	outcome: 'unknown',
 	isStated: true,
--- a/src/gateway/intake/front-listener.ts
+++ b/src/gateway/intake/front-listener.ts
@@ -10,7 +10,12 @@
 	renderError,
 	type GatewayError,
 } from '../../errors/index.ts';
-import {closeServer, splitAddress, type Address} from '../../shared/index.ts';
+import {
+	closeServer,
+	headerReader,
+	splitAddress,
+	type Address,
+} from '../../shared/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
 import type {AnswerSink} from '../exchange.ts';
 
@@ -199,10 +204,7 @@
 	target: request.url ?? '/',
 	host: request.headers.host ?? '',
 	rawHeaders: request.rawHeaders,
-	header(name) {
-		const value = request.headers[name];
-		return Array.isArray(value) ? value[0] : value;
-	},
+	header: headerReader(request.headers),
 	body,
 	isFirst: isFirstOf(request.socket),
 });
--- /dev/null
+++ b/src/shared/header-reader.ts
@@ -0,0 +1,16 @@
+/**
+Headers by their names in lower case; one that was sent more than once has several values.
+*/
+export type HeaderValues = Readonly<
+	Record<string, string | readonly string[] | undefined>
+>;
+
+/**
+Builds a reader that gives the first value of a header.
+*/
+export const headerReader =
+	(headers: HeaderValues) =>
+	(name: string): string | undefined => {
+		const value = headers[name];
+		return typeof value === 'object' ? value[0] : value;
+	};
