--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -99,7 +99,7 @@
 stop of all nodes each reads for itself while servers enter themselves one after the other, and each entry
 ends a question. No bound on changes is as short in the first seconds of a node.
 */
-export const newcomerPauseMs = 1000;
+export const startupPauseMs = 1000;
 
 /**
 Pause after a refusal or a failure, in milliseconds.
@@ -235,7 +235,7 @@
 			apply({...answer, era}, 'registry');
 			confirmedAt = confirmationTime(answer, askedAt, clock());
 			noteAnswered(answer.kind);
-			return options.hasJustStarted() ? newcomerPauseMs : watchPauseMs;
+			return options.hasJustStarted() ? startupPauseMs : watchPauseMs;
 		}
 
 		// Changes after a revision of another era have a gap before them. Another node may have told of the later era meanwhile.
@@ -262,7 +262,7 @@
 		progress = 'current';
 		confirmedAt = askedAt;
 		noteAnswered(answer.kind);
-		return options.hasJustStarted() ? newcomerPauseMs : watchPauseMs;
+		return options.hasJustStarted() ? startupPauseMs : watchPauseMs;
 	};
 
 	const registryFailed = async (reason: string): Promise<number> => {
--- a/tests/registry/registry-follower.test.ts
+++ b/tests/registry/registry-follower.test.ts
@@ -3,7 +3,7 @@
 import {
 	createRegistryFollower,
 	createRegistryMirror,
-	newcomerPauseMs,
+	startupPauseMs,
 	watchPauseMs,
 } from '../../src/registry/index.ts';
 
@@ -55,7 +55,7 @@
 };
 
 test('a node that has just started asks seldom while servers enter themselves', async (t: TestContext) => {
-	const spanMs = 2 * newcomerPauseMs + 400;
+	const spanMs = 2 * startupPauseMs + 400;
 	t.assert.strictEqual(await questionsIn(t, spanMs, true), 3);
 	t.assert.strictEqual(
 		await questionsIn(t, spanMs, false),
