Log each stream with its size, start, pace and end, and count them by size

A report of long streams that end too soon could not be traced: a line had neither the size of a stream nor its pace, and one in fifty of the served ones was logged. The stated maximum of generated tokens does not tell sizes apart (it is the same for all requests of a route), so the callers' length hint is read as well.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -90,6 +90,10 @@
 	shiftClock(ms: number): void;
 	isSuspect(id: string): boolean;
 	loadOf(service: string, now: number): ServiceLoad;
+	/**
+	Estimates the requests of all nodes in flight at a server.
+	*/
+	loadAt(id: string, now: number): number | undefined;
 	ids(): readonly string[];
 };
 
@@ -278,6 +282,26 @@
 
 			return {load, slots};
 		},
+		loadAt(id, now) {
+			const state = states.get(id);
+			if (!state) {
+				return undefined;
+			}
+
+			const nodes = options.nodesServing();
+			const others = estimatedPeerRequests(
+				state.serviceInFlight.mean(now),
+				nodes,
+				states
+					.values()
+					.filter(
+						({known: {server}}) =>
+							server.service === state.known.server.service,
+					)
+					.toArray().length,
+			);
+			return estimatedLoad(state, nodes, now, {others});
+		},
 		ids: () => states.keys().toArray(),
 	};
 };
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -36,6 +36,17 @@
 	readonly region: string | undefined;
 };
 
+/**
+What was known when an attempt began.
+*/
+export type AttemptStart = {
+	/**
+	Requests of all nodes in flight at the backend server, including this one; undefined for a call to another node.
+	*/
+	readonly load: number | undefined;
+	readonly remainingMs: number;
+};
+
 /**
 The state of a request in flight.
 */
@@ -96,6 +107,14 @@
 	*/
 	status: number;
 	/**
+	State of the latest attempt when it began.
+	*/
+	start: AttemptStart | undefined;
+	/**
+	Number of chunks of the stream so far.
+	*/
+	chunks: number;
+	/**
 	The time at which the latest chunk of the stream arrived.
 	*/
 	lastChunkAt: number | undefined;
@@ -183,6 +202,8 @@
 		hasBegun: false,
 		firstByteAt: undefined,
 		status: 0,
+		start: undefined,
+		chunks: 0,
 		lastChunkAt: undefined,
 		longestPauseMs: 0,
 		hasNoCandidate: false,
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -1,6 +1,8 @@
 import type {BackendAttemptEnd} from '../../backends/index.ts';
 import {createGatewayError, type ErrorKind} from '../../errors/index.ts';
+import {assertNever} from '../../shared/index.ts';
 import type {DeliveryRecord} from '../exchange.ts';
+import type {StreamEnd, StreamRecord} from '../stream-record.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {DeliveryRun} from './delivery-run.ts';
 import {retryWaitMs} from './capacity-wait.ts';
@@ -39,9 +41,52 @@
 		waitedMs: run.waitedMs,
 		longestPauseMs: run.longestPauseMs,
 		isQuarantined: run.isQuarantined,
+		stream:
+			exchange.route.kind === 'streaming'
+				? streamRecordOf(run, ending.result, clock())
+				: undefined,
 	});
 };
 
+const streamRecordOf = (
+	{exchange, start, chunks, firstByteAt, lastChunkAt}: DeliveryRun,
+	result: DeliveryRecord['result'],
+	now: number,
+): StreamRecord => ({
+	end: streamEndOf(result, exchange.expiresAt <= now),
+	loadAtStart: start?.load,
+	remainingAtStartMs: start?.remainingMs,
+	chunks,
+	chunkIntervalMs:
+		firstByteAt !== undefined && lastChunkAt !== undefined && chunks > 1
+			? (lastChunkAt - firstByteAt) / (chunks - 1)
+			: undefined,
+});
+
+const streamEndOf = (
+	result: DeliveryRecord['result'],
+	isExpired: boolean,
+): StreamEnd => {
+	switch (result) {
+		case 'answered': {
+			return 'complete';
+		}
+
+		case 'broken': {
+			return isExpired ? 'deadline' : 'upstream-failure';
+		}
+
+		case 'caller-left':
+		case 'refused': {
+			return result;
+		}
+
+		default: {
+			return assertNever(result);
+		}
+	}
+};
+
 /**
 Removes a request from the queue, if it is in it, and counts its time there.
 */
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -215,6 +215,7 @@
 		attempt?.recordChunkInterval(pauseMs, now);
 	}
 
+	run.chunks += 1;
 	run.lastChunkAt = now;
 };
 
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -173,6 +173,10 @@
 	const sentAt = clock();
 	const server = fleet.server(id)!;
 	const attempt = fleet.begin(id, placement, sentAt);
+	run.start = {
+		load: fleet.loadAt(id, sentAt),
+		remainingMs: run.exchange.expiresAt - sentAt,
+	};
 	const incarnationId = incarnationIdOf(server);
 	announcements.recordSend(incarnationId, sentAt);
 	run.excluded.add(id);
@@ -216,6 +220,8 @@
 	region: string,
 ): void => {
 	const {exchange} = run;
+	const remainingMs = exchange.expiresAt - context.clock();
+	run.start = {load: undefined, remainingMs};
 	run.triedNodes.add(member.id);
 	run.steps.push(`node ${member.id} in ${region}`);
 	const hopCall = encodeHopCall({
@@ -223,7 +229,7 @@
 		version: context.routesVersion(),
 		route: exchange.route.name,
 		service: exchange.service,
-		remainingMs: exchange.expiresAt - context.clock(),
+		remainingMs,
 		excluded: [...run.excluded],
 		canWait: !context.isServedHere(exchange.route),
 		client: exchange.client,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {GatewayError} from '../errors/index.ts';
 import type {Prompt, Route} from '../routes/index.ts';
+import type {StreamRecord} from './stream-record.ts';
 
 /**
 A request that was received with its whole body and has a route.
@@ -129,4 +130,8 @@
 	Whether the request was not sent because servers crashed each time that they ran it.
 	*/
 	readonly isQuarantined: boolean;
+	/**
+	Set for requests of streaming routes.
+	*/
+	readonly stream: StreamRecord | undefined;
 };
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -5,6 +5,7 @@
 import {createClientLimitLog} from './client-limit-log.ts';
 import type {DeliveryRecord} from './exchange.ts';
 import {fingerprintOfExchange} from './fingerprint-of-exchange.ts';
+import {lengthBoundOf, sizeOf} from './stream-record.ts';
 
 /**
 Records the outcome of requests in the log and in metrics.
@@ -54,6 +55,11 @@
 */
 export const linesPerSecond = 40;
 
+/**
+Maximum number of log lines per second about streams that ended well.
+*/
+export const streamLinesPerSecond = 40;
+
 /**
 Sampling of answered requests in the log: one in this many is logged.
 */
@@ -79,6 +85,12 @@
 		labelNames: ['route', 'result', 'status'],
 		registers: [registry],
 	});
+	const streams = new Counter({
+		name: 'quillford_streams_total',
+		help: 'Streams by route, upper bound of the expected number of generated tokens, and end',
+		labelNames: ['route', 'tokens', 'end'],
+		registers: [registry],
+	});
 	const rejections = new Counter({
 		name: 'quillford_rejected_total',
 		help: 'Requests that ended before they had a route',
@@ -163,9 +175,20 @@
 		options.limitStates().get(account),
 	);
 	let linesLeft = linesPerSecond;
+	let streamLinesLeft = streamLinesPerSecond;
 	let refilledAt = 0;
 	let answered = 0;
 
+	const countStream = ({exchange, stream}: DeliveryRecord) => {
+		const bound = lengthBoundOf(exchange);
+		if (!stream || bound === undefined) {
+			return;
+		}
+
+		const {end} = stream;
+		streams.inc({route: exchange.route.name, tokens: bound, end});
+	};
+
 	const shouldLog = (record: DeliveryRecord): boolean => {
 		if (record.result !== 'answered' || record.status >= 500) {
 			return linesLeft > 0;
@@ -176,6 +199,11 @@
 			return linesLeft > linesPerSecond / 4;
 		}
 
+		if (record.stream) {
+			streamLinesLeft -= 1;
+			return streamLinesLeft >= 0;
+		}
+
 		answered += 1;
 		return answered % answeredSample === 0 && linesLeft > linesPerSecond / 2;
 	};
@@ -216,6 +244,7 @@
 			longestPauseMs: rounded(record.longestPauseMs),
 			totalMs: rounded(record.totalMs),
 			targetMs: exchange.route.targetLatencyMs,
+			...streamFields(record),
 			...options.logContext(),
 		};
 		if (record.result === 'answered') {
@@ -233,6 +262,7 @@
 				result: record.result,
 				status: record.status,
 			});
+			countStream(record);
 			if (record.isQuarantined) {
 				quarantineRefusals.inc();
 			}
@@ -250,7 +280,7 @@
 			}
 
 			if (shouldLog(record)) {
-				linesLeft -= 1;
+				linesLeft -= isCompleteInTime(record) ? 0 : 1;
 				logRequest(record);
 			} else if (record.result !== 'answered') {
 				droppedLines.inc();
@@ -287,6 +317,7 @@
 
 			refilledAt = now;
 			linesLeft = linesPerSecond;
+			streamLinesLeft = streamLinesPerSecond;
 		},
 		metrics: async () => registry.metrics(),
 	};
@@ -296,6 +327,26 @@
 const isLate = ({exchange, firstByteMs}: DeliveryRecord): boolean =>
 	firstByteMs !== undefined && firstByteMs > exchange.route.targetLatencyMs;
 
+// A stream that ended well has a budget of its own, and leaves that of other lines as it is.
+const isCompleteInTime = (record: DeliveryRecord): boolean =>
+	record.stream?.end === 'complete' && record.status < 500 && !isLate(record);
+
+const streamFields = ({
+	exchange,
+	stream,
+}: DeliveryRecord): Readonly<Record<string, number | string | undefined>> =>
+	stream
+		? {
+				size: sizeOf(exchange),
+				expectedTokensOut: exchange.prompt?.expectedTokensOut,
+				end: stream.end,
+				loadAtStart: rounded(stream.loadAtStart),
+				remainingAtStartMs: rounded(stream.remainingAtStartMs),
+				chunks: stream.chunks,
+				chunkIntervalMs: rounded(stream.chunkIntervalMs),
+			}
+		: {};
+
 const rounded = (milliseconds: number | undefined): number | undefined =>
 	milliseconds === undefined ? undefined : Math.round(milliseconds);
 
--- a/src/gateway/intake/read-exchange.ts
+++ b/src/gateway/intake/read-exchange.ts
@@ -6,6 +6,7 @@
 	type Prompt,
 	type RouteTable,
 } from '../../routes/index.ts';
+import {parseDecimal} from '../../shared/index.ts';
 import type {Exchange} from '../exchange.ts';
 import {
 	decodeHopCall,
@@ -196,14 +197,30 @@
 		return undefined;
 	}
 
-	const [tokensIn = 0, tokensOut = 0] = usage.split(',').map(Number);
+	const [tokensIn = 0, stated = 0] = usage.split(',').map(Number);
+	const tokensOut = Number.isFinite(stated) ? stated : 0;
 	return {
 		parts: parsePromptParts(request.header(names.promptParts) ?? ''),
 		tokensIn: Number.isFinite(tokensIn) ? tokensIn : 0,
-		tokensOut: Number.isFinite(tokensOut) ? tokensOut : 0,
+		tokensOut,
+		expectedTokensOut: readLengthHint(
+			request.header(names.lengthHint),
+			tokensOut,
+		),
 	};
 };
 
+// An estimate above the maximum number of generated tokens cannot be right.
+const readLengthHint = (
+	hint: string | undefined,
+	maximum: number,
+): number | undefined => {
+	const tokens = parseDecimal(hint ?? '');
+	return tokens === undefined || tokens <= 0
+		? undefined
+		: Math.min(tokens, maximum);
+};
+
 const refuse = (
 	...[kind, message]: [Parameters<typeof createGatewayError>[0], string]
 ): Result<Exchange, GatewayError> =>
--- a/src/gateway/product-headers.ts
+++ b/src/gateway/product-headers.ts
@@ -11,6 +11,7 @@
 	notRun: 'x-gateway-not-run',
 	promptParts: 'x-gateway-prompt-parts',
 	tokenUsage: 'x-gateway-tokens',
+	lengthHint: 'x-gateway-expected-tokens',
 	load: 'x-gateway-server-load',
 	limit: 'x-gateway-limit',
 	leaving: 'x-gateway-leaving',
--- a/src/gateway/wire-headers.ts
+++ b/src/gateway/wire-headers.ts
@@ -32,6 +32,10 @@
 	*/
 	readonly tokenUsage: string;
 	/**
+	The caller's estimate of the number of generated tokens. Often far off.
+	*/
+	readonly lengthHint: string;
+	/**
 	Load that a backend server states in its responses, as `RUNNING,WAITING,SLOTS`.
 	*/
 	readonly load: string;
--- a/src/routes/prompt-prefix.ts
+++ b/src/routes/prompt-prefix.ts
@@ -13,6 +13,10 @@
 	Maximum number of tokens in the response.
 	*/
 	readonly tokensOut: number;
+	/**
+	The caller's estimate of the number of tokens in the response, at most `tokensOut`; undefined without an estimate.
+	*/
+	readonly expectedTokensOut: number | undefined;
 };
 
 /**
--- a/stand-ins/stand-in-headers.ts
+++ b/stand-ins/stand-in-headers.ts
@@ -11,6 +11,7 @@
 	notRun: 'x-test-not-run',
 	promptParts: 'x-test-parts',
 	tokenUsage: 'x-test-tokens',
+	lengthHint: 'x-test-expected-tokens',
 	load: 'x-test-load',
 	limit: 'x-test-limit',
 	leaving: 'x-test-leaving',
--- a/tests/gateway/gateway-observer.test.ts
+++ b/tests/gateway/gateway-observer.test.ts
@@ -5,9 +5,10 @@
 	answeredSample,
 	createGatewayObserver,
 	linesPerSecond,
+	streamLinesPerSecond,
 } from '../../src/gateway/gateway-observer.ts';
 import type {LogContext} from '../../src/logging/index.ts';
-import {exchangeOf} from './fixtures.ts';
+import {exchangeOf, routeOf} from './fixtures.ts';
 
 const setUp = () => {
 	const lines: Array<{readonly message: string; readonly facts: LogContext}> =
@@ -48,6 +49,7 @@
 	waitedMs: 0,
 	longestPauseMs: 0,
 	isQuarantined: false,
+	stream: undefined,
 	...change,
 });
 
@@ -90,6 +92,76 @@
 	assert.equal(lines.length, linesPerSecond + 1);
 });
 
+const streamOf = (change: Partial<DeliveryRecord> = {}): DeliveryRecord =>
+	recordOf({
+		exchange: exchangeOf({
+			route: routeOf({kind: 'streaming'}),
+			prompt: {
+				parts: [],
+				tokensIn: 600,
+				tokensOut: 952,
+				expectedTokensOut: 290,
+			},
+		}),
+		stream: {
+			end: 'complete',
+			loadAtStart: 12,
+			remainingAtStartMs: 11_900,
+			chunks: 36,
+			chunkIntervalMs: 41.4,
+		},
+		...change,
+	});
+
+test('each stream is logged with its size, load at start, pace and the cause of its end', () => {
+	const {observer, lines} = setUp();
+	observer.record(streamOf());
+	observer.record(
+		streamOf({
+			result: 'broken',
+			stream: {...streamOf().stream!, end: 'deadline'},
+		}),
+	);
+	assert.deepEqual(
+		lines.map(({facts}) => [
+			facts.size,
+			facts.expectedTokensOut,
+			facts.loadAtStart,
+			facts.remainingAtStartMs,
+			facts.chunks,
+			facts.chunkIntervalMs,
+			facts.end,
+		]),
+		[
+			[3500, 290, 12, 11_900, 36, 41, 'complete'],
+			[3500, 290, 12, 11_900, 36, 41, 'deadline'],
+		],
+	);
+});
+
+test('lines about streams that ended well are limited and do not use up the lines of failed requests', () => {
+	const {observer, lines} = setUp();
+	for (let index = 0; index < streamLinesPerSecond * 2; index += 1) {
+		observer.record(streamOf());
+	}
+
+	assert.equal(lines.length, streamLinesPerSecond);
+	for (let index = 0; index < linesPerSecond; index += 1) {
+		observer.record(recordOf({result: 'refused', outcome: 'not-run'}));
+	}
+
+	assert.equal(lines.length, streamLinesPerSecond + linesPerSecond);
+});
+
+test('streams are counted by route, size class and end', async () => {
+	const {observer} = setUp();
+	observer.record(streamOf());
+	assert.match(
+		await observer.metrics(),
+		/quillford_streams_total\{route="route",tokens="512",end="complete"\} 1/v,
+	);
+});
+
 test('metrics are exposed as counters, histograms and gauges', async () => {
 	const {observer} = setUp();
 	observer.record(recordOf());
--- a/tests/gateway/intake/read-exchange.test.ts
+++ b/tests/gateway/intake/read-exchange.test.ts
@@ -130,6 +130,30 @@
 	assert.equal(serviceAt(6), 'there');
 });
 
+test('a length hint is read as the expected length of the response, at most its maximum length', () => {
+	const expectedLength = (hint: string) => {
+		const exchange = readExchange(
+			requestOf([
+				'x-test-id',
+				'r',
+				'x-test-tokens',
+				'600,952',
+				'x-test-expected-tokens',
+				hint,
+			]),
+			contextOf(),
+		);
+		assert.ok(exchange.isOk);
+		return exchange.value.prompt?.expectedTokensOut;
+	};
+
+	assert.equal(expectedLength('290'), 290);
+	assert.equal(expectedLength('4000'), 952);
+	assert.equal(expectedLength('0'), undefined);
+	assert.equal(expectedLength('-3'), undefined);
+	assert.equal(expectedLength('many'), undefined);
+});
+
 test('arbitrary headers never cause an exception', () => {
 	const headers = fc.array(fc.string(), {maxLength: 12});
 	fc.assert(
--- a/tests/routes/route-table.test.ts
+++ b/tests/routes/route-table.test.ts
@@ -68,7 +68,12 @@
 test('the longest shared part of a prompt determines its placement if it reaches the minimum length', () => {
 	const parts = parsePromptParts('5c:800, 91:4100,e4:9000');
 	assert.equal(
-		placementPart({parts, tokensIn: 13_900, tokensOut: 80})?.id,
+		placementPart({
+			parts,
+			tokensIn: 13_900,
+			tokensOut: 80,
+			expectedTokensOut: undefined,
+		})?.id,
 		'91',
 	);
 	assert.equal(
@@ -76,6 +81,7 @@
 			parts: parsePromptParts('5c:55,91:36,e4:200'),
 			tokensIn: 291,
 			tokensOut: 40,
+			expectedTokensOut: undefined,
 		}),
 		undefined,
 	);
--- a/tools/account.ts
+++ b/tools/account.ts
@@ -1,4 +1,4 @@
-// Reports why requests were lost or late, from the request logs of nodes and request counts per second.
+// Reports why requests were lost or late, and how many streams of each size were served, from the request logs of nodes and request counts per second.
 // Usage: npm run account -- LOG [REPORT] [PICTURE.svg]
 // LOG contains the standard output of nodes. REPORT is a JSON file with `windows`; each window has its first
 // second as `name`, and the counts `late`, `refused` and `failed`. Without REPORT, the log lines are counted.
@@ -9,6 +9,7 @@
 import {accountFor, sumBy, type CountedSpan} from './account/account.ts';
 import {causeOf, type RequestLine} from './account/cause.ts';
 import {readRequestLines} from './account/read-lines.ts';
+import {accountBySize, type SizeRow} from './account/sizes.ts';
 import {drawBars} from './plots/draw-bars.ts';
 
 // Length of a span when the log lines are counted.
@@ -71,6 +72,31 @@
 		'',
 	].join('\n');
 
+const sizeTable = (rows: readonly SizeRow[]): string =>
+	[
+		'| route | zone | size | streams | served | late | refused | cut at the deadline | cut by a failure | caller left | wait, ms | between chunks, ms | load at start |',
+		'| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
+		...rows.map(
+			(row) =>
+				`| ${[
+					row.route,
+					row.zone,
+					row.sizeClass,
+					row.streams,
+					(row.served / row.streams).toFixed(3),
+					row.late,
+					row.refused,
+					row.cutAtDeadline,
+					row.cutByFailure,
+					row.callerLeft,
+					row.meanWaitMs.toFixed(0),
+					row.meanChunkIntervalMs.toFixed(0),
+					row.meanLoadAtStart.toFixed(1),
+				].join(' | ')} |`,
+		),
+		'',
+	].join('\n');
+
 const main = async ([log, report, picture]: readonly string[]) => {
 	if (log === undefined) {
 		process.stderr.write(
@@ -96,6 +122,7 @@
 				'second and cause',
 				sumBy(rows, ({from, cause}) => `${from} ${cause}`).slice(0, 15),
 			),
+			sizeTable(accountBySize(lines)),
 		].join('\n'),
 	);
 	if (picture === undefined) {
--- a/tools/account/cause.ts
+++ b/tools/account/cause.ts
@@ -42,6 +42,25 @@
 	readonly totalMs: number;
 	readonly targetMs: number;
 	readonly status: number;
+	/**
+	Set for streams with a stated size.
+	*/
+	readonly stream?: StreamLine | undefined;
+};
+
+/**
+What a log line says about a stream.
+*/
+export type StreamLine = {
+	/**
+	Size in tokens of prefill; see `sizeOf` of the gateway.
+	*/
+	readonly size: number;
+	readonly end: string;
+	readonly remainingAtStartMs: number | undefined;
+	readonly chunks: number;
+	readonly chunkIntervalMs: number | undefined;
+	readonly loadAtStart: number | undefined;
 };
 
 const brokenConnection = /closed|reset|ended in the middle|is missing/iv;
--- a/tools/account/read-lines.ts
+++ b/tools/account/read-lines.ts
@@ -1,6 +1,6 @@
 import {createReadStream} from 'node:fs';
 import {createInterface} from 'node:readline';
-import type {RequestLine} from './cause.ts';
+import type {RequestLine, StreamLine} from './cause.ts';
 
 type Context = Readonly<Record<string, unknown>>;
 
@@ -92,5 +92,27 @@
 		totalMs: count('totalMs'),
 		targetMs: count('targetMs'),
 		status: count('status'),
+		stream: toStreamLine(context),
+	};
+};
+
+const toStreamLine = (context: Context): StreamLine | undefined => {
+	const {size, end} = context;
+	if (typeof size !== 'number' || typeof end !== 'string') {
+		return undefined;
+	}
+
+	const optional = (name: string) => {
+		const value = context[name];
+		return typeof value === 'number' ? value : undefined;
+	};
+
+	return {
+		size,
+		end,
+		remainingAtStartMs: optional('remainingAtStartMs'),
+		chunks: optional('chunks') ?? 0,
+		chunkIntervalMs: optional('chunkIntervalMs'),
+		loadAtStart: optional('loadAtStart'),
 	};
 };
