Judge the time that a request needs by earlier ones of similar length

What callers may see: a node about to leave, and the queue, treat a stream of ten times the usual length like an ordinary one, and an ordinary one like the longest of its route. Both decisions rested on a quantile over the whole route; and streams that were cut at their deadline were missing in the samples, so the estimate fell just when engines slowed down. The durations are now compared with requests of half to twice the estimated length, and a stream that was cut counts with the time that it got. With fewer than eight of them a new route's assumption holds.

--- a/src/gateway/delivery/route-durations.ts
+++ b/src/gateway/delivery/route-durations.ts
@@ -4,12 +4,20 @@
 Durations of the latest requests of each route.
 */
 export type RouteDurations = {
-	record(route: string, milliseconds: number): void;
 	/**
-	Returns the time within which this fraction of the route's requests was answered, in milliseconds. Returns undefined
-	if there are too few samples.
+	Records the duration of a request, in milliseconds. A stream that was cut at its deadline counts as well: it would have taken
+	longer.
 	*/
-	quantileMs(route: string, fraction: number): number | undefined;
+	record(route: string, milliseconds: number, expectedTokens?: number): void;
+	/**
+	Returns the time within which this fraction of the route's requests of a similar length was answered, in
+	milliseconds. Returns undefined if there are too few samples.
+	*/
+	quantileMs(
+		route: string,
+		fraction: number,
+		expectedTokens?: number,
+	): number | undefined;
 };
 
 /**
@@ -20,25 +28,43 @@
 // Minimum number of samples for a quantile.
 const minimumSamples = 8;
 
+// Callers' estimates of a length are often wrong by this factor, so lengths within it are similar.
+const similarLengthFactor = 2;
+
+type Sample = {
+	readonly milliseconds: number;
+	readonly expectedTokens: number | undefined;
+};
+
 /**
 Creates durations without samples.
 */
 export const createRouteDurations = (): RouteDurations => {
-	const durations = new Map<string, readonly number[]>();
+	const samplesByRoute = new Map<string, readonly Sample[]>();
 
 	return {
-		record(route, milliseconds) {
-			const samples = durations.get(route) ?? [];
-			durations.set(route, [
+		record(route, milliseconds, expectedTokens) {
+			const samples = samplesByRoute.get(route) ?? [];
+			samplesByRoute.set(route, [
 				...samples.slice(1 - samplesPerRoute),
-				milliseconds,
+				{milliseconds, expectedTokens},
 			]);
 		},
-		quantileMs(route, fraction) {
-			const samples = durations.get(route) ?? [];
-			return samples.length < minimumSamples
+		quantileMs(route, fraction, expectedTokens) {
+			const durations = (samplesByRoute.get(route) ?? [])
+				.filter((sample) => isSimilar(expectedTokens, sample.expectedTokens))
+				.map(({milliseconds}) => milliseconds);
+			return durations.length < minimumSamples
 				? undefined
-				: quantile(samples, fraction);
+				: quantile(durations, fraction);
 		},
 	};
 };
+
+const isSimilar = (
+	left: number | undefined,
+	right: number | undefined,
+): boolean =>
+	left === undefined ||
+	right === undefined ||
+	(left <= right * similarLengthFactor && right <= left * similarLengthFactor);
--- a/src/gateway/delivery/wait-for-capacity.ts
+++ b/src/gateway/delivery/wait-for-capacity.ts
@@ -119,20 +119,24 @@
 // started last reached their deadline after they had occupied a slot for seconds.
 const completedFraction = 0.9;
 
-// Returns the latest time at which a request may start. Nine in ten of the route's requests that start then end in time.
+// Returns the latest time at which a request may start. Nine in ten of the route's requests of similar length that start then
+// end in time.
 // For a route without samples, half of the time is reserved for the response. A stream that has started may pause for
 // the target latency, because its callers do not accept a longer pause than before its first event.
 const latestStart = (
 	{durations, clock}: DeliveryContext,
 	{exchange, hasBegun}: DeliveryRun,
 ): number => {
-	const {route, receivedAt, expiresAt} = exchange;
+	const {route, prompt, receivedAt, expiresAt} = exchange;
 	if (hasBegun) {
 		return clock() + route.targetLatencyMs;
 	}
 
 	const expectedMs =
-		durations.quantileMs(route.name, completedFraction) ??
-		(expiresAt - receivedAt) / 2;
+		durations.quantileMs(
+			route.name,
+			completedFraction,
+			prompt?.expectedTokensOut,
+		) ?? (expiresAt - receivedAt) / 2;
 	return expiresAt - expectedMs;
 };
--- a/src/gateway/intake/leaving-admission.ts
+++ b/src/gateway/intake/leaving-admission.ts
@@ -16,7 +16,7 @@
 };
 
 // While callers are still directed to this node, a request is accepted if all but one in twenty requests of its
-// route would be answered in time. With the whole timeout of the route as the criterion, streams that may take
+// route and a similar length would be answered in time. With the whole timeout of the route as the criterion, streams that may take
 // 12 s are refused as soon as the node begins to leave, although half of them end within 2 s.
 const answeredFraction = 0.95;
 
@@ -33,8 +33,12 @@
 ): LeavingAdmission => {
 	let leaving: {readonly since: number; readonly endsAt: number} | undefined;
 
-	const expectedMs = ({route}: Exchange): number =>
-		durations.quantileMs(route.name, answeredFraction) ?? route.timeoutMs;
+	const expectedMs = ({route, prompt}: Exchange): number =>
+		durations.quantileMs(
+			route.name,
+			answeredFraction,
+			prompt?.expectedTokensOut,
+		) ?? route.timeoutMs;
 
 	return {
 		leave(now, endsAt) {
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -150,8 +150,9 @@
 			}
 		},
 		onRecord(record) {
-			if (record.result === 'answered') {
-				durations.record(record.exchange.route.name, record.totalMs);
+			if (record.result === 'answered' || record.stream?.end === 'deadline') {
+				const {route, prompt} = record.exchange;
+				durations.record(route.name, record.totalMs, prompt?.expectedTokensOut);
 			}
 
 			observer.record(record);
--- a/tests/gateway/intake/leaving-admission.test.ts
+++ b/tests/gateway/intake/leaving-admission.test.ts
@@ -65,3 +65,23 @@
 		),
 	);
 });
+
+test('a leaving node accepts a stream by the durations of streams of similar length', (t: TestContext) => {
+	const durations = createRouteDurations();
+	for (let index = 0; index < 50; index += 1) {
+		durations.record(routeOf().name, 200, 100);
+	}
+
+	for (let index = 0; index < 10; index += 1) {
+		durations.record(routeOf().name, 3000, 800);
+	}
+
+	const admission = createLeavingAdmission(durations);
+	admission.leave(0, endsAt);
+	const streamOf = (expectedTokensOut: number) => ({
+		...at(0),
+		prompt: {parts: [], tokensIn: 100, tokensOut: 900, expectedTokensOut},
+	});
+	t.assert.ok(admission.admits(streamOf(100)));
+	t.assert.ok(!admission.admits(streamOf(800)));
+});
