Choose the server of a stream by its predicted duration

What callers saw: the longest answers of a kind were cut at their deadline. Cause: the choice of a server knew the prompt of a request but not its length, so a stream of a thousand tokens counted like one of ten, at servers whose pace could not end it. A node now learns tokens per chunk from complete streams and the pace of each server and of the service, and adds to a server's cost the part of the remaining time that the stream would take there, where that is more than the cost of the pace so far. The pace is a mean of the last seconds in place of one that needs fifty chunks to rise from nothing.

--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -6,9 +6,11 @@
 	prefillCosts,
 	sharingNodesOf,
 	stateCost,
+	streamCost,
 } from './server-cost.ts';
 import type {ServerChoiceOptions} from './server-choice-options.ts';
 import {isCold, type ServerState} from './server-state.ts';
+import {predictStream, type StreamPrediction} from './stream-prediction.ts';
 
 /**
 Result of choosing a backend server in the local region.
@@ -21,6 +23,10 @@
 			Load after the request, where 1 is full; comparable between servers and regions.
 			*/
 			readonly cost: number;
+			/**
+			Set for a stream of known length.
+			*/
+			readonly prediction?: StreamPrediction | undefined;
 	  }
 	/**
 	Servers exist, but none has capacity for another request of this node.
@@ -76,7 +82,7 @@
 	const sharingNodes = sharingNodesOf(placement, options.nodesServing());
 	const prefillCostOf = prefillCosts(options, candidates, placement, now);
 	const loadOf = estimatedLoads(options, candidates, placement, now);
-	let best: {readonly state: ServerState; readonly cost: number} | undefined;
+	let best: Best | undefined;
 	for (const state of candidates) {
 		const utilization = utilizationOf(options, state, sharingNodes, now);
 		const load = loadOf(state, utilization);
@@ -89,21 +95,34 @@
 			continue;
 		}
 
+		const prediction = predictStream(state, placement, now);
 		const cost =
 			load +
 			stateCost(options, state, now) +
+			streamCost(options, state, prediction, now) +
 			prefillCostOf(state) +
 			options.randomFraction() * randomCostRange;
 		if (!best || cost < best.cost) {
-			best = {state, cost};
+			best = {state, cost, prediction};
 		}
 	}
 
 	return best
-		? {kind: 'server', id: best.state.known.server.id, cost: best.cost}
+		? {
+				kind: 'server',
+				id: best.state.known.server.id,
+				cost: best.cost,
+				prediction: best.prediction,
+			}
 		: {kind: 'full'};
 };
 
+type Best = {
+	readonly state: ServerState;
+	readonly cost: number;
+	readonly prediction: StreamPrediction | undefined;
+};
+
 const isEligible = (
 	{known: {server}, isSuspect}: ServerState,
 	{service, excluded}: Placement,
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -8,6 +8,8 @@
 	type PromptCacheEstimate,
 } from './prompt-cache-estimate.ts';
 import {createPrefillSpeed, type PrefillSpeed} from './prefill-speed.ts';
+import {createChunkLength, type ChunkLength} from './chunk-length.ts';
+import {createChunkPace, type ChunkPace} from './chunk-pace.ts';
 import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 
 /**
@@ -36,10 +38,14 @@
 	*/
 	statedLoad: {readonly others: number; readonly at: number} | undefined;
 	/**
-	Moving average of the time between two chunks of a stream of this server, in milliseconds.
+	Pace of the streams of this server, and of all servers of the service.
 	*/
-	chunkIntervalMs: number;
-	chunkIntervalAt: number;
+	readonly pace: ChunkPace;
+	readonly servicePace: ChunkPace;
+	/**
+	Length of the streams of the service.
+	*/
+	readonly chunkLength: ChunkLength;
 	/**
 	Tokens of this node's prompts whose responses have not begun.
 	*/
@@ -83,6 +89,33 @@
 	readonly promptCache: PromptCacheEstimate;
 };
 
+/**
+The measurements that the servers of a service share.
+*/
+export type ServiceState = Pick<
+	ServerState,
+	'serviceInFlight' | 'prefillSpeed' | 'servicePace' | 'chunkLength'
+>;
+
+/**
+Creates the measurements of a service to whose servers no request has been sent.
+*/
+export const createServiceState = (): ServiceState => ({
+	serviceInFlight: createSmoothedCount(),
+	prefillSpeed: createPrefillSpeed(),
+	servicePace: createChunkPace(),
+	chunkLength: createChunkLength(),
+});
+
+/**
+Returns the expected time between two chunks of a stream at a server, in milliseconds. A server without recent streams of this
+node is assumed to be as fast as the others.
+*/
+export const chunkIntervalOf = (
+	{pace, servicePace}: ServerState,
+	now: number,
+): number => pace.meanMs(now, servicePace.meanMs(now, 0));
+
 /**
 Time without activity after which a server with pending requests is probed, in milliseconds. An engine that processes long
 prompts can be silent for longer, so silence alone does not prove a failure.
@@ -107,23 +140,18 @@
 	known: KnownServer,
 	memoryTokens: number,
 	now: number,
-	{
-		serviceInFlight = createSmoothedCount(),
-		prefillSpeed = createPrefillSpeed(),
-	}: Partial<Pick<ServerState, 'serviceInFlight' | 'prefillSpeed'>> = {},
+	service: ServiceState = createServiceState(),
 ): ServerState => ({
+	...service,
 	known,
 	incarnationId: incarnationIdOf(known.server),
 	inFlight: 0,
 	crashSuspects: 0,
-	serviceInFlight,
 	statedLoad: undefined,
-	chunkIntervalMs: 0,
-	chunkIntervalAt: -Infinity,
+	pace: createChunkPace(),
 	pendingTokens: 0,
 	broadcastTokens: 0,
 	peerPrefillBacklog: createPeerPrefillBacklog(),
-	prefillSpeed,
 	pending: new Set(),
 	lastActivityAt: now,
 	failureRate: 0,
--- a/tests/gateway/streams/stream-cluster.ts
+++ b/tests/gateway/streams/stream-cluster.ts
@@ -375,9 +375,14 @@
 			backendLimits,
 			onQueued: () => undefined,
 			onRecord(record) {
-				if (record.result === 'answered') {
-					durations.record(record.exchange.route.name, record.totalMs);
+				const isMeasured =
+					record.result === 'answered' || record.stream?.end === 'deadline';
+				if (!isMeasured) {
+					return;
 				}
+
+				const {route, prompt} = record.exchange;
+				durations.record(route.name, record.totalMs, prompt?.expectedTokensOut);
 			},
 		});
 		return {member, region, fleet, deliveries};
