Refuse a stream at once that no server is fast enough to end

A stream whose chunks alone would take twice its remaining time at the best server of the region held a slot and memory until its deadline and was cut then.

--- a/src/gateway/choosing/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -16,6 +16,7 @@
 	type RegionNodes,
 	type TriedTargets,
 } from './region-nodes.ts';
+import {streamOverrun} from './stream-overrun.ts';
 
 /**
 The next target of a request.
@@ -34,7 +35,17 @@
 	/**
 	No backend server that may serve the request can be reached.
 	*/
-	| {readonly kind: 'none'};
+	| {readonly kind: 'none'}
+	/**
+	No server is fast enough for a stream of this length to end in time.
+	*/
+	| {
+			readonly kind: 'too-slow';
+			/**
+			By how much the predicted duration exceeds the remaining time, in milliseconds.
+			*/
+			readonly overrunMs: number;
+	  };
 
 /**
 Options of `createUpstreamChooser`.
@@ -106,8 +117,13 @@
 			shouldStayLocal || exchange.hop !== undefined
 				? undefined
 				: nodesOfLeastLoadedRegion(options, exchange, tried);
+		const localUnlessTooSlow = (): UpstreamChoice => {
+			const overrunMs = streamOverrun(exchange, placement, local, without);
+			return overrunMs === undefined ? local : {kind: 'too-slow', overrunMs};
+		};
+
 		if (!remote) {
-			return local;
+			return localUnlessTooSlow();
 		}
 
 		const isRemoteBetter =
@@ -115,6 +131,6 @@
 			(!without.has('overflow') &&
 				remote.cost < maximumRemoteCost &&
 				(local.kind === 'full' || remote.cost + distanceCost < local.cost));
-		return isRemoteBetter ? toPeer(remote) : local;
+		return isRemoteBetter ? toPeer(remote) : localUnlessTooSlow();
 	};
 };
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -59,6 +59,9 @@
 	waitForCapacity(context, run, isSentNow);
 };
 
+const tooSlowReason =
+	'No backend server is fast enough to end the stream in time';
+
 const noServerReason = 'No backend server that may serve it is in use';
 
 // A request that has ended counts as sent, because it needs no capacity.
@@ -102,6 +105,7 @@
 	const backoffRemainingMs =
 		choice.kind === 'full' ? choice.backoffRemainingMs : undefined;
 	run.allowedPerSecond = choice.kind === 'full' ? choice.perSecond : undefined;
+	run.overrunMs = choice.kind === 'too-slow' ? choice.overrunMs : undefined;
 	run.backoffUntil =
 		backoffRemainingMs === undefined
 			? undefined
@@ -123,6 +127,11 @@
 			return 'sent';
 		}
 
+		case 'too-slow': {
+			refuseRun(context, run, 'overloaded', tooSlowReason);
+			return 'sent';
+		}
+
 		case 'full':
 		case 'none': {
 			return choice.kind;
