Process a shared part again only where the response then begins in time

What callers saw: at the peak, long answers were cut and long prompts were late. Cause: if no server that had the shared part of a prompt cached was likely to begin in time, any other server could process the part again, also when all of them were as busy, or when the prompt takes longer than its target by itself (the longest ones always do). Now a copy is made only if another server would begin in time although it processes the part first.

--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -162,10 +162,10 @@
 		isCached(known.server.id, id) || promptCache.has(id);
 	const holders = new Set(candidates.filter((state) => isHolder(state)));
 	if (holders.size > 0) {
-		const isHolderInTime =
-			without.has('prompt-copies') ||
-			[...holders].some((state) => isInTime(state, placement, now));
-		const factor = isHolderInTime ? repeatedPrefillFactor : 1;
+		const isCopyUseful =
+			!without.has('prompt-copies') &&
+			isServedSoonerByCopy(candidates, holders, placement, now);
+		const factor = isCopyUseful ? 1 : repeatedPrefillFactor;
 		return (state) => (holders.has(state) ? 0 : prefillCost * factor);
 	}
 
@@ -173,17 +173,38 @@
 	return (state) => (state === first ? 0 : prefillCost * firstPrefillFactor);
 };
 
-// Whether a server that has cached the shared part of a prompt is likely to begin its response in time. If none is, another
-// server processes the part too, so several servers come to hold hot parts.
+// Whether no server that has cached the shared part of a prompt is likely to begin its response in time, but another one is although
+// it processes the part first. Several servers then come to hold hot parts. If all servers are too busy, or the prompt itself takes
+// longer than its target, a second prefill would only make the engines slower.
+const isServedSoonerByCopy = (
+	candidates: readonly ServerState[],
+	holders: ReadonlySet<ServerState>,
+	placement: Placement,
+	now: number,
+): boolean => {
+	const {promptTokens, sharedPart} = placement;
+	const ownTokens = promptTokens - (sharedPart?.tokens ?? 0);
+	return (
+		!holders
+			.values()
+			.some((state) => isInTime(state, ownTokens, placement, now)) &&
+		candidates.some(
+			(state) =>
+				!holders.has(state) && isInTime(state, promptTokens, placement, now),
+		)
+	);
+};
+
+// Whether a server is likely to have processed this many tokens of a prompt in time to begin its response.
 const isInTime = (
 	state: ServerState,
-	{sharedPart, promptTokens, targetMs}: Placement,
+	tokens: number,
+	{targetMs}: Placement,
 	now: number,
 ): boolean => {
 	const speed = state.prefillSpeed.tokensPerMs();
-	const tokens =
-		prefillBacklogOf(state, now) + promptTokens - (sharedPart?.tokens ?? 0);
+	const tokensAhead = prefillBacklogOf(state, now) + tokens;
 	return (
-		speed === undefined || tokens / speed <= targetMs * prefillTimeFraction
+		speed === undefined || tokensAhead / speed <= targetMs * prefillTimeFraction
 	);
 };
