Dispatch queued requests again after one of them has thrown

A throw while a queued request was sent left the queue marked as dispatching, so that no request of the node left it any more.

--- a/src/gateway/delivery/request-queue.ts
+++ b/src/gateway/delivery/request-queue.ts
@@ -85,19 +85,21 @@
 			// If the first request with a key finds no capacity, the others with that key find none either. Skipping them
 			// matters under load: each attempt scans all servers, and a long queue is traversed whenever a request ends.
 			const full = new Set<string>();
-			for (const request of queue) {
-				if (full.has(request.placementKey)) {
-					continue;
-				}
+			try {
+				for (const request of queue) {
+					if (full.has(request.placementKey)) {
+						continue;
+					}
 
-				if (request.trySend()) {
-					remove(request);
-				} else {
-					full.add(request.placementKey);
+					if (request.trySend()) {
+						remove(request);
+					} else {
+						full.add(request.placementKey);
+					}
 				}
+			} finally {
+				isDispatching = false;
 			}
-
-			isDispatching = false;
 		},
 		expire(now, isHopeless) {
 			const aheadByService = new Map<string, number>();
--- a/tests/gateway/delivery/request-queue.test.ts
+++ b/tests/gateway/delivery/request-queue.test.ts
@@ -132,3 +132,25 @@
 	assert.equal(queue.countAhead('engine', 0), 2);
 	assert.equal(queue.countAhead('other', 0), 0);
 });
+
+test('a request whose dispatch throws does not stop the queue', () => {
+	const queue = createRequestQueue();
+	let isBroken = true;
+	queue.add(
+		queuedRequestOf({
+			trySend() {
+				if (isBroken) {
+					throw new Error('no route to the server');
+				}
+
+				return true;
+			},
+		}),
+	);
+	assert.throws(() => {
+		queue.dispatch(0);
+	}, /no route to the server/v);
+	isBroken = false;
+	queue.dispatch(0);
+	assert.equal(queue.length(), 0);
+});
