Stop listening for the end of a caller once its request has left the queue

In the product's own path each wait for capacity left an abort listener on the request's signal until the request ended.

--- a/src/requests/capacity-queue.ts
+++ b/src/requests/capacity-queue.ts
@@ -48,7 +48,18 @@
 	return {
 		async wait(request) {
 			return new Promise((resolve) => {
-				const waiter: Waiter = {settle: resolve};
+				const onAbort = () => {
+					queue.remove(waiter);
+					resolve('expired');
+				};
+
+				const waiter: Waiter = {
+					settle(end) {
+						request.signal.removeEventListener('abort', onAbort);
+						resolve(end);
+					},
+				};
+				request.signal.addEventListener('abort', onAbort, {once: true});
 				const result = queue.enqueue({
 					item: waiter,
 					priority: request.priority,
@@ -59,19 +70,10 @@
 					clientName: request.client.name,
 				});
 				if (result.kind === 'full') {
-					resolve('full');
+					waiter.settle('full');
 				} else if (result.kind === 'displaced') {
 					result.waiter.item.settle('full');
 				}
-
-				request.signal.addEventListener(
-					'abort',
-					() => {
-						queue.remove(waiter);
-						resolve('expired');
-					},
-					{once: true},
-				);
 			});
 		},
 		notify() {
