--- a/src/gateway/choosing/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -16,7 +16,6 @@
 	type RegionNodes,
 	type TriedTargets,
 } from './region-nodes.ts';
-import {streamOverrun} from './stream-overrun.ts';
 
 /**
 The next target of a request.
@@ -35,17 +34,7 @@
 	/**
 	No backend server that may serve the request can be reached.
 	*/
-	| {readonly kind: 'none'}
-	/**
-	No server is fast enough for a stream of this length to end in time.
-	*/
-	| {
-			readonly kind: 'too-slow';
-			/**
-			By how much the predicted duration exceeds the remaining time, in milliseconds.
-			*/
-			readonly overrunMs: number;
-	  };
+	| {readonly kind: 'none'};
 
 /**
 Options of `createUpstreamChooser`.
@@ -117,13 +106,8 @@
 			shouldStayLocal || exchange.hop !== undefined
 				? undefined
 				: nodesOfLeastLoadedRegion(options, exchange, tried);
-		const localUnlessTooSlow = (): UpstreamChoice => {
-			const overrunMs = streamOverrun(exchange, placement, local, without);
-			return overrunMs === undefined ? local : {kind: 'too-slow', overrunMs};
-		};
-
 		if (!remote) {
-			return localUnlessTooSlow();
+			return local;
 		}
 
 		const isRemoteBetter =
@@ -131,6 +115,6 @@
 			(!without.has('overflow') &&
 				remote.cost < maximumRemoteCost &&
 				(local.kind === 'full' || remote.cost + distanceCost < local.cost));
-		return isRemoteBetter ? toPeer(remote) : localUnlessTooSlow();
+		return isRemoteBetter ? toPeer(remote) : local;
 	};
 };
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -140,11 +140,6 @@
 	*/
 	hasLocalServer: boolean;
 	/**
-	Set if no server is fast enough to end the stream in time: by how much its predicted duration exceeds its remaining time, in
-	milliseconds.
-	*/
-	overrunMs: number | undefined;
-	/**
 	Set if all servers of a region that refused the request are in backoff: when the first backoff ends.
 	*/
 	remoteAvailableAt: number | undefined;
@@ -221,7 +216,6 @@
 		allowedPerSecond: undefined,
 		backoffUntil: undefined,
 		hasLocalServer: false,
-		overrunMs: undefined,
 		remoteAvailableAt: undefined,
 		isQuarantined: false,
 		isOver: false,
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -48,15 +48,12 @@
 	});
 };
 
-// A server stops at the deadline that it was sent, slightly before or after the timer of this node.
-const deadlineToleranceMs = 50;
-
 const streamRecordOf = (
 	{exchange, start, chunks, firstByteAt, lastChunkAt}: DeliveryRun,
 	result: DeliveryRecord['result'],
 	now: number,
 ): StreamRecord => ({
-	end: streamEndOf(result, exchange.expiresAt - now <= deadlineToleranceMs),
+	end: streamEndOf(result, exchange.expiresAt <= now),
 	loadAtStart: start?.load,
 	remainingAtStartMs: start?.remainingMs,
 	chunks,
@@ -259,11 +256,6 @@
 		return maximumPredictedRetryAfterSeconds;
 	}
 
-	const {overrunMs} = run;
-	if (overrunMs !== undefined) {
-		return Math.max(minimumRetryAfterSeconds, overrunMs / 1000);
-	}
-
 	const {clock, forecast} = context;
 	const now = clock();
 	const localSeconds = retryWaitMs(context, run) / 1000;
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -59,9 +59,6 @@
 	waitForCapacity(context, run, isSentNow);
 };
 
-const tooSlowReason =
-	'No backend server is fast enough to end the stream in time';
-
 const noServerReason = 'No backend server that may serve it is in use';
 
 // A request that has ended counts as sent, because it needs no capacity.
@@ -105,7 +102,6 @@
 	const backoffRemainingMs =
 		choice.kind === 'full' ? choice.backoffRemainingMs : undefined;
 	run.allowedPerSecond = choice.kind === 'full' ? choice.perSecond : undefined;
-	run.overrunMs = choice.kind === 'too-slow' ? choice.overrunMs : undefined;
 	run.backoffUntil =
 		backoffRemainingMs === undefined
 			? undefined
@@ -127,11 +123,6 @@
 			return 'sent';
 		}
 
-		case 'too-slow': {
-			refuseRun(context, run, 'overloaded', tooSlowReason);
-			return 'sent';
-		}
-
 		case 'full':
 		case 'none': {
 			return choice.kind;
--- a/src/mechanisms/mechanisms.ts
+++ b/src/mechanisms/mechanisms.ts
@@ -104,10 +104,6 @@
 	Compares servers by the predicted duration of a stream.
 	*/
 	'stream-length',
-	/**
-	Refuses a stream that no server is fast enough to end in time.
-	*/
-	'stream-refusal',
 ] as const;
 
 /**
--- a/tools/account/cause.ts
+++ b/tools/account/cause.ts
@@ -4,7 +4,6 @@
 export const causes = [
 	'no room',
 	'no server that may serve it',
-	'no server fast enough',
 	'this node was not ready',
 	'no connection to a server or node',
 	'server broke off before the first event',
@@ -100,10 +99,6 @@
 		return 'no server that may serve it';
 	}
 
-	if (/fast enough/iv.test(reason)) {
-		return 'no server fast enough';
-	}
-
 	if (/no backend server ha[ds]|room/iv.test(reason)) {
 		return 'no room';
 	}
