--- a/src/backends/backend-attempt.ts
+++ b/src/backends/backend-attempt.ts
@@ -77,6 +77,10 @@
 // Weight of the latest outcome in the moving average of a server's failure rate.
 const failureWeight = 0.1;
 
+// Weight of the latest chunk in the moving average of a server's chunk interval. With 50 streams in flight, the average
+// follows a change within a second.
+const chunkIntervalWeight = 0.02;
+
 // Number of earlier requests to a cold server whose send times are retained.
 const coldRequestHistory = 100;
 
@@ -118,8 +122,6 @@
 	}
 
 	let isEnded = false;
-	// The first chunk of a stream has no interval.
-	let chunks = 1;
 	const removePending = () => {
 		if (!state.pending.delete(pendingRequest)) {
 			return;
@@ -141,9 +143,9 @@
 			};
 		},
 		recordChunkInterval(intervalMs, at) {
-			chunks += 1;
-			state.pace.record(intervalMs, at);
-			state.servicePace.record(intervalMs, at);
+			state.chunkIntervalMs +=
+				(intervalMs - state.chunkIntervalMs) * chunkIntervalWeight;
+			state.chunkIntervalAt = at;
 		},
 		recordFirstEvent(at) {
 			state.lastActivityAt = at;
@@ -167,10 +169,6 @@
 				state.lastActivityAt = at;
 			}
 
-			if (how === 'answered' && placement.expectedTokens !== undefined) {
-				state.chunkLength.record(placement.expectedTokens, chunks);
-			}
-
 			recordOutcome(state, how);
 		},
 	};
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -4,16 +4,16 @@
 import {chooseServer, type LocalChoice} from './choose-server.ts';
 import type {Placement} from './placement.ts';
 import type {ServerChoiceOptions} from './server-choice-options.ts';
+import {createPrefillSpeed, type PrefillSpeed} from './prefill-speed.ts';
+import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 import {
 	createServerState,
-	createServiceState,
 	probeAnswerDeadlineMs,
 	maximumSilenceMs,
 	shiftTimes,
 	silenceThresholdMs,
 	silentFor,
 	type ServerState,
-	type ServiceState,
 } from './server-state.ts';
 
 /**
@@ -114,14 +114,21 @@
 	options: BackendFleetOptions,
 ): BackendFleet => {
 	const states = new Map<string, ServerState>();
-	const services = new Map<string, ServiceState>();
+	const inFlightByService = new Map<string, SmoothedCount>();
+	const speedByService = new Map<string, PrefillSpeed>();
 
 	const memoryTokensOf = ({server}: KnownServer): number =>
 		options.service(server.service)?.engine?.memoryTokens ?? 0;
 
-	const serviceStateOf = (service: string): ServiceState => {
-		const known = services.get(service) ?? createServiceState();
-		services.set(service, known);
+	const speedOf = (service: string): PrefillSpeed => {
+		const known = speedByService.get(service) ?? createPrefillSpeed();
+		speedByService.set(service, known);
+		return known;
+	};
+
+	const inFlightOf = (service: string): SmoothedCount => {
+		const known = inFlightByService.get(service) ?? createSmoothedCount();
+		inFlightByService.set(service, known);
 		return known;
 	};
 
@@ -155,12 +162,10 @@
 
 				states.set(
 					id,
-					createServerState(
-						known,
-						memoryTokensOf(known),
-						now,
-						serviceStateOf(known.server.service),
-					),
+					createServerState(known, memoryTokensOf(known), now, {
+						serviceInFlight: inFlightOf(known.server.service),
+						prefillSpeed: speedOf(known.server.service),
+					}),
 				);
 				if (state) {
 					restarted.push(id);
@@ -258,7 +263,7 @@
 				.toArray();
 			const nodes = options.nodesServing();
 			const others = estimatedPeerRequests(
-				serviceStateOf(service).serviceInFlight.mean(now),
+				inFlightOf(service).mean(now),
 				nodes,
 				usable.length,
 			);
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -6,11 +6,9 @@
 	prefillCosts,
 	sharingNodesOf,
 	stateCost,
-	streamCost,
 } from './server-cost.ts';
 import type {ServerChoiceOptions} from './server-choice-options.ts';
 import {isCold, type ServerState} from './server-state.ts';
-import {predictStream, type StreamPrediction} from './stream-prediction.ts';
 
 /**
 Result of choosing a backend server in the local region.
@@ -23,10 +21,6 @@
 			Load after the request, where 1 is full; comparable between servers and regions.
 			*/
 			readonly cost: number;
-			/**
-			Set for a stream of known length.
-			*/
-			readonly prediction?: StreamPrediction | undefined;
 	  }
 	/**
 	Servers exist, but none has capacity for another request of this node.
@@ -82,7 +76,7 @@
 	const sharingNodes = sharingNodesOf(placement, options.nodesServing());
 	const prefillCostOf = prefillCosts(options, candidates, placement, now);
 	const loadOf = estimatedLoads(options, candidates, placement, now);
-	let best: Best | undefined;
+	let best: {readonly state: ServerState; readonly cost: number} | undefined;
 	for (const state of candidates) {
 		const utilization = utilizationOf(options, state, sharingNodes, now);
 		const load = loadOf(state, utilization);
@@ -95,34 +89,21 @@
 			continue;
 		}
 
-		const prediction = predictStream(state, placement, now);
 		const cost =
 			load +
 			stateCost(options, state, now) +
-			streamCost(options, state, prediction, now) +
 			prefillCostOf(state) +
 			options.randomFraction() * randomCostRange;
 		if (!best || cost < best.cost) {
-			best = {state, cost, prediction};
+			best = {state, cost};
 		}
 	}
 
 	return best
-		? {
-				kind: 'server',
-				id: best.state.known.server.id,
-				cost: best.cost,
-				prediction: best.prediction,
-			}
+		? {kind: 'server', id: best.state.known.server.id, cost: best.cost}
 		: {kind: 'full'};
 };
 
-type Best = {
-	readonly state: ServerState;
-	readonly cost: number;
-	readonly prediction: StreamPrediction | undefined;
-};
-
 const isEligible = (
 	{known: {server}, isSuspect}: ServerState,
 	{service, excluded}: Placement,
--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -12,6 +12,3 @@
 export type * from './server-choice-options.ts';
 export * from './choose-server.ts';
 export * from './backend-fleet.ts';
-export * from './chunk-length.ts';
-export * from './chunk-pace.ts';
-export * from './stream-prediction.ts';
--- a/src/backends/placement.ts
+++ b/src/backends/placement.ts
@@ -9,14 +9,6 @@
 	readonly sharedPart?: {readonly id: string; readonly tokens: number};
 	readonly promptTokens: number;
 	/**
-	Expected number of generated tokens; undefined if unknown.
-	*/
-	readonly expectedTokens?: number | undefined;
-	/**
-	Deadline of the response, by this node's clock in milliseconds.
-	*/
-	readonly expiresAt?: number;
-	/**
 	Target time to the first event, in milliseconds.
 	*/
 	readonly targetMs: number;
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -3,7 +3,6 @@
 import type {Placement} from './placement.ts';
 import type {ServerChoiceOptions} from './server-choice-options.ts';
 import {prefillBacklogOf, silentFor, type ServerState} from './server-state.ts';
-import type {StreamPrediction} from './stream-prediction.ts';
 
 // Maximum requests of all nodes in flight at a server, as a multiple of its slots. Engines queue requests that exceed their
 // batch at little cost; plain servers delay them.
@@ -23,6 +22,9 @@
 // prompts between the tokens of its streams.
 const fullLoadChunkIntervalMs = 400;
 
+// Time after which a measured chunk interval is ignored, in milliseconds: about the duration of a stream.
+const chunkIntervalMaximumAgeMs = 3000;
+
 // Cost factor for processing a shared part that another server has cached. A second prefill takes engine time from the whole
 // region, evicts other parts and is paid for, so it costs far more than an equal wait behind another prompt. The part is
 // processed again only where the servers that hold it have no capacity.
@@ -104,7 +106,7 @@
 		: engineCapacityFactor);
 
 /**
-Returns the cost of a server's state. A fully loaded server costs 1.
+Returns the cost of a server's state, independent of the request. A fully loaded server costs 1.
 */
 export const stateCost = (
 	options: ServerChoiceOptions,
@@ -119,28 +121,9 @@
 		: prefillBacklogOf(state, now) / fullLoadTokens) +
 	(options.without.has('pace')
 		? 0
-		: Math.max(state.pace.recentMs(now), silentFor(state, now)) /
-			fullLoadChunkIntervalMs) +
+		: effectiveChunkIntervalOf(state, now) / fullLoadChunkIntervalMs) +
 	(options.without.has('failure-cost') ? 0 : state.failureRate * failureCost);
 
-/**
-Returns the cost of a server's pace for one stream, in addition to its cost for any request: the fraction of its remaining time that
-the stream is predicted to take.
-*/
-export const streamCost = (
-	{without}: ServerChoiceOptions,
-	state: ServerState,
-	prediction: StreamPrediction | undefined,
-	now: number,
-): number =>
-	prediction === undefined || without.has('stream-length')
-		? 0
-		: Math.max(
-				0,
-				prediction.timeFraction -
-					state.pace.recentMs(now) / fullLoadChunkIntervalMs,
-			);
-
 /**
 Returns a function that gives the cost of processing the shared part of a prompt at a server. Parts that this node sent
 recently count as cached, because engines report their caches with a delay.
@@ -208,3 +191,14 @@
 		speed === undefined || tokensAhead / speed <= targetMs * prefillTimeFraction
 	);
 };
+
+// Without new measurements, the chunk interval decays to 0. While a server has pending requests, the interval is at least the time
+// since its last activity.
+const effectiveChunkIntervalOf = (state: ServerState, now: number): number => {
+	const {chunkIntervalMs, chunkIntervalAt} = state;
+	const weight = Math.max(
+		0,
+		1 - (now - chunkIntervalAt) / chunkIntervalMaximumAgeMs,
+	);
+	return Math.max(chunkIntervalMs * weight, silentFor(state, now));
+};
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -8,8 +8,6 @@
 	type PromptCacheEstimate,
 } from './prompt-cache-estimate.ts';
 import {createPrefillSpeed, type PrefillSpeed} from './prefill-speed.ts';
-import {createChunkLength, type ChunkLength} from './chunk-length.ts';
-import {createChunkPace, type ChunkPace} from './chunk-pace.ts';
 import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 
 /**
@@ -38,14 +36,10 @@
 	*/
 	statedLoad: {readonly others: number; readonly at: number} | undefined;
 	/**
-	Pace of the streams of this server, and of all servers of the service.
+	Moving average of the time between two chunks of a stream of this server, in milliseconds.
 	*/
-	readonly pace: ChunkPace;
-	readonly servicePace: ChunkPace;
-	/**
-	Length of the streams of the service.
-	*/
-	readonly chunkLength: ChunkLength;
+	chunkIntervalMs: number;
+	chunkIntervalAt: number;
 	/**
 	Tokens of this node's prompts whose responses have not begun.
 	*/
@@ -89,33 +83,6 @@
 	readonly promptCache: PromptCacheEstimate;
 };
 
-/**
-The measurements that the servers of a service share.
-*/
-export type ServiceState = Pick<
-	ServerState,
-	'serviceInFlight' | 'prefillSpeed' | 'servicePace' | 'chunkLength'
->;
-
-/**
-Creates the measurements of a service to whose servers no request has been sent.
-*/
-export const createServiceState = (): ServiceState => ({
-	serviceInFlight: createSmoothedCount(),
-	prefillSpeed: createPrefillSpeed(),
-	servicePace: createChunkPace(),
-	chunkLength: createChunkLength(),
-});
-
-/**
-Returns the expected time between two chunks of a stream at a server, in milliseconds. A server without recent streams of this
-node is assumed to be as fast as the others.
-*/
-export const chunkIntervalOf = (
-	{pace, servicePace}: ServerState,
-	now: number,
-): number => pace.meanMs(now, servicePace.meanMs(now, 0));
-
 /**
 Time without activity after which a server with pending requests is probed, in milliseconds. An engine that processes long
 prompts can be silent for longer, so silence alone does not prove a failure.
@@ -140,18 +107,23 @@
 	known: KnownServer,
 	memoryTokens: number,
 	now: number,
-	service: ServiceState = createServiceState(),
+	{
+		serviceInFlight = createSmoothedCount(),
+		prefillSpeed = createPrefillSpeed(),
+	}: Partial<Pick<ServerState, 'serviceInFlight' | 'prefillSpeed'>> = {},
 ): ServerState => ({
-	...service,
 	known,
 	incarnationId: incarnationIdOf(known.server),
 	inFlight: 0,
 	crashSuspects: 0,
+	serviceInFlight,
 	statedLoad: undefined,
-	pace: createChunkPace(),
+	chunkIntervalMs: 0,
+	chunkIntervalAt: -Infinity,
 	pendingTokens: 0,
 	broadcastTokens: 0,
 	peerPrefillBacklog: createPeerPrefillBacklog(),
+	prefillSpeed,
 	pending: new Set(),
 	lastActivityAt: now,
 	failureRate: 0,
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -185,12 +185,6 @@
 			service: exchange.service,
 			sharedPart: exchange.prompt && placementPart(exchange.prompt),
 			promptTokens: exchange.prompt?.tokensIn ?? 0,
-			// How much of a resumed stream is left is unknown.
-			expectedTokens:
-				exchange.lastEventId === undefined
-					? exchange.prompt?.expectedTokensOut
-					: undefined,
-			expiresAt: exchange.expiresAt,
 			targetMs: exchange.route.targetLatencyMs,
 			excluded,
 		},
--- a/src/gateway/stream-record.ts
+++ b/src/gateway/stream-record.ts
@@ -1,4 +1,4 @@
-import {expectedLengthOf} from '../routes/index.ts';
+import type {Prompt} from '../routes/index.ts';
 import type {Exchange} from './exchange.ts';
 
 /**
@@ -44,6 +44,14 @@
 	readonly chunkIntervalMs: number | undefined;
 };
 
+/**
+Returns the expected number of generated tokens, or the maximum if the caller gave no estimate.
+*/
+export const expectedLengthOf = ({
+	expectedTokensOut,
+	tokensOut,
+}: Prompt): number => expectedTokensOut ?? tokensOut;
+
 const generatedTokenWeight = 10;
 
 /**
--- a/src/mechanisms/mechanisms.ts
+++ b/src/mechanisms/mechanisms.ts
@@ -100,10 +100,6 @@
 	Makes a leaving node reject requests that it cannot complete.
 	*/
 	'leaving-admission',
-	/**
-	Compares servers by the predicted duration of a stream.
-	*/
-	'stream-length',
 ] as const;
 
 /**
--- a/src/routes/prompt-prefix.ts
+++ b/src/routes/prompt-prefix.ts
@@ -19,14 +19,6 @@
 	readonly expectedTokensOut: number | undefined;
 };
 
-/**
-Returns the expected number of generated tokens, or the maximum if the caller gave no estimate.
-*/
-export const expectedLengthOf = ({
-	expectedTokensOut,
-	tokensOut,
-}: Prompt): number => expectedTokensOut ?? tokensOut;
-
 /**
 Minimum length of a shared part that affects placement, in tokens. Recomputing a shorter part takes a few
 milliseconds of prefill, which is less than a request waits for a particular server.
--- a/tests/gateway/streams/stream-cluster.ts
+++ b/tests/gateway/streams/stream-cluster.ts
@@ -375,14 +375,9 @@
 			backendLimits,
 			onQueued: () => undefined,
 			onRecord(record) {
-				const isMeasured =
-					record.result === 'answered' || record.stream?.end === 'deadline';
-				if (!isMeasured) {
-					return;
+				if (record.result === 'answered') {
+					durations.record(record.exchange.route.name, record.totalMs);
 				}
-
-				const {route, prompt} = record.exchange;
-				durations.record(route.name, record.totalMs, prompt?.expectedTokensOut);
 			},
 		});
 		return {member, region, fleet, deliveries};
