--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -48,12 +48,15 @@
 	});
 };
 
+// A server stops at the deadline that it was sent, slightly before or after the timer of this node. In milliseconds.
+const deadlineToleranceMs = 50;
+
 const streamRecordOf = (
 	{exchange, start, chunks, firstByteAt, lastChunkAt}: DeliveryRun,
 	result: DeliveryRecord['result'],
 	now: number,
 ): StreamRecord => ({
-	end: streamEndOf(result, exchange.expiresAt <= now),
+	end: streamEndOf(result, exchange.expiresAt - now <= deadlineToleranceMs),
 	loadAtStart: start?.load,
 	remainingAtStartMs: start?.remainingMs,
 	chunks,
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -357,6 +357,21 @@
 	}
 });
 
+test('a stream that its server ends just before the deadline counts as cut at the deadline', () => {
+	const endAt = (milliseconds: number) => {
+		const {deliveries, sent, records, pass} = setUp(['a']);
+		const exchange = exchangeFor({kind: 'streaming'});
+		deliveries.deliver(exchange, createSink().sink);
+		answer(sent[0]!, 200, signed);
+		pass(milliseconds);
+		sent[0]!.listener.onFailure({wasSent: true, reason: 'other side closed'});
+		return records[0]?.stream?.end;
+	};
+
+	assert.equal(endAt(exchangeFor({}).expiresAt - 5), 'deadline');
+	assert.equal(endAt(1000), 'upstream-failure');
+});
+
 test('the record of a stream contains its status and its longest pause', () => {
 	const {deliveries, sent, records, pass} = setUp(['a']);
 	deliveries.deliver(exchangeFor({kind: 'streaming'}), createSink().sink);
