Share the estimate of other nodes' requests between the load of a server and of a service

The load that a stream's log line states repeated the computation of the load that a zone reports. The size class of the longest streams is described as it is.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -132,6 +132,23 @@
 		return known;
 	};
 
+	const serversOf = (service: string): readonly ServerState[] =>
+		states
+			.values()
+			.filter(({known}) => known.server.service === service)
+			.toArray();
+
+	const peerRequestsAtEach = (
+		service: string,
+		servers: readonly ServerState[],
+		now: number,
+	): number =>
+		estimatedPeerRequests(
+			inFlightOf(service).mean(now),
+			options.nodesServing(),
+			servers.length,
+		);
+
 	const suspect = (id: string, now: number) => {
 		const state = states.get(id);
 		if (!state) {
@@ -254,19 +271,9 @@
 		},
 		isSuspect: (id) => states.get(id)?.isSuspect ?? false,
 		loadOf(service, now) {
-			const usable = states
-				.values()
-				.filter(
-					({known, isSuspect}) =>
-						known.server.service === service && !isSuspect,
-				)
-				.toArray();
+			const usable = serversOf(service).filter(({isSuspect}) => !isSuspect);
 			const nodes = options.nodesServing();
-			const others = estimatedPeerRequests(
-				inFlightOf(service).mean(now),
-				nodes,
-				usable.length,
-			);
+			const others = peerRequestsAtEach(service, usable, now);
 			let load = 0;
 			let slots = 0;
 			for (const state of usable) {
@@ -289,17 +296,8 @@
 			}
 
 			const nodes = options.nodesServing();
-			const others = estimatedPeerRequests(
-				state.serviceInFlight.mean(now),
-				nodes,
-				states
-					.values()
-					.filter(
-						({known: {server}}) =>
-							server.service === state.known.server.service,
-					)
-					.toArray().length,
-			);
+			const {service} = state.known.server;
+			const others = peerRequestsAtEach(service, serversOf(service), now);
 			return estimatedLoad(state, nodes, now, {others});
 		},
 		ids: () => states.keys().toArray(),
--- a/src/gateway/stream-record.ts
+++ b/src/gateway/stream-record.ts
@@ -65,6 +65,7 @@
 
 /**
 Returns the upper bound of the size class of a stream: a power of two above its expected number of generated tokens.
+The class of the largest bound includes all longer streams.
 */
 export const lengthBoundOf = ({prompt}: Exchange): number | undefined => {
 	if (!prompt) {
