Share the requests in flight at each server between the nodes of a region

Cause: with more nodes than slots a node's own requests, multiplied by the number of nodes, tell nothing of how full a server is. Nodes refused while servers were free, filled engines with long prompts, and moved requests between regions late and all at once. Ruled out: the load header (plain servers and these engines send none), reports of engines (late, a call each). Change: reports by server, summed in each zone; engines filled by urgency; a fraction of the requests moves to regions with free slots.

--- a/src/backends/backend-attempt.ts
+++ b/src/backends/backend-attempt.ts
@@ -165,6 +165,7 @@
 			state.inFlight -= 1;
 			state.crashSuspects -= placement.isIsolated ? 1 : 0;
 			state.serviceInFlight.add(-1, at);
+			state.peerRequests.recordDuration(at - now);
 			if (how === 'answered' || how === 'refused') {
 				state.lastActivityAt = at;
 			}
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -5,6 +5,7 @@
 import type {Placement} from './placement.ts';
 import type {ServerChoiceOptions} from './server-choice-options.ts';
 import {createPrefillSpeed, type PrefillSpeed} from './prefill-speed.ts';
+import {createPeerRequests, type PeerRequests} from './peer-requests.ts';
 import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 import {
 	createServerState,
@@ -95,6 +96,27 @@
 	*/
 	loadAt(id: string, now: number): number | undefined;
 	ids(): readonly string[];
+	/**
+	Returns the usable servers of a service, with this node's requests in flight at each.
+	*/
+	requestsAt(service: string): readonly ServerInUse[];
+	/**
+	Records the requests of the other nodes at each server of a service.
+	*/
+	recordPeerRequests(
+		service: string,
+		counts: ReadonlyMap<string, number>,
+		now: number,
+	): void;
+};
+
+/**
+A backend server and this node's requests in flight at it.
+*/
+export type ServerInUse = {
+	readonly id: string;
+	readonly slots: number;
+	readonly inFlight: number;
 };
 
 /**
@@ -116,6 +138,7 @@
 	const states = new Map<string, ServerState>();
 	const inFlightByService = new Map<string, SmoothedCount>();
 	const speedByService = new Map<string, PrefillSpeed>();
+	const peerRequestsByService = new Map<string, PeerRequests>();
 
 	const memoryTokensOf = ({server}: KnownServer): number =>
 		options.service(server.service)?.engine?.memoryTokens ?? 0;
@@ -132,6 +155,12 @@
 		return known;
 	};
 
+	const peerRequestsOf = (service: string): PeerRequests => {
+		const known = peerRequestsByService.get(service) ?? createPeerRequests();
+		peerRequestsByService.set(service, known);
+		return known;
+	};
+
 	const serversOf = (service: string): readonly ServerState[] =>
 		states
 			.values()
@@ -182,6 +211,7 @@
 					createServerState(known, memoryTokensOf(known), now, {
 						serviceInFlight: inFlightOf(known.server.service),
 						prefillSpeed: speedOf(known.server.service),
+						peerRequests: peerRequestsOf(known.server.service),
 					}),
 				);
 				if (state) {
@@ -301,6 +331,17 @@
 			return estimatedLoad(state, nodes, now, {others});
 		},
 		ids: () => states.keys().toArray(),
+		requestsAt: (service) =>
+			serversOf(service)
+				.filter(({isSuspect}) => !isSuspect)
+				.map(({known: {server}, inFlight}) => ({
+					id: server.id,
+					slots: server.slots,
+					inFlight,
+				})),
+		recordPeerRequests(service, counts, now) {
+			peerRequestsOf(service).record(counts, now);
+		},
 	};
 };
 
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -78,7 +78,13 @@
 	const loadOf = estimatedLoads(options, candidates, placement, now);
 	let best: {readonly state: ServerState; readonly cost: number} | undefined;
 	for (const state of candidates) {
-		const utilization = utilizationOf(options, state, sharingNodes, now);
+		const utilization = utilizationOf(
+			options,
+			state,
+			sharingNodes,
+			placement,
+			now,
+		);
 		const load = loadOf(state, utilization);
 		if (
 			utilization > 1 ||
--- a/src/backends/estimated-load.ts
+++ b/src/backends/estimated-load.ts
@@ -39,6 +39,11 @@
 ): number => {
 	const {inFlight, statedLoad} = state;
 	const own = inFlight + (assumptions.additional ?? 0);
+	const reported = state.peerRequests.estimate(state.known.server.id, now);
+	if (reported !== undefined) {
+		return own + reported;
+	}
+
 	const others = assumptions.others ?? own * (sharingNodes - 1);
 	if (!statedLoad) {
 		return own + others;
--- a/src/backends/placement.ts
+++ b/src/backends/placement.ts
@@ -9,6 +9,10 @@
 	readonly sharedPart?: {readonly id: string; readonly tokens: number};
 	readonly promptTokens: number;
 	/**
+	Priority of the route; 0 is the most urgent.
+	*/
+	readonly priority?: number;
+	/**
 	Target time to the first event, in milliseconds.
 	*/
 	readonly targetMs: number;
--- a/src/backends/server-choice-options.ts
+++ b/src/backends/server-choice-options.ts
@@ -52,4 +52,12 @@
 	Returns a random number from 0 to 1, which makes nodes choose differently among servers with similar costs.
 	*/
 	readonly randomFraction: () => number;
+	/**
+	The distinct priorities of a service's routes in ascending order, if its servers are filled by urgency; otherwise undefined.
+	*/
+	readonly urgencyLevels?: (service: string) => readonly number[] | undefined;
+	/**
+	Whether an open connection to a server is idle.
+	*/
+	readonly hasIdleConnection?: (server: string) => boolean;
 };
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -1,3 +1,4 @@
+import {gradedCapacityFactor} from '../demand/index.ts';
 import {rendezvousFirst} from '../shared/index.ts';
 import {estimatedLoad, estimatedPeerRequests} from './estimated-load.ts';
 import type {Placement} from './placement.ts';
@@ -61,11 +62,20 @@
 	options: ServerChoiceOptions,
 	state: ServerState,
 	sharingNodes: number,
+	placement: Placement,
 	now: number,
 ): number => {
+	const peerRequests = peerRequestsAt(state, now);
+	if (peerRequests !== undefined) {
+		const load = state.inFlight + 1 + peerRequests;
+		return load / capacityOf(options, state, placement);
+	}
+
 	const capacity =
-		Math.max(1, Math.ceil(capacityOf(options, state) / sharingNodes)) *
-		sharingNodes;
+		Math.max(
+			1,
+			Math.ceil(capacityOf(options, state, placement) / sharingNodes),
+		) * sharingNodes;
 	return estimatedLoad(state, sharingNodes, now, {additional: 1}) / capacity;
 };
 
@@ -79,11 +89,15 @@
 export const estimatedLoads = (
 	options: ServerChoiceOptions,
 	candidates: readonly ServerState[],
-	{sharedPart}: Placement,
+	placement: Placement,
 	now: number,
 ): ((state: ServerState, utilization: number) => number) => {
+	if (candidates[0] && peerRequestsAt(candidates[0], now) !== undefined) {
+		return (_state, utilization) => utilization;
+	}
+
 	// Few nodes send long prompts to one server, so this node's own requests are a good estimate of theirs.
-	const isLongPrompt = sharedPart !== undefined;
+	const isLongPrompt = placement.sharedPart !== undefined;
 	if (isLongPrompt || options.without.has('smoothed-load')) {
 		return (_state, utilization) => utilization;
 	}
@@ -93,17 +107,44 @@
 	const others = estimatedPeerRequests(mean, nodes, candidates.length);
 	return (state) =>
 		estimatedLoad(state, nodes, now, {additional: 1, others}) /
-		capacityOf(options, state);
+		capacityOf(options, state, placement);
 };
 
 const capacityOf = (
-	{service}: ServerChoiceOptions,
+	options: ServerChoiceOptions,
 	{known: {server}}: ServerState,
+	placement: Placement,
 ): number =>
-	server.slots *
-	(service(server.service)?.engine === undefined
-		? plainCapacityFactor
-		: engineCapacityFactor);
+	server.slots * capacityFactorOf(options, server.service, placement);
+
+const capacityFactorOf = (
+	{service, urgencyLevels}: ServerChoiceOptions,
+	name: string,
+	{priority}: Placement,
+): number => {
+	if (service(name)?.engine === undefined) {
+		return plainCapacityFactor;
+	}
+
+	const levels = urgencyLevels?.(name);
+	return levels === undefined || priority === undefined
+		? engineCapacityFactor
+		: gradedCapacityFactor(levels, priority);
+};
+
+/**
+Returns the requests that all nodes together may have in flight at a server of a service.
+*/
+export const sharedCapacityOf = (slots: number, isEngine: boolean): number =>
+	slots * (isEngine ? engineCapacityFactor : plainCapacityFactor);
+
+/**
+Estimates the requests of the other nodes at a server from what they reported; undefined without a recent report.
+*/
+export const peerRequestsAt = (
+	{peerRequests, known}: ServerState,
+	now: number,
+): number | undefined => peerRequests.estimate(known.server.id, now);
 
 /**
 Returns the cost of a server's state, independent of the request. A fully loaded server costs 1.
@@ -122,7 +163,23 @@
 	(options.without.has('pace')
 		? 0
 		: effectiveChunkIntervalOf(state, now) / fullLoadChunkIntervalMs) +
-	(options.without.has('failure-cost') ? 0 : state.failureRate * failureCost);
+	(options.without.has('failure-cost') ? 0 : state.failureRate * failureCost) +
+	connectionCost(options, state, now);
+
+// A server to which no connection is idle costs as much as the random part of a cost. With many nodes and servers, connections
+// otherwise close unused between two requests of a node.
+const newConnectionCost = 0.1;
+
+const connectionCost = (
+	{hasIdleConnection}: ServerChoiceOptions,
+	state: ServerState,
+	now: number,
+): number =>
+	hasIdleConnection === undefined ||
+	peerRequestsAt(state, now) === undefined ||
+	hasIdleConnection(state.known.server.id)
+		? 0
+		: newConnectionCost;
 
 /**
 Returns a function that gives the cost of processing the shared part of a prompt at a server. Parts that this node sent
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -7,6 +7,7 @@
 	createPromptCacheEstimate,
 	type PromptCacheEstimate,
 } from './prompt-cache-estimate.ts';
+import {createPeerRequests, type PeerRequests} from './peer-requests.ts';
 import {createPrefillSpeed, type PrefillSpeed} from './prefill-speed.ts';
 import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 
@@ -32,6 +33,10 @@
 	*/
 	readonly serviceInFlight: SmoothedCount;
 	/**
+	Requests of the other nodes at the servers of the service, as they reported them.
+	*/
+	readonly peerRequests: PeerRequests;
+	/**
 	Requests of other nodes according to the load that the server stated last, and the time of the statement.
 	*/
 	statedLoad: {readonly others: number; readonly at: number} | undefined;
@@ -110,13 +115,17 @@
 	{
 		serviceInFlight = createSmoothedCount(),
 		prefillSpeed = createPrefillSpeed(),
-	}: Partial<Pick<ServerState, 'serviceInFlight' | 'prefillSpeed'>> = {},
+		peerRequests = createPeerRequests(),
+	}: Partial<
+		Pick<ServerState, 'serviceInFlight' | 'prefillSpeed' | 'peerRequests'>
+	> = {},
 ): ServerState => ({
 	known,
 	incarnationId: incarnationIdOf(known.server),
 	inFlight: 0,
 	crashSuspects: 0,
 	serviceInFlight,
+	peerRequests,
 	statedLoad: undefined,
 	chunkIntervalMs: 0,
 	chunkIntervalAt: -Infinity,
--- /dev/null
+++ b/src/demand/graded-capacity.ts
@@ -0,0 +1,33 @@
+/**
+Requests in flight at an engine, as a multiple of its slots, up to which the most urgent requests are sent to it. Engines admit
+by urgency, so these wait only behind each other, and half a batch ends within the time that callers accept before a first event.
+*/
+export const mostUrgentCapacityFactor = 1.5;
+
+/**
+The same for the least urgent requests: they take free slots only. What waits at an engine can no longer be moved or refused.
+*/
+export const leastUrgentCapacityFactor = 1;
+
+/**
+Returns the multiple of an engine's slots up to which requests of a priority are sent to it. It answers a load that exceeds the
+slots of a region: less urgent requests then leave room for more urgent ones before an engine is full.
+
+@param levels The distinct priorities of the service's requests, in ascending order; 0 is the most urgent.
+@param priority The priority of the request.
+*/
+export const gradedCapacityFactor = (
+	levels: readonly number[],
+	priority: number,
+): number => {
+	if (levels.length < 2) {
+		return mostUrgentCapacityFactor;
+	}
+
+	const lessUrgent = levels.filter((level) => level > priority).length;
+	const fraction = lessUrgent / (levels.length - 1);
+	return (
+		leastUrgentCapacityFactor +
+		(mostUrgentCapacityFactor - leastUrgentCapacityFactor) * fraction
+	);
+};
--- /dev/null
+++ b/src/demand/index.ts
@@ -0,0 +1,6 @@
+export * from './request-sums.ts';
+export * from './region-load.ts';
+export * from './overflow-fraction.ts';
+export * from './region-balance.ts';
+export * from './graded-capacity.ts';
+export * from './contended-services.ts';
--- /dev/null
+++ b/src/demand/region-balance.ts
@@ -0,0 +1,120 @@
+import type {RegionLoad, RegionLoads} from './region-load.ts';
+import {freeSlotsOf, nextOverflowFraction} from './overflow-fraction.ts';
+
+/**
+Decides which requests of this node's callers go to another region before the own one is full.
+*/
+export type RegionBalance = {
+	/**
+	Adjusts the fractions after new loads have been received.
+	*/
+	update(now: number): void;
+	/**
+	Returns the region to which a request is moved, or undefined if it stays.
+
+	@param allowed Whether the request may be served in a region.
+	*/
+	regionFor(
+		service: string,
+		allowed: (region: string) => boolean,
+		now: number,
+	): string | undefined;
+	/**
+	The fraction of the requests that is moved, by service.
+	*/
+	fractions(): ReadonlyMap<string, number>;
+};
+
+/**
+Options of `createRegionBalance`.
+*/
+export type RegionBalanceOptions = {
+	readonly localRegion: string;
+	readonly loads: RegionLoads;
+	/**
+	Random number from 0 (inclusive) to 1 (exclusive).
+	*/
+	readonly randomFraction: () => number;
+	/**
+	Called when the node begins or ceases to move requests of a service.
+	*/
+	readonly onChange: (service: string, fraction: number) => void;
+};
+
+// Below this fraction, so few requests would move that none does.
+const minimumFraction = 0.02;
+
+/**
+Creates a balance that moves nothing until loads are known.
+*/
+export const createRegionBalance = ({
+	localRegion,
+	loads,
+	randomFraction,
+	onChange,
+}: RegionBalanceOptions): RegionBalance => {
+	const fractions = new Map<string, number>();
+
+	const setFraction = (service: string, fraction: number) => {
+		const wasMoving = fractions.has(service);
+		const isMoving = fraction >= minimumFraction;
+		if (isMoving) {
+			fractions.set(service, fraction);
+		} else {
+			fractions.delete(service);
+		}
+
+		if (isMoving !== wasMoving) {
+			onChange(service, isMoving ? fraction : 0);
+		}
+	};
+
+	const othersOf = (service: string, now: number): readonly RegionLoad[] =>
+		loads
+			.recent(now)
+			.filter(
+				(load) => load.service === service && load.region !== localRegion,
+			);
+
+	return {
+		update(now) {
+			for (const service of new Set([
+				...fractions.keys(),
+				...loads.recent(now).map((load) => load.service),
+			])) {
+				const local = loads.of(localRegion, service, now);
+				setFraction(
+					service,
+					local
+						? nextOverflowFraction(
+								local,
+								othersOf(service, now),
+								fractions.get(service) ?? 0,
+							)
+						: 0,
+				);
+			}
+		},
+		regionFor(service, allowed, now) {
+			const fraction = fractions.get(service) ?? 0;
+			if (fraction === 0 || randomFraction() >= fraction) {
+				return undefined;
+			}
+
+			const others = othersOf(service, now);
+			const total = others.reduce((sum, load) => sum + freeSlotsOf(load), 0);
+			// A draw that falls on a region that may not serve the request leaves it here, so that requests which are bound to few
+			// regions do not fill those.
+			let position = randomFraction() * total;
+			for (const load of others) {
+				position -= freeSlotsOf(load);
+				if (position < 0) {
+					return allowed(load.region) ? load.region : undefined;
+				}
+			}
+
+			return undefined;
+		},
+		fractions: () => fractions,
+	};
+};
--- a/src/gateway/choosing/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -13,6 +13,7 @@
 } from './choose-prompt-node.ts';
 import {
 	nodesOfLeastLoadedRegion,
+	nodesOfRegion,
 	type RegionNodes,
 	type TriedTargets,
 } from './region-nodes.ts';
@@ -45,6 +46,10 @@
 	Whether a request to a node can use an open, idle connection.
 	*/
 	readonly hasIdleConnection: (member: Member) => boolean;
+	/**
+	Returns the region to which a request is moved although this one may have capacity; undefined if it stays.
+	*/
+	readonly regionToMoveTo?: (exchange: Exchange) => string | undefined;
 	readonly random: Random;
 };
 
@@ -92,6 +97,11 @@
 			return toPeer(remoteHome);
 		}
 
+		const moved = nodesToMoveTo(options, exchange, tried, placement);
+		if (moved) {
+			return toPeer(moved);
+		}
+
 		const local: LocalChoice = isRegionAllowed(exchange.route, localRegion)
 			? fleet.choose(placement, now)
 			: {kind: 'none'};
@@ -118,3 +128,23 @@
 		return isRemoteBetter ? toPeer(remote) : local;
 	};
 };
+
+// A request is moved on its first try only. Long prompts stay with the servers that have their shared part cached.
+const nodesToMoveTo = (
+	options: UpstreamChooserOptions,
+	exchange: Exchange,
+	tried: TriedTargets,
+	{sharedPart, isIsolated}: Placement,
+): RegionNodes | undefined => {
+	const canMove =
+		exchange.hop === undefined &&
+		sharedPart === undefined &&
+		isIsolated !== true &&
+		tried.regions.size === 0 &&
+		tried.members.size === 0 &&
+		!options.without.has('overflow');
+	const region = canMove ? options.regionToMoveTo?.(exchange) : undefined;
+	return region === undefined
+		? undefined
+		: nodesOfRegion(options, region, exchange, tried);
+};
--- a/src/gateway/choosing/gateway-chooser.ts
+++ b/src/gateway/choosing/gateway-chooser.ts
@@ -5,6 +5,7 @@
 } from '../../backends/index.ts';
 import type {DisabledMechanisms} from '../../mechanisms/index.ts';
 import type {Member} from '../../membership/index.ts';
+import type {RegionBalance, RegionLoads} from '../../demand/index.ts';
 import type {Mesh} from '../../mesh/index.ts';
 import {isRegionAllowed} from '../../routes/index.ts';
 import type {Random} from '../../shared/index.ts';
@@ -46,6 +47,13 @@
 	*/
 	readonly isCached: (server: string, part: string) => boolean;
 	readonly client: Pick<UpstreamClient, 'hasIdleConnection'>;
+	/**
+	Loads of regions that nodes share directly, and the decisions about moves made from them.
+	*/
+	readonly demand: {
+		readonly loads: RegionLoads;
+		readonly balance: RegionBalance;
+	};
 	readonly random: Random;
 	readonly without: DisabledMechanisms;
 	readonly clock: () => number;
@@ -77,6 +85,12 @@
 			promptHome: (exchange, part) => promptHome(options, exchange, part),
 			hasIdleConnection: (member) =>
 				options.client.hasIdleConnection(peerConnectionKey(member)),
+			regionToMoveTo: ({route, service}) =>
+				options.demand.balance.regionFor(
+					service,
+					(region) => isRegionAllowed(route, region),
+					clock(),
+				),
 			random: options.random,
 			without: options.without,
 		}),
@@ -88,10 +102,15 @@
 
 // The load of a region is the load of its most loaded zone.
 const loadIn = (
-	{zones, placement, mesh, clock}: GatewayChooserOptions,
+	{zones, placement, mesh, clock, demand}: GatewayChooserOptions,
 	region: string,
 	service: string,
 ): ServiceLoad => {
+	const reported = demand.loads.of(region, service, clock());
+	if (reported) {
+		return reported;
+	}
+
 	let load = 0;
 	const slots = placement.slotsIn(region, service);
 	for (const [zone, zoneRegion] of Object.entries(zones)) {
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -186,6 +186,7 @@
 			sharedPart: exchange.prompt && placementPart(exchange.prompt),
 			promptTokens: exchange.prompt?.tokensIn ?? 0,
 			targetMs: exchange.route.targetLatencyMs,
+			priority: exchange.route.priority,
 			excluded,
 		},
 		fullRegions: new Set(),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -67,6 +67,7 @@
 		peerClient,
 		prompts,
 		limits,
+		demand,
 		fleet,
 		client,
 		quarantine,
@@ -143,6 +144,7 @@
 		leavingBroadcast.tick(now);
 		prompts.tick();
 		limits.tick(now);
+		demand.tick(now);
 		deliveries.tick(now);
 		observer.tick(now);
 		joiner.tick(now);
--- /dev/null
+++ b/src/gateway/sharing/demand-sharing.ts
@@ -0,0 +1,295 @@
+import {
+	sharedCapacityOf,
+	type BackendFleet,
+	type ServerInUse,
+} from '../../backends/index.ts';
+import {
+	createRegionBalance,
+	createRegionLoads,
+	createRequestSums,
+	isShareSmall,
+	type RegionBalance,
+	type RegionLoad,
+	type RegionLoads,
+	type ServerRequests,
+} from '../../demand/index.ts';
+import type {Logger} from '../../logging/index.ts';
+import type {DisabledMechanisms} from '../../mechanisms/index.ts';
+import {createZoneRoleHolders, type Member} from '../../membership/index.ts';
+import type {Mesh} from '../../mesh/index.ts';
+import type {DemandMessage} from '../../peers/demand-messages.ts';
+import type {RouteTable} from '../../routes/index.ts';
+
+/**
+Shares the requests in flight at backend servers with the other nodes of the region, and the loads of regions with all nodes.
+*/
+export type DemandSharing = {
+	/**
+	The distinct priorities of a service's routes in ascending order, if its servers are filled by urgency.
+	*/
+	urgencyLevels(service: string): readonly number[] | undefined;
+	/**
+	Processes a message of another node.
+	*/
+	receive(message: DemandMessage, now: number): void;
+	/**
+	Sends this node's requests once the interval has passed; called at each tick.
+	*/
+	tick(now: number): void;
+	readonly loads: RegionLoads;
+	readonly balance: RegionBalance;
+};
+
+/**
+Options of `createDemandSharing`.
+*/
+export type DemandSharingOptions = {
+	readonly mesh: Pick<Mesh, 'self' | 'usable' | 'send'>;
+	readonly localRegion: string;
+	readonly regionOf: (availabilityZone: string) => string;
+	readonly routes: () =>
+		Pick<RouteTable, 'urgencyLevels' | 'service'> | undefined;
+	readonly fleet: Pick<BackendFleet, 'requestsAt' | 'recordPeerRequests'>;
+	/**
+	Number of nodes of the region that serve requests, including this one.
+	*/
+	readonly nodesServing: () => number;
+	readonly randomFraction: () => number;
+	readonly without: DisabledMechanisms;
+	readonly logger: Logger;
+};
+
+/**
+Interval at which nodes report their requests, in milliseconds. A peak that arrives within a second is seen by all nodes before
+engines have finished the requests that they run.
+*/
+export const demandIntervalMs = 400;
+
+/**
+Fraction of the nodes of a zone that have to report before their sum is used. A node that has just become the holder would
+otherwise report servers as free.
+*/
+export const minimumCoverage = 0.5;
+
+// The holder of this role adds up the requests of its zone.
+const role = 'demand';
+
+/**
+Creates the sharing of one node. A node sends one report an interval to the holder of its zone, whatever the number of nodes.
+*/
+export const createDemandSharing = ({
+	mesh,
+	localRegion,
+	regionOf,
+	routes,
+	fleet,
+	nodesServing,
+	randomFraction,
+	without,
+	logger,
+}: DemandSharingOptions): DemandSharing => {
+	// Reports of the nodes of the own zone, and of the other zones of the region; used by the holder.
+	const nodeSums = createRequestSums();
+	const zoneSums = createRequestSums();
+	const holders = createZoneRoleHolders(role, mesh.self, mesh.usable);
+	const loads = createRegionLoads();
+	const balance = createRegionBalance({
+		localRegion,
+		loads,
+		randomFraction,
+		onChange(service, fraction) {
+			const local = loads.of(localRegion, service, lastTickAt);
+			logger.info(
+				{
+					service,
+					fraction: Math.round(fraction * 100) / 100,
+					load: Math.round(local?.load ?? 0),
+					slots: local?.slots ?? 0,
+				},
+				'fraction of requests that is moved to other regions changed',
+			);
+		},
+	});
+	let reported: ReadonlyMap<string, number> = new Map();
+	let nextAt = 0;
+	let lastTickAt = 0;
+
+	const isInOwnZone = ({availabilityZone}: Member) =>
+		availabilityZone === mesh.self().availabilityZone;
+
+	const isShared = (service: string, servers: readonly ServerInUse[]) => {
+		const slots = Math.max(0, ...servers.map((server) => server.slots));
+		const isEngine = routes()?.service(service)?.engine !== undefined;
+		return isShareSmall(sharedCapacityOf(slots, isEngine), nodesServing());
+	};
+
+	const sharedServices = (): ReadonlyMap<string, readonly ServerInUse[]> => {
+		const levels = without.has('regional-demand')
+			? undefined
+			: routes()?.urgencyLevels;
+		return new Map(
+			[...(levels?.keys() ?? [])]
+				.map((service) => [service, fleet.requestsAt(service)] as const)
+				.filter(([service, servers]) => isShared(service, servers)),
+		);
+	};
+
+	let shared = sharedServices();
+
+	const applyTotals = (requests: readonly ServerRequests[], now: number) => {
+		const totals = new Map(
+			requests.map((each) => [each.server, each.requests]),
+		);
+		for (const [service, servers] of shared) {
+			const others = new Map(
+				servers
+					.filter(({id}) => totals.has(id))
+					.map(({id}) => [
+						id,
+						Math.max(0, totals.get(id)! - (reported.get(id) ?? 0)),
+					]),
+			);
+			if (others.size > 0) {
+				fleet.recordPeerRequests(service, others, now);
+			}
+		}
+	};
+
+	// The nodes of a zone that have not reported are assumed to have as many requests as the others.
+	const zoneScale = (): number | undefined => {
+		const nodes =
+			1 + mesh.usable().filter((member) => isInOwnZone(member)).length;
+		const coverage = nodeSums.sources() / nodes;
+		return coverage < minimumCoverage ? undefined : 1 / Math.min(1, coverage);
+	};
+
+	// A silent zone with usable nodes is assumed to have as many requests as the mean of the others.
+	const regionScale = (): number => {
+		const zones = new Set(
+			mesh
+				.usable()
+				.map(({availabilityZone}) => availabilityZone)
+				.filter((zone) => regionOf(zone) === localRegion),
+		);
+		zones.delete(mesh.self().availabilityZone);
+		const heard = [...zones].filter((zone) => zoneSums.has(zone)).length;
+		return (1 + zones.size) / (1 + heard);
+	};
+
+	const sendTotals = (now: number) => {
+		nodeSums.expire(now);
+		zoneSums.expire(now);
+		const scale = zoneScale();
+		if (scale === undefined) {
+			return;
+		}
+
+		const {id, availabilityZone} = mesh.self();
+		const servers = [...shared.values()].flat();
+		const ofZone = servers.map((server) => ({
+			server: server.id,
+			requests: nodeSums.at(server.id) * scale,
+		}));
+		const others = [...holders().values()].filter(
+			(holder) => !isInOwnZone(holder),
+		);
+		const isInRegion = (member: Member) =>
+			regionOf(member.availabilityZone) === localRegion;
+		mesh.send(
+			others.filter((holder) => isInRegion(holder)),
+			{kind: 'demand-zone', from: availabilityZone, requests: ofZone},
+		);
+		const spread = regionScale();
+		const ofRegion = ofZone.map(({server, requests}) => ({
+			server,
+			requests: (requests + zoneSums.at(server)) * spread,
+		}));
+		const totals = new Map(
+			ofRegion.map((each) => [each.server, each.requests]),
+		);
+		const ownLoads = [...shared].map(([service, ofService]): RegionLoad => ({
+			region: localRegion,
+			service,
+			load: ofService.reduce((sum, server) => sum + totals.get(server.id)!, 0),
+			slots: ofService.reduce((sum, {slots}) => sum + slots, 0),
+		}));
+		loads.record(ownLoads, now);
+		mesh.send(
+			others.filter((holder) => !isInRegion(holder)),
+			{kind: 'demand-regions', from: id, loads: ownLoads},
+		);
+		const zoneNodes = mesh.usable().filter((member) => isInOwnZone(member));
+		mesh.send(zoneNodes, {kind: 'demand-totals', from: id, requests: ofRegion});
+		mesh.send(zoneNodes, {
+			kind: 'demand-regions',
+			from: id,
+			loads: loads.recent(now),
+		});
+		applyTotals(ofRegion, now);
+		balance.update(now);
+	};
+
+	const report = (now: number) => {
+		const counts = new Map(
+			[...shared.values()].flat().map(({id, inFlight}) => [id, inFlight]),
+		);
+		// A server without requests is reported once more, so that its earlier count is replaced.
+		const requests = [...counts]
+			.filter(([id, count]) => count > 0 || (reported.get(id) ?? 0) > 0)
+			.map(([server, count]) => ({server, requests: count}));
+		reported = counts;
+		const {id, availabilityZone} = mesh.self();
+		const holder = holders().get(availabilityZone);
+		if (holder === undefined || holder.id === id) {
+			nodeSums.record(id, requests, now);
+			sendTotals(now);
+		} else {
+			mesh.send([holder], {kind: 'demand-node', from: id, requests});
+		}
+	};
+
+	return {
+		urgencyLevels: (service) =>
+			shared.has(service) ? routes()?.urgencyLevels?.get(service) : undefined,
+		receive(message, now) {
+			switch (message.kind) {
+				case 'demand-node': {
+					nodeSums.record(message.from, message.requests, now);
+					return;
+				}
+
+				case 'demand-zone': {
+					zoneSums.record(message.from, message.requests, now);
+					return;
+				}
+
+				case 'demand-totals': {
+					applyTotals(message.requests, now);
+					return;
+				}
+
+				case 'demand-regions': {
+					loads.record(message.loads, now);
+					// The holder of the own zone states the load of the own region, too. Other messages come from other regions.
+					if (message.loads.some(({region}) => region === localRegion)) {
+						balance.update(now);
+					}
+				}
+			}
+		},
+		tick(now) {
+			if (now < nextAt) {
+				return;
+			}
+
+			nextAt = now + demandIntervalMs;
+			lastTickAt = now;
+			shared = sharedServices();
+			if (shared.size > 0) {
+				report(now);
+			}
+		},
+		loads,
+		balance,
+	};
+};
--- a/src/gateway/sharing/index.ts
+++ b/src/gateway/sharing/index.ts
@@ -2,3 +2,4 @@
 export * from './node-joiner.ts';
 export * from './node-state.ts';
 export * from './node-shares.ts';
+export * from './demand-sharing.ts';
--- a/src/gateway/sharing/node-state.ts
+++ b/src/gateway/sharing/node-state.ts
@@ -42,6 +42,7 @@
 } from '../../shared/index.ts';
 import type {GatewayOptions} from '../gateway-options.ts';
 import {createPlacementView, type PlacementView} from '../choosing/index.ts';
+import {createDemandSharing, type DemandSharing} from './demand-sharing.ts';
 import {createLimitSharing, type LimitSharing} from './limit-sharing.ts';
 import {
 	createNodeShares,
@@ -82,6 +83,10 @@
 	readonly prompts: PromptSharing;
 	readonly limits: LimitSharing;
 	/**
+	Requests of all nodes at the servers of this region, and the loads of all regions.
+	*/
+	readonly demand: DemandSharing;
+	/**
 	The backend servers of this region, and the client that sends requests to them.
 	*/
 	readonly fleet: BackendFleet;
@@ -197,6 +202,14 @@
 					return;
 				}
 
+				case 'demand-node':
+				case 'demand-zone':
+				case 'demand-totals':
+				case 'demand-regions': {
+					demand.receive(message, clock());
+					return;
+				}
+
 				case 'node':
 				case 'zone':
 				case 'totals': {
@@ -314,6 +327,19 @@
 		}),
 		randomFraction: random.fraction,
 		without: options.without,
+		urgencyLevels: (service) => demand.urgencyLevels(service),
+		hasIdleConnection: (server) => client.hasIdleConnection(`server ${server}`),
+	});
+	const demand = createDemandSharing({
+		mesh,
+		localRegion,
+		regionOf,
+		routes: mirror.routes,
+		fleet,
+		nodesServing: shares.nodesServing,
+		randomFraction: random.fraction,
+		without: options.without,
+		logger,
 	});
 	onSuspended = fleet.shiftClock;
 	const placement = createPlacementView({mirror, regions, regionOf});
@@ -377,6 +403,7 @@
 		shares,
 		prompts,
 		limits,
+		demand,
 		fleet,
 		client,
 		placement,
--- a/src/mechanisms/mechanisms.ts
+++ b/src/mechanisms/mechanisms.ts
@@ -100,6 +100,14 @@
 	Makes a leaving node reject requests that it cannot complete.
 	*/
 	'leaving-admission',
+	/**
+	Shares the requests in flight at each server between the nodes of a region, and moves requests between regions by them.
+	*/
+	'regional-demand',
+	/**
+	Makes a node whose event loop is late reject requests, the least urgent first.
+	*/
+	'node-overload',
 ] as const;
 
 /**
--- a/src/peers/peer-message-codec.ts
+++ b/src/peers/peer-message-codec.ts
@@ -17,6 +17,12 @@
 	encodeServerLeavingRows,
 	type ServerLeavingMessage,
 } from './leaving-messages.ts';
+import {
+	decodeDemandRows,
+	demandMessageKinds,
+	encodeDemandRows,
+	type DemandMessage,
+} from './demand-messages.ts';
 import {
 	checkChoice,
 	checkNonNegative,
@@ -59,7 +65,8 @@
 	| PrefillBacklogMessage
 	| QuarantineMessage
 	| BackendLimitMessage
-	| ServerLeavingMessage;
+	| ServerLeavingMessage
+	| DemandMessage;
 
 /**
 Encodes messages between nodes as sealed datagrams and decodes them.
@@ -95,6 +102,7 @@
 	...quarantineMessageKinds,
 	'backend-limits',
 	'servers-leaving',
+	...demandMessageKinds,
 ] as const;
 
 type Row = readonly unknown[];
@@ -175,6 +183,13 @@
 		case 'servers-leaving': {
 			return encodeServerLeavingRows(message);
 		}
+
+		case 'demand-node':
+		case 'demand-zone':
+		case 'demand-totals':
+		case 'demand-regions': {
+			return encodeDemandRows(message);
+		}
 	}
 };
 
@@ -191,7 +206,11 @@
 		case 'quarantine':
 		case 'served':
 		case 'backend-limits':
-		case 'servers-leaving': {
+		case 'servers-leaving':
+		case 'demand-node':
+		case 'demand-zone':
+		case 'demand-totals':
+		case 'demand-regions': {
 			return 1;
 		}
 	}
@@ -230,6 +249,13 @@
 		case 'servers-leaving': {
 			return decodeServerLeavingRows(from, rows);
 		}
+
+		case 'demand-node':
+		case 'demand-zone':
+		case 'demand-totals':
+		case 'demand-regions': {
+			return decodeDemandRows(kind, from, rows);
+		}
 	}
 };
 
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -1,4 +1,5 @@
 import {createClientDirectory, type ClientDirectory} from '../clients/index.ts';
+import {urgencyLevelsOf} from '../demand/contended-services.ts';
 import {keyedWeight} from '../shared/index.ts';
 import type {Route, RouteDocument, Service} from './route.ts';
 
@@ -13,6 +14,11 @@
 	match(host: string, path: string): Route | undefined;
 	service(name: string): Service | undefined;
 	/**
+	Distinct priorities of each service's routes in ascending order; undefined if the document does not ask for decisions by the
+	demand of regions.
+	*/
+	readonly urgencyLevels: ReadonlyMap<string, readonly number[]> | undefined;
+	/**
 	Client accounts; undefined if callers need no key.
 	*/
 	readonly clients: ClientDirectory | undefined;
@@ -40,6 +46,7 @@
 			return routes && longestPrefix(routes, pathOnly(path));
 		},
 		service: (name) => services.get(name),
+		urgencyLevels: urgencyLevelsOf(document),
 		clients:
 			document.clients &&
 			createClientDirectory(document.clients, document.routes),
