Refuse requests while the node itself is overloaded, the least urgent first

Cause: a node whose event loop is late reads requests up to a second after they came, counts their time limit from then and holds them past it. Ruled out: latency of servers as the signal (says nothing of the node), a limit on requests in flight (requests differ twentyfold in cost). Change: the delay of the loop counts into the time limit; above 100 ms in two ticks in a row a rising fraction is refused at once. With settings of less than a core only. Engines keep slots free for more urgent requests, which would preempt less urgent ones.

--- a/src/demand/graded-capacity.ts
+++ b/src/demand/graded-capacity.ts
@@ -1,13 +1,19 @@
 /**
 Requests in flight at an engine, as a multiple of its slots, up to which the most urgent requests are sent to it. Engines admit
-by urgency, so these wait only behind each other, and half a batch ends within the time that callers accept before a first event.
+by urgency, so these wait only behind each other for one of the next slots that become free.
 */
-export const mostUrgentCapacityFactor = 1.5;
+export const mostUrgentCapacityFactor = 1.25;
 
 /**
-The same for the least urgent requests: they take free slots only. What waits at an engine can no longer be moved or refused.
+The same for the least urgent requests. A full engine preempts them for more urgent ones and processes their prompts again, so
+they leave slots free for those that arrive while they run.
 */
-export const leastUrgentCapacityFactor = 1;
+export const leastUrgentCapacityFactor = 0.75;
+
+/**
+The same for requests that are all equally urgent: nothing is preempted for them.
+*/
+export const singleLevelCapacityFactor = 1.5;
 
 /**
 Returns the multiple of an engine's slots up to which requests of a priority are sent to it. It answers a load that exceeds the
@@ -21,7 +27,7 @@
 	priority: number,
 ): number => {
 	if (levels.length < 2) {
-		return mostUrgentCapacityFactor;
+		return singleLevelCapacityFactor;
 	}
 
 	const lessUrgent = levels.filter((level) => level > priority).length;
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -36,6 +36,10 @@
 	readonly headers: WireHeaders;
 	readonly bounds: GatewayBounds;
 	/**
+	Processor time that the node may use, in cores. A node with less than one core sheds requests while it is overloaded.
+	*/
+	readonly processorCores?: number | undefined;
+	/**
 	Mechanisms that are disabled, to measure their benefit.
 	*/
 	readonly without: DisabledMechanisms;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -76,16 +76,13 @@
 		announcements,
 		leavingBroadcast,
 	} = nodeState;
-	const {intake, deliveries, observer, admission} = createRequestHandling(
-		options,
-		nodeState,
-		{
+	const {intake, deliveries, observer, admission, overload} =
+		createRequestHandling(options, nodeState, {
 			onFirstWaiting() {
 				ticks.reschedule();
 			},
 			lagMs: () => ticks.lagMs(),
-		},
-	);
+		});
 	const probes = createServerProbes({
 		client,
 		fleet,
@@ -130,6 +127,7 @@
 
 	const tick = () => {
 		const now = clock();
+		overload?.tick();
 		mesh.tick(now);
 		registry.tick(now);
 		for (const server of fleet.tick(now)) {
--- a/src/gateway/intake/index.ts
+++ b/src/gateway/intake/index.ts
@@ -3,4 +3,5 @@
 export * from './gateway-listeners.ts';
 export * from './region-failover-log.ts';
 export * from './leaving-admission.ts';
+export * from './node-overload.ts';
 export * from './request-intake.ts';
--- a/src/gateway/intake/request-deferral.ts
+++ b/src/gateway/intake/request-deferral.ts
@@ -18,6 +18,23 @@
 */
 export const deferralLagMs = 100;
 
+/**
+Maximum time that a request is assumed to have waited in its socket, in milliseconds. Callers give up on a request that is not
+read within a second.
+*/
+export const maximumSocketWaitMs = 1000;
+
+/**
+Returns how long a request that is read now has waited in its socket, in milliseconds. While the event loop is late, requests
+arrive long before they are read, and their time limits count from their arrival.
+
+@param lagMs Delay of the event loop in milliseconds; infinite while it is unknown.
+*/
+export const socketWaitOf = (lagMs: number): number =>
+	Number.isFinite(lagMs) && lagMs >= deferralLagMs
+		? Math.min(lagMs, maximumSocketWaitMs)
+		: 0;
+
 /**
 Creates a deferral.
 
--- a/src/gateway/intake/request-intake.ts
+++ b/src/gateway/intake/request-intake.ts
@@ -19,6 +19,7 @@
 import {createHopSink} from './hop-sink.ts';
 import type {RequestDeferral} from './request-deferral.ts';
 import type {LeavingAdmission} from './leaving-admission.ts';
+import type {NodeOverload} from './node-overload.ts';
 import {
 	readExchange,
 	readForwarded,
@@ -55,6 +56,14 @@
 	readonly admission: LeavingAdmission;
 	readonly requestDeferral: RequestDeferral;
 	/**
+	Sheds requests while this node is overloaded; undefined if it never does.
+	*/
+	readonly overload: NodeOverload | undefined;
+	/**
+	Returns how long a request that is read now has waited in its socket, in milliseconds.
+	*/
+	readonly socketWaitMs: () => number;
+	/**
 	Checks the limit of the account; called for each request of a caller that has one.
 	*/
 	readonly admit: (exchange: Exchange) => SharedVerdict;
@@ -81,6 +90,8 @@
 	observer,
 	admission,
 	requestDeferral,
+	overload,
+	socketWaitMs,
 	admit,
 	without,
 	readContext,
@@ -102,6 +113,26 @@
 					),
 				);
 
+	// Nothing of the request has been processed but its head, so the refusal costs little.
+	const checkOverload = (
+		result: Result<Exchange, GatewayError>,
+	): Result<Exchange, GatewayError> => {
+		if (result.isErr || !overload) {
+			return result;
+		}
+
+		const levels = readContext().routes?.priorities ?? [];
+		return overload.admits(levels, result.value.route.priority)
+			? result
+			: Result.err(
+					createGatewayError(
+						'overloaded',
+						'This node is overloaded; send the request again later, or to another node',
+						{retryAfterSeconds: overload.retryAfterSeconds()},
+					),
+				);
+	};
+
 	// The node that received a forwarded request from the caller has already counted it.
 	const checkLimit = (
 		result: Result<Exchange, GatewayError>,
@@ -136,7 +167,9 @@
 	): (() => void) => {
 		// The time limit counts from the arrival of the request and includes the wait for the first routes.
 		const context = {...readContext(), now: arrivedAt};
-		const exchange = checkLimit(checkAdmission(read(request, context)));
+		const exchange = checkLimit(
+			checkOverload(checkAdmission(read(request, context))),
+		);
 		if (exchange.isErr) {
 			const {kind, message} = exchange.error;
 			sink.refuse(exchange.error, []);
@@ -182,7 +215,7 @@
 		request: ReceivedRequest,
 		sink: ResponseSink,
 	): (() => void) => {
-		const arrivedAt = readContext().now;
+		const arrivedAt = readContext().now - socketWaitMs();
 		let cancel: () => void = () => undefined;
 		const cancelDeferral = requestDeferral.schedule(() => {
 			let callerLeft: () => void = () => undefined;
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -16,6 +16,9 @@
 import {
 	createRequestDeferral,
 	createLeavingAdmission,
+	createNodeOverload,
+	socketWaitOf,
+	type NodeOverload,
 	type LeavingAdmission,
 	createRequestIntake,
 	type RequestIntake,
@@ -30,6 +33,7 @@
 	readonly deliveries: Deliveries;
 	readonly observer: GatewayObserver;
 	readonly admission: LeavingAdmission;
+	readonly overload: NodeOverload | undefined;
 };
 
 /**
@@ -78,6 +82,26 @@
 		announcements,
 	} = nodeState;
 	const {routesVersion} = mirror;
+	const hasOverloadControl =
+		(options.processorCores ?? 1) < 1 && !options.without.has('node-overload');
+	const overload = hasOverloadControl
+		? createNodeOverload({
+				lagMs: hooks.lagMs,
+				random: nodeState.random,
+				onChange(isOverloaded, lagMs) {
+					const fields = {
+						lagMs: Math.round(lagMs),
+						inFlight: deliveries.count(),
+					};
+					logger.warn(
+						fields,
+						isOverloaded
+							? 'node is overloaded and refuses requests'
+							: 'node is no longer overloaded',
+					);
+				},
+			})
+		: undefined;
 	const {choose, peerFailed} = createGatewayChooser({
 		...nodeState,
 		zones: options.zones,
@@ -171,6 +195,9 @@
 			requestsUnderWay: deliveries.count,
 			requestsWaiting: deliveries.queuedCount,
 			loopLagMilliseconds: hooks.lagMs,
+			overloadRefusedFraction: () => overload?.refusedFraction() ?? 0,
+			regionalOverflowFraction: () =>
+				Math.max(0, ...nodeState.demand.balance.fractions().values()),
 			registryEra: () => mirror.position().era,
 			registryRevision: mirror.revision,
 			registryKeptBeyondCopy: () => Number(mirror.stamp().isAheadOfRegistry),
@@ -196,6 +223,8 @@
 		observer,
 		admission,
 		requestDeferral: createRequestDeferral(hooks.lagMs),
+		overload,
+		socketWaitMs: () => (overload ? socketWaitOf(hooks.lagMs()) : 0),
 		admit({client: account, prompt}) {
 			const name = account?.name ?? '';
 			const now = clock();
@@ -212,7 +241,7 @@
 			now: clock(),
 		}),
 	});
-	return {intake, deliveries, observer, admission};
+	return {intake, deliveries, observer, admission, overload};
 };
 
 const tokensOf = (prompt: Prompt | undefined): number | undefined =>
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -14,6 +14,10 @@
 	match(host: string, path: string): Route | undefined;
 	service(name: string): Service | undefined;
 	/**
+	Distinct priorities of all routes in ascending order.
+	*/
+	readonly priorities: readonly number[];
+	/**
 	Distinct priorities of each service's routes in ascending order; undefined if the document does not ask for decisions by the
 	demand of regions.
 	*/
@@ -46,6 +50,9 @@
 			return routes && longestPrefix(routes, pathOnly(path));
 		},
 		service: (name) => services.get(name),
+		priorities: [
+			...new Set(document.routes.map(({priority}) => priority)),
+		].toSorted((left, right) => left - right),
 		urgencyLevels: urgencyLevelsOf(document),
 		clients:
 			document.clients &&
