--- a/src/backends/backend-attempt.ts
+++ b/src/backends/backend-attempt.ts
@@ -137,6 +137,8 @@
 			state.lastActivityAt = at;
 		},
 		recordStatedLoad(load, at) {
+			state.statedSlowdown =
+				load.slowdown === undefined ? undefined : {factor: load.slowdown, at};
 			state.statedLoad = {
 				others: Math.max(0, load.running + load.waiting - state.inFlight),
 				at,
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -8,7 +8,7 @@
 	stateCost,
 } from './server-cost.ts';
 import type {ServerChoiceOptions} from './server-choice-options.ts';
-import {isCold, type ServerState} from './server-state.ts';
+import {isCold, slowdownOf, type ServerState} from './server-state.ts';
 
 /**
 Result of choosing a backend server in the local region.
@@ -96,7 +96,7 @@
 		}
 
 		const cost =
-			load +
+			load * slowdownOf(state, now) +
 			stateCost(options, state, now) +
 			prefillCostOf(state) +
 			options.randomFraction() * randomCostRange;
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -41,6 +41,10 @@
 	*/
 	statedLoad: {readonly others: number; readonly at: number} | undefined;
 	/**
+	How many times as long as usual work took at the server when it last stated that.
+	*/
+	statedSlowdown: {readonly factor: number; readonly at: number} | undefined;
+	/**
 	Moving average of the time between two chunks of a stream of this server, in milliseconds.
 	*/
 	chunkIntervalMs: number;
@@ -127,6 +131,7 @@
 	serviceInFlight,
 	peerRequests,
 	statedLoad: undefined,
+	statedSlowdown: undefined,
 	chunkIntervalMs: 0,
 	chunkIntervalAt: -Infinity,
 	pendingTokens: 0,
@@ -145,6 +150,22 @@
 	promptCache: createPromptCacheEstimate(memoryTokens),
 });
 
+/**
+Maximum age of a stated slowdown, in milliseconds. Other work on the server's machine comes and goes many times a second.
+*/
+export const slowdownMaximumAgeMs = 500;
+
+/**
+Returns how many times as long as usual work takes at a server; 1 without a recent statement.
+*/
+export const slowdownOf = (
+	{statedSlowdown}: ServerState,
+	now: number,
+): number =>
+	statedSlowdown && now - statedSlowdown.at <= slowdownMaximumAgeMs
+		? statedSlowdown.factor
+		: 1;
+
 /**
 Whether a server is cold or possibly cold.
 */
