--- a/src/backends/peer-requests.ts
+++ b/src/backends/peer-requests.ts
@@ -11,6 +11,10 @@
 	*/
 	recordDuration(milliseconds: number): void;
 	/**
+	Mean time that this node's latest requests were in flight, in milliseconds; undefined before the first one has ended.
+	*/
+	meanDurationMs(): number | undefined;
+	/**
 	Estimates the requests of the other nodes at a server now. Returns undefined without a recent report.
 	*/
 	estimate(server: string, now: number): number | undefined;
@@ -26,14 +30,14 @@
 */
 export const reportDelayMs = 400;
 
-// Weight of the latest request in the moving average of the duration.
-const durationWeight = 0.05;
+// Number of requests over which the duration is averaged.
+const durationSamples = 20;
 
 // Weight of the latest report in the moving average over the servers. Reports count whole requests at one moment each.
 const meanWeight = 0.5;
 
 // Assumed duration before the first request has ended.
-const initialDurationMs = 500;
+const initialDurationMs = 200;
 
 /**
 Creates requests without reports.
@@ -48,6 +52,7 @@
 	>();
 	let mean = 0;
 	let durationMs = initialDurationMs;
+	let samples = 0;
 	let reportedAt = -Infinity;
 
 	return {
@@ -71,8 +76,10 @@
 			reportedAt = now;
 		},
 		recordDuration(milliseconds) {
-			durationMs += (milliseconds - durationMs) * durationWeight;
+			samples = Math.min(durationSamples, samples + 1);
+			durationMs += (milliseconds - durationMs) / samples;
 		},
+		meanDurationMs: () => (samples === 0 ? undefined : durationMs),
 		estimate(server, now) {
 			if (now - reportedAt > peerReportMaximumAgeMs) {
 				return undefined;
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -111,27 +111,45 @@
 };
 
 const capacityOf = (
-	options: ServerChoiceOptions,
-	{known: {server}}: ServerState,
-	placement: Placement,
-): number =>
-	server.slots * capacityFactorOf(options, server.service, placement);
-
-const capacityFactorOf = (
 	{service, urgencyLevels}: ServerChoiceOptions,
-	name: string,
-	{priority}: Placement,
+	{known: {server}, peerRequests}: ServerState,
+	{priority, targetMs}: Placement,
 ): number => {
-	if (service(name)?.engine === undefined) {
-		return plainCapacityFactor;
+	const levels = urgencyLevels?.(server.service);
+	if (service(server.service)?.engine === undefined) {
+		const factor =
+			levels === undefined
+				? plainCapacityFactor
+				: queueingCapacityFactor(peerRequests.meanDurationMs(), targetMs);
+		return server.slots * factor;
 	}
 
-	const levels = urgencyLevels?.(name);
-	return levels === undefined || priority === undefined
-		? engineCapacityFactor
-		: gradedCapacityFactor(levels, priority);
+	const factor =
+		levels === undefined || priority === undefined
+			? engineCapacityFactor
+			: gradedCapacityFactor(levels, priority);
+	return server.slots * factor;
 };
 
+// Maximum requests in flight at a plain server whose requests are short beside their target, as a multiple of its slots. Servers
+// turn away what exceeds their queues, which are a few times as long as their slots.
+const maximumPlainCapacityFactor = 3;
+
+// A request may wait behind others for half of its target.
+const queueingFraction = 0.5;
+
+const queueingCapacityFactor = (
+	durationMs: number | undefined,
+	targetMs: number,
+): number =>
+	Math.min(
+		maximumPlainCapacityFactor,
+		Math.max(
+			plainCapacityFactor,
+			(targetMs * queueingFraction) / (durationMs ?? targetMs),
+		),
+	);
+
 /**
 Returns the requests that all nodes together may have in flight at a server of a service.
 */
