--- a/src/demand/contended-services.ts
+++ b/src/demand/contended-services.ts
@@ -35,10 +35,10 @@
 };
 
 /**
-Requests per node and server up to which an equal share of a server says too little: a node's one or two own requests then do
-not tell how many the others have.
+Requests per node and server below which an equal share says too little: the number of a node's own requests then differs from
+the mean of all nodes by a third or more.
 */
-export const smallShare = 2;
+export const smallShare = 8;
 
 /**
 Whether the nodes of a region have to know each other's requests to judge how full a server is.
--- a/src/gateway/intake/node-overload.ts
+++ b/src/gateway/intake/node-overload.ts
@@ -43,16 +43,16 @@
 };
 
 /**
-Delay of the event loop from which requests are refused, in milliseconds. It is a fifth of the shortest target latency that
-callers usually state, so that most of a target remains for the backend server.
+Delay of the event loop from which requests are refused, in milliseconds. A request takes some six turns of the loop, to be
+accepted, read, sent, and to relay its first event; with this delay, they take the larger part of a target of half a second.
 */
-export const overloadLagMs = 100;
+export const overloadLagMs = 50;
 
 /**
 Consecutive late ticks before anything is refused. A single late turn, such as a long garbage collection or a resumed machine,
 is over when it is seen.
 */
-export const lateTicksBeforeRefusal = 2;
+export const lateTicksBeforeRefusal = 3;
 
 /**
 Upper bound of the fraction: some of the most urgent requests are always accepted, which shows whether the node still lags.
@@ -60,11 +60,14 @@
 export const maximumRefusedFraction = 0.9;
 
 // Increase per late tick for each `overloadLagMs` of delay beyond the bound, and the maximum increase of one tick.
-const increase = 0.1;
-const maximumIncrease = 0.3;
+const increase = 0.02;
+const maximumIncrease = 0.06;
+
+// Addition to the fraction for each `overloadLagMs` of the present delay beyond the bound.
+const excessWeight = 0.2;
 
 // Factor per tick that is not late: a fraction of one half falls below the minimum within two seconds.
-const decrease = 0.75;
+const decrease = 0.8;
 const minimumRefusedFraction = 0.02;
 
 // Bounds of the time after which refused callers return, in seconds. In the longer one the fraction has followed the load.
@@ -113,9 +116,15 @@
 				return true;
 			}
 
+			// The fraction follows the load within ticks; the present delay bounds the queue until it has.
+			const excess = Math.max(0, lagMs() / overloadLagMs - 1);
+			const fraction = Math.min(
+				maximumRefusedFraction,
+				refused + excess * excessWeight,
+			);
 			const lessUrgent = levels.filter((level) => level > priority).length;
 			const rank = lessUrgent + random.fraction();
-			return rank >= refused * Math.max(1, levels.length);
+			return rank >= fraction * Math.max(1, levels.length);
 		},
 		retryAfterSeconds: () =>
 			minimumReturnSeconds +
