Direct callers to nodes in proportion to what their processor and link carry

Cause: callers pick at random among the nodes of their zone, and a node with 0.324 cores and 7 Mbit/s got as many requests as one with 1.35 and 140. Ruled out: naming a node several times (callers may ignore it), a new random subset each time (closes connections). Change: a caller is told a stable subset, drawn in proportion to capacity from the settings, less while the node sheds. Off without regional demand. Plain servers count as comfortable up to 1.5 times their slots: what waits for part of one request costs less than a round trip to another region.

--- a/src/backends/stated-load.ts
+++ b/src/backends/stated-load.ts
@@ -35,7 +35,7 @@
 export const parseStatedLoad = (text: string): Result<StatedLoad, string> => {
 	const fields = text.split(',').map((field) => field.trim());
 	const hasSlowdown = fields.length === countFields + 1;
-	if (fields.length !== countFields && !hasSlowdown) {
+	if (!hasSlowdown && fields.length !== countFields) {
 		return Result.err('expected three or four numbers');
 	}
 
--- a/src/demand/overflow-fraction.ts
+++ b/src/demand/overflow-fraction.ts
@@ -38,7 +38,7 @@
 	// What the region's load would be if nothing was moved.
 	const offered = local.load / (1 - current);
 	const needed =
-		offered <= kept || freeSlots(others) === 0 ? 0 : 1 - kept / offered;
+		freeSlots(others) === 0 || offered <= kept ? 0 : 1 - kept / offered;
 	const next = current + (needed - current) * stepFraction;
 	return Math.min(maximumFraction, next);
 };
--- a/src/demand/region-balance.ts
+++ b/src/demand/region-balance.ts
@@ -12,11 +12,11 @@
 	/**
 	Returns the region to which a request is moved, or undefined if it stays.
 
-	@param allowed Whether the request may be served in a region.
+	@param isAllowed Whether the request may be served in a region.
 	*/
 	regionFor(
 		service: string,
-		allowed: (region: string) => boolean,
+		isAllowed: (region: string) => boolean,
 		now: number,
 	): string | undefined;
 	/**
@@ -95,7 +95,7 @@
 				);
 			}
 		},
-		regionFor(service, allowed, now) {
+		regionFor(service, isAllowed, now) {
 			const fraction = fractions.get(service) ?? 0;
 			if (fraction === 0 || randomFraction() >= fraction) {
 				return undefined;
@@ -109,7 +109,7 @@
 			for (const load of others) {
 				position -= freeSlotsOf(load);
 				if (position < 0) {
-					return allowed(load.region) ? load.region : undefined;
+					return isAllowed(load.region) ? load.region : undefined;
 				}
 			}
 
--- a/src/demand/region-load.ts
+++ b/src/demand/region-load.ts
@@ -1,5 +1,6 @@
 /**
-Load of a service in a region: requests of all nodes in flight, and the number of requests that its servers run concurrently.
+Load of a service in a region: requests of all nodes in flight, and the number of requests that its servers run without a
+noticeable wait.
 */
 export type RegionLoad = {
 	readonly region: string;
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -40,6 +40,10 @@
 	*/
 	readonly processorCores?: number | undefined;
 	/**
+	Bandwidth of the machine's link, in megabits per second.
+	*/
+	readonly linkMbps?: number | undefined;
+	/**
 	Mechanisms that are disabled, to measure their benefit.
 	*/
 	readonly without: DisabledMechanisms;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,8 @@
+import {capacityOfNode} from '../demand/index.ts';
 import type {Address} from '../shared/index.ts';
 import {createConnectionWarmer, createServerProbes} from './delivery/index.ts';
 import {
+	selectByCapacity,
 	selectEntryMembers,
 	createGatewayListeners,
 	createRegionFailoverLog,
@@ -27,8 +29,14 @@
 	isReady(): boolean;
 	/**
 	Addresses of the nodes that a caller in this region and zone should use.
+
+	@param caller Identifies the caller, so that it is given the same nodes each time.
 	*/
-	entryAddresses(region: string, availabilityZone: string): readonly Address[];
+	entryAddresses(
+		region: string,
+		availabilityZone: string,
+		caller?: string,
+	): readonly Address[];
 	metrics(): Promise<string>;
 	/**
 	Makes the node ask its seeds again; called when they have changed.
@@ -57,6 +65,13 @@
 		onBadStatement(server, fault) {
 			observer.badStatement(server, fault);
 		},
+		capacity() {
+			const carried = capacityOfNode({
+				processorCores: options.processorCores,
+				linkMbps: options.linkMbps,
+			});
+			return carried && carried * (1 - (overload?.refusedFraction() ?? 0));
+		},
 	});
 	const {
 		clock,
@@ -227,7 +242,7 @@
 			]);
 		},
 		isReady: () => !isLeaving && mirror.routes() !== undefined,
-		entryAddresses(region, availabilityZone) {
+		entryAddresses(region, availabilityZone, caller = '') {
 			const named = selectEntryMembers({
 				members: [mesh.self(), ...mesh.others()].filter(
 					(member) =>
@@ -242,7 +257,11 @@
 				availabilityZone,
 			});
 			failoverLog.record(region, named);
-			return named.map(({callerAddress}) => callerAddress);
+			return selectByCapacity(
+				named,
+				({id}) => demand.capacityOf(id, clock()),
+				caller,
+			).map(({callerAddress}) => callerAddress);
 		},
 		metrics: observer.metrics,
 		reload: joiner.reload,
--- a/src/gateway/intake/request-intake.ts
+++ b/src/gateway/intake/request-intake.ts
@@ -117,7 +117,7 @@
 	const checkOverload = (
 		result: Result<Exchange, GatewayError>,
 	): Result<Exchange, GatewayError> => {
-		if (result.isErr || !overload) {
+		if (!overload || result.isErr) {
 			return result;
 		}
 
--- a/src/gateway/sharing/demand-sharing.ts
+++ b/src/gateway/sharing/demand-sharing.ts
@@ -4,6 +4,7 @@
 	type ServerInUse,
 } from '../../backends/index.ts';
 import {
+	createNodeCapacities,
 	createRegionBalance,
 	createRegionLoads,
 	createRequestSums,
@@ -36,6 +37,10 @@
 	Sends this node's requests once the interval has passed; called at each tick.
 	*/
 	tick(now: number): void;
+	/**
+	Returns the capacity of a node of this node's zone, if it reported one recently.
+	*/
+	capacityOf(node: string, now: number): number | undefined;
 	readonly loads: RegionLoads;
 	readonly balance: RegionBalance;
 };
@@ -54,6 +59,10 @@
 	Number of nodes of the region that serve requests, including this one.
 	*/
 	readonly nodesServing: () => number;
+	/**
+	Requests a second that this node carries; undefined if it does not know them.
+	*/
+	readonly ownCapacity: () => number | undefined;
 	readonly randomFraction: () => number;
 	readonly without: DisabledMechanisms;
 	readonly logger: Logger;
@@ -71,6 +80,10 @@
 */
 export const minimumCoverage = 0.5;
 
+// Requests in flight at plain servers, as a multiple of their slots, that cost callers less than a round trip to another region:
+// part of them is on the way, and the others wait for less than one request to end.
+const plainQueueFactor = 1.5;
+
 // The holder of this role adds up the requests of its zone.
 const role = 'demand';
 
@@ -84,6 +97,7 @@
 	routes,
 	fleet,
 	nodesServing,
+	ownCapacity,
 	randomFraction,
 	without,
 	logger,
@@ -110,6 +124,7 @@
 			);
 		},
 	});
+	const capacities = createNodeCapacities();
 	let reported: ReadonlyMap<string, number> = new Map();
 	let nextAt = 0;
 	let lastTickAt = 0;
@@ -117,10 +132,15 @@
 	const isInOwnZone = ({availabilityZone}: Member) =>
 		availabilityZone === mesh.self().availabilityZone;
 
+	const isEngine = (service: string): boolean =>
+		routes()?.service(service)?.engine !== undefined;
+
 	const isShared = (service: string, servers: readonly ServerInUse[]) => {
 		const slots = Math.max(0, ...servers.map((server) => server.slots));
-		const isEngine = routes()?.service(service)?.engine !== undefined;
-		return isShareSmall(sharedCapacityOf(slots, isEngine), nodesServing());
+		return isShareSmall(
+			sharedCapacityOf(slots, isEngine(service)),
+			nodesServing(),
+		);
 	};
 
 	const sharedServices = (): ReadonlyMap<string, readonly ServerInUse[]> => {
@@ -140,14 +160,12 @@
 		const totals = new Map(
 			requests.map((each) => [each.server, each.requests]),
 		);
+		const othersAt = ({id}: ServerInUse) =>
+			Math.max(0, totals.get(id)! - (reported.get(id) ?? 0));
 		for (const [service, servers] of shared) {
+			const stated = servers.filter(({id}) => totals.has(id));
 			const others = new Map(
-				servers
-					.filter(({id}) => totals.has(id))
-					.map(({id}) => [
-						id,
-						Math.max(0, totals.get(id)! - (reported.get(id) ?? 0)),
-					]),
+				stated.map((server) => [server.id, othersAt(server)]),
 			);
 			if (others.size > 0) {
 				fleet.recordPeerRequests(service, others, now);
@@ -185,14 +203,15 @@
 		}
 
 		const {id, availabilityZone} = mesh.self();
-		const servers = [...shared.values()].flat();
+		const servers = shared.values().toArray().flat();
 		const ofZone = servers.map((server) => ({
 			server: server.id,
 			requests: nodeSums.at(server.id) * scale,
 		}));
-		const others = [...holders().values()].filter(
-			(holder) => !isInOwnZone(holder),
-		);
+		const others = holders()
+			.values()
+			.filter((holder) => !isInOwnZone(holder))
+			.toArray();
 		const isInRegion = (member: Member) =>
 			regionOf(member.availabilityZone) === localRegion;
 		mesh.send(
@@ -211,7 +230,9 @@
 			region: localRegion,
 			service,
 			load: ofService.reduce((sum, server) => sum + totals.get(server.id)!, 0),
-			slots: ofService.reduce((sum, {slots}) => sum + slots, 0),
+			slots:
+				ofService.reduce((sum, {slots}) => sum + slots, 0) *
+				(isEngine(service) ? 1 : plainQueueFactor),
 		}));
 		loads.record(ownLoads, now);
 		mesh.send(
@@ -225,13 +246,22 @@
 			from: id,
 			loads: loads.recent(now),
 		});
+		mesh.send(zoneNodes, {
+			kind: 'node-capacities',
+			from: id,
+			capacities: capacities.recent(now),
+		});
 		applyTotals(ofRegion, now);
 		balance.update(now);
 	};
 
 	const report = (now: number) => {
 		const counts = new Map(
-			[...shared.values()].flat().map(({id, inFlight}) => [id, inFlight]),
+			shared
+				.values()
+				.toArray()
+				.flat()
+				.map(({id, inFlight}) => [id, inFlight]),
 		);
 		// A server without requests is reported once more, so that its earlier count is replaced.
 		const requests = [...counts]
@@ -240,11 +270,19 @@
 		reported = counts;
 		const {id, availabilityZone} = mesh.self();
 		const holder = holders().get(availabilityZone);
+		const capacity = ownCapacity();
+		const ownCapacities = capacity === undefined ? [] : [{node: id, capacity}];
+		capacities.record(ownCapacities, now);
 		if (holder === undefined || holder.id === id) {
 			nodeSums.record(id, requests, now);
 			sendTotals(now);
 		} else {
 			mesh.send([holder], {kind: 'demand-node', from: id, requests});
+			mesh.send([holder], {
+				kind: 'node-capacities',
+				from: id,
+				capacities: ownCapacities,
+			});
 		}
 	};
 
@@ -268,6 +306,11 @@
 					return;
 				}
 
+				case 'node-capacities': {
+					capacities.record(message.capacities, now);
+					return;
+				}
+
 				case 'demand-regions': {
 					loads.record(message.loads, now);
 					// The holder of the own zone states the load of the own region, too. Other messages come from other regions.
@@ -289,6 +332,8 @@
 				report(now);
 			}
 		},
+		capacityOf: (node, now) =>
+			shared.size === 0 ? undefined : capacities.of(node, now),
 		loads,
 		balance,
 	};
--- a/src/gateway/sharing/node-state.ts
+++ b/src/gateway/sharing/node-state.ts
@@ -138,6 +138,10 @@
 	Called for each statement of a backend server that cannot be parsed.
 	*/
 	readonly onBadStatement: (server: string, fault: StatementFault) => void;
+	/**
+	Returns the requests a second that this node carries; undefined if it does not know them.
+	*/
+	readonly capacity: () => number | undefined;
 };
 
 const seedRange = 2 ** 31;
@@ -153,6 +157,7 @@
 		onProbeNeeded,
 		onQuarantined,
 		onBadStatement,
+		capacity,
 	}: NodeStateCallbacks,
 ): NodeState => {
 	const {logger, zones, availabilityZone, bounds} = options;
@@ -205,7 +210,8 @@
 				case 'demand-node':
 				case 'demand-zone':
 				case 'demand-totals':
-				case 'demand-regions': {
+				case 'demand-regions':
+				case 'node-capacities': {
 					demand.receive(message, clock());
 					return;
 				}
@@ -337,6 +343,7 @@
 		routes: mirror.routes,
 		fleet,
 		nodesServing: shares.nodesServing,
+		ownCapacity: () => capacity(),
 		randomFraction: random.fraction,
 		without: options.without,
 		logger,
--- a/src/peers/demand-messages.ts
+++ b/src/peers/demand-messages.ts
@@ -1,4 +1,8 @@
-import type {RegionLoad, ServerRequests} from '../demand/index.ts';
+import type {
+	NodeCapacity,
+	RegionLoad,
+	ServerRequests,
+} from '../demand/index.ts';
 import {checkNonNegative, checkString} from './tuple-checks.ts';
 
 /**
@@ -42,6 +46,14 @@
 			readonly kind: 'demand-regions';
 			readonly from: string;
 			readonly loads: readonly RegionLoad[];
+	  }
+	/**
+	Capacities of nodes, sent to the node that collects those of its zone and by it to all nodes of the zone.
+	*/
+	| {
+			readonly kind: 'node-capacities';
+			readonly from: string;
+			readonly capacities: readonly NodeCapacity[];
 	  };
 
 /**
@@ -52,6 +64,7 @@
 	'demand-zone',
 	'demand-totals',
 	'demand-regions',
+	'node-capacities',
 ] as const satisfies ReadonlyArray<DemandMessage['kind']>;
 
 type Row = readonly unknown[];
@@ -78,6 +91,13 @@
 				slots,
 			]);
 		}
+
+		case 'node-capacities': {
+			return message.capacities.map(({node, capacity}) => [
+				node,
+				roundToTenth(capacity),
+			]);
+		}
 	}
 };
 
@@ -111,6 +131,14 @@
 			}));
 			return {kind, from, loads};
 		}
+
+		case 'node-capacities': {
+			const capacities = rows.map(([node, capacity]) => ({
+				node: checkString(node),
+				capacity: checkNonNegative(capacity),
+			}));
+			return {kind, from, capacities};
+		}
 	}
 };
 
--- a/src/peers/peer-message-codec.ts
+++ b/src/peers/peer-message-codec.ts
@@ -187,7 +187,8 @@
 		case 'demand-node':
 		case 'demand-zone':
 		case 'demand-totals':
-		case 'demand-regions': {
+		case 'demand-regions':
+		case 'node-capacities': {
 			return encodeDemandRows(message);
 		}
 	}
@@ -210,7 +211,8 @@
 		case 'demand-node':
 		case 'demand-zone':
 		case 'demand-totals':
-		case 'demand-regions': {
+		case 'demand-regions':
+		case 'node-capacities': {
 			return 1;
 		}
 	}
@@ -253,7 +255,8 @@
 		case 'demand-node':
 		case 'demand-zone':
 		case 'demand-totals':
-		case 'demand-regions': {
+		case 'demand-regions':
+		case 'node-capacities': {
 			return decodeDemandRows(kind, from, rows);
 		}
 	}
--- a/tests/demand/overflow-fraction.test.ts
+++ b/tests/demand/overflow-fraction.test.ts
@@ -29,8 +29,9 @@
 	let loads = regions.map(({offered}) => offered);
 	const fractions: number[] = [];
 	for (let report = 0; report < reports; report += 1) {
+		const before = loads;
 		const known = regions.map(({slots}, index) =>
-			loadOf(`region-${index}`, loads[index]!, slots),
+			loadOf(`region-${index}`, before[index]!, slots),
 		);
 		fraction = nextOverflowFraction(known[0]!, known.slice(1), fraction);
 		fractions.push(fraction);
--- a/tests/gateway/sharing/demand-sharing.test.ts
+++ b/tests/gateway/sharing/demand-sharing.test.ts
@@ -39,7 +39,7 @@
 	let now = 0;
 	const nodes = members.map((self, index) => {
 		const usable = () =>
-			members.filter((member) => member !== self && !gone.has(member));
+			members.filter((member) => !gone.has(member) && member !== self);
 		return createDemandSharing({
 			mesh: {
 				self: () => self,
@@ -78,6 +78,7 @@
 				},
 			},
 			nodesServing: () => members.length,
+			ownCapacity: () => 10 + index,
 			randomFraction: () => 0.5,
 			without: new Set(),
 			logger: silentLogger,
@@ -208,6 +209,13 @@
 	t.assert.strictEqual(byKind.get('demand-totals')?.length, 2 + 1);
 });
 
+test('each node knows the capacities of the nodes of its zone', (t: TestContext) => {
+	const scene = setUp({zones});
+	scene.turn(4);
+	t.assert.strictEqual(scene.nodes[0]!.capacityOf('node-2', 1600), 12);
+	t.assert.strictEqual(scene.nodes[0]!.capacityOf('node-3', 1600), undefined);
+});
+
 test('without three priorities of one service nothing is sent, and no server is filled by urgency', (t: TestContext) => {
 	const scene = setUp({zones, routes: createRouteTable(documentOf())});
 	scene.turn(4);
