Take a saturated event loop for overload, also while each of its turns is short

Ruled out: a lower bound of the delay alone (sheds after every garbage collection). Change: a loop that is not idle for 0.95 of the time and more than 20 ms late counts as overloaded, after four ticks.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -97,6 +97,7 @@
 				ticks.reschedule();
 			},
 			lagMs: () => ticks.lagMs(),
+			utilization: () => ticks.utilization(),
 		});
 	const probes = createServerProbes({
 		client,
--- a/src/gateway/intake/node-overload.ts
+++ b/src/gateway/intake/node-overload.ts
@@ -8,7 +8,7 @@
 */
 export type NodeOverload = {
 	/**
-	Adjusts the fraction that is refused to the delay of the event loop; called at each tick.
+	Adjusts the fraction that is refused to the delay and the utilization of the event loop; called at each tick.
 	*/
 	tick(): void;
 	/**
@@ -35,6 +35,10 @@
 	Delay of the event loop in milliseconds; infinite while it is unknown.
 	*/
 	readonly lagMs: () => number;
+	/**
+	Fraction of the time since the last tick in which the event loop was not idle, from 0 to 1.
+	*/
+	readonly utilization: () => number;
 	readonly random: Pick<Random, 'fraction'>;
 	/**
 	Called when the node begins or ceases to refuse requests.
@@ -48,11 +52,22 @@
 */
 export const overloadLagMs = 50;
 
+/**
+Fraction of the time in which the event loop is not idle from which the node counts as saturated. Its turns then grow with the
+load, and a request takes several of them, even while each turn is short.
+*/
+export const saturatedUtilization = 0.95;
+
+/**
+Delay of a saturated loop from which the node is overloaded, in milliseconds. Below it, the loop is busy but not behind.
+*/
+export const saturatedLagMs = 20;
+
 /**
 Consecutive late ticks before anything is refused. A single late turn, such as a long garbage collection or a resumed machine,
 is over when it is seen.
 */
-export const lateTicksBeforeRefusal = 3;
+export const lateTicksBeforeRefusal = 4;
 
 /**
 Upper bound of the fraction: some of the most urgent requests are always accepted, which shows whether the node still lags.
@@ -79,6 +94,7 @@
 */
 export const createNodeOverload = ({
 	lagMs,
+	utilization,
 	random,
 	onChange,
 }: NodeOverloadOptions): NodeOverload => {
@@ -96,7 +112,10 @@
 	return {
 		tick() {
 			const lag = lagMs();
-			const isLate = Number.isFinite(lag) && lag > overloadLagMs;
+			const isSaturated =
+				lag > saturatedLagMs && utilization() > saturatedUtilization;
+			const isLate =
+				Number.isFinite(lag) && (isSaturated || lag > overloadLagMs);
 			lateTicks = isLate ? lateTicks + 1 : 0;
 			if (!isLate) {
 				setRefused(refused * decrease, lag);
@@ -107,7 +126,7 @@
 				return;
 			}
 
-			const excess = lag / overloadLagMs - 1;
+			const excess = Math.max(1, lag / overloadLagMs - 1);
 			const change = Math.min(maximumIncrease, excess * increase);
 			setRefused(Math.min(maximumRefusedFraction, refused + change), lag);
 		},
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -48,6 +48,10 @@
 	Delay of the event loop in milliseconds.
 	*/
 	readonly lagMs: () => number;
+	/**
+	Fraction of the time in which the event loop was not idle, from 0 to 1.
+	*/
+	readonly utilization: () => number;
 };
 
 /**
@@ -87,10 +91,12 @@
 	const overload = hasOverloadControl
 		? createNodeOverload({
 				lagMs: hooks.lagMs,
+				utilization: hooks.utilization,
 				random: nodeState.random,
 				onChange(isOverloaded, lagMs) {
 					const fields = {
 						lagMs: Math.round(lagMs),
+						utilization: Math.round(hooks.utilization() * 100) / 100,
 						inFlight: deliveries.count(),
 					};
 					logger.warn(
@@ -195,6 +201,7 @@
 			requestsUnderWay: deliveries.count,
 			requestsWaiting: deliveries.queuedCount,
 			loopLagMilliseconds: hooks.lagMs,
+			loopUtilization: hooks.utilization,
 			overloadRefusedFraction: () => overload?.refusedFraction() ?? 0,
 			regionalOverflowFraction: () =>
 				Math.max(0, ...nodeState.demand.balance.fractions().values()),
--- a/src/gateway/tick-schedule.ts
+++ b/src/gateway/tick-schedule.ts
@@ -1,3 +1,5 @@
+import {performance} from 'node:perf_hooks';
+
 /**
 Calls a node's tick periodically, and more often while requests wait.
 */
@@ -15,6 +17,10 @@
 	first scheduled tick, because a starting node is slow to process what is pending at its listeners.
 	*/
 	lagMs(): number;
+	/**
+	Fraction of the time between the last two ticks in which the event loop was not idle, from 0 to 1.
+	*/
+	utilization(): number;
 	stop(): void;
 };
 
@@ -44,6 +50,8 @@
 	let timer: NodeJS.Timeout | undefined;
 	let dueAt = Infinity;
 	let lastLagMs = Infinity;
+	let lastUsage = performance.eventLoopUtilization();
+	let utilization = 0;
 
 	const reschedule = () => {
 		const intervalMs = waiting() > 0 ? waitingTickMs : gatewayTickMs;
@@ -54,6 +62,9 @@
 
 	const run = () => {
 		lastLagMs = dueAt === Infinity ? Infinity : Math.max(0, clock() - dueAt);
+		const usage = performance.eventLoopUtilization();
+		({utilization} = performance.eventLoopUtilization(usage, lastUsage));
+		lastUsage = usage;
 		reschedule();
 		tick();
 	};
@@ -62,6 +73,7 @@
 		start: run,
 		reschedule,
 		lagMs: () => Math.max(lastLagMs, clock() - dueAt),
+		utilization: () => utilization,
 		stop() {
 			clearTimeout(timer);
 		},
--- a/tests/gateway/intake/node-overload.test.ts
+++ b/tests/gateway/intake/node-overload.test.ts
@@ -33,8 +33,11 @@
 	let now = 0;
 	// The thread has work until then.
 	let busyUntil = 0;
+	// Work of the present tick interval.
+	let busyMs = 0;
 	const overload = createNodeOverload({
 		lagMs: () => Math.max(0, busyUntil - now),
+		utilization: () => Math.min(1, busyMs / tickMs),
 		random,
 		onChange: () => undefined,
 	});
@@ -46,6 +49,7 @@
 		while (tickAt <= now) {
 			overload.tick();
 			tickAt += tickMs;
+			busyMs = Math.min(tickMs, Math.max(0, busyUntil - tickAt + tickMs));
 		}
 
 		const priority = random.below(levels.length);
@@ -113,6 +117,7 @@
 const overloadWith = (lagMs: () => number): NodeOverload =>
 	createNodeOverload({
 		lagMs,
+		utilization: () => 0,
 		random: {fraction: () => 0},
 		onChange: () => undefined,
 	});
