--- a/src/demand/overflow-fraction.ts
+++ b/src/demand/overflow-fraction.ts
@@ -30,7 +30,7 @@
 	const regions = [local, ...others];
 	const load = regions.reduce((sum, each) => sum + each.load, 0);
 	const slots = regions.reduce((sum, each) => sum + each.slots, 0);
-	if (local.slots === 0 || slots === 0) {
+	if (slots === 0 || local.slots === 0) {
 		return 0;
 	}
 
@@ -38,7 +38,7 @@
 	// What the region's load would be if nothing was moved.
 	const offered = local.load / (1 - current);
 	const needed =
-		freeSlots(others) === 0 || offered <= kept ? 0 : 1 - kept / offered;
+		offered <= kept || freeSlots(others) === 0 ? 0 : 1 - kept / offered;
 	const next = current + (needed - current) * stepFraction;
 	return Math.min(maximumFraction, next);
 };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -70,7 +70,9 @@
 				processorCores: options.processorCores,
 				linkMbps: options.linkMbps,
 			});
-			return carried && carried * (1 - (overload?.refusedFraction() ?? 0));
+			return carried === undefined
+				? undefined
+				: carried * (1 - (overload?.refusedFraction() ?? 0));
 		},
 	});
 	const {
--- a/src/node/node-controllers.ts
+++ b/src/node/node-controllers.ts
@@ -95,6 +95,11 @@
 					case 'zone':
 					case 'totals':
 					case 'servers-leaving':
+					case 'demand-node':
+					case 'demand-zone':
+					case 'demand-totals':
+					case 'demand-regions':
+					case 'node-capacities':
 					case undefined:
 				}
 			},
--- a/tests/gateway/choosing/choose-upstream.test.ts
+++ b/tests/gateway/choosing/choose-upstream.test.ts
@@ -21,6 +21,7 @@
 	readonly nodesPerRegion?: number;
 	readonly connected?: readonly string[];
 	readonly without?: DisabledMechanisms;
+	readonly regionToMoveTo?: string;
 }) => {
 	const fleet = createBackendFleet(
 		fleetOptionsOf({
@@ -68,6 +69,7 @@
 						id: options.promptServer ?? 'server',
 						region: options.promptRegion,
 					},
+		regionToMoveTo: () => options.regionToMoveTo,
 		hasIdleConnection: ({id}) => options.connected?.includes(id) ?? false,
 		random: createRandom(1),
 	});
@@ -249,3 +251,30 @@
 		);
 	}
 });
+
+test('a request is moved on its first try, and neither a forwarded one nor one with a long shared part is', () => {
+	const {choose} = setUp({regionToMoveTo: 'near'});
+	const chosen = (
+		exchange: Exchange,
+		tried = nothingTried,
+		placement = placementOf(),
+	) => regionOf(choose(exchange, tried, placement, 0));
+
+	assert.equal(chosen(exchangeOf()), 'near');
+	assert.equal(chosen(exchangeOf(forwarded)), 'server');
+	assert.equal(
+		chosen(exchangeOf(), {...nothingTried, regions: new Set(['near'])}),
+		'server',
+	);
+	const longPrompt = placementOf({sharedPart: {id: 'p', tokens: 9000}});
+	assert.equal(chosen(exchangeOf(), nothingTried, longPrompt), 'server');
+});
+
+test('a request is not moved out of its home regions', () => {
+	const {choose} = setUp({regionToMoveTo: 'near'});
+	const route = routeOf({homeRegions: ['home']});
+	assert.equal(
+		regionOf(choose(exchangeOf({route}), nothingTried, placementOf(), 0)),
+		'server',
+	);
+});
--- a/tests/peers/peer-message-codec.test.ts
+++ b/tests/peers/peer-message-codec.test.ts
@@ -9,6 +9,7 @@
 	createPeerMessageCodec,
 	maximumRunsPerDatagram,
 } from '../../src/peers/peer-message-codec.ts';
+import type {DemandMessage} from '../../src/peers/demand-messages.ts';
 import type {UsageMessage} from '../../src/peers/usage-messages.ts';
 
 const sealer = createSealer('test-key');
@@ -180,3 +181,68 @@
 		),
 	);
 });
+
+const tenths = fc.nat(5000).map((value) => value / 10);
+const serverRequests = fc.array(
+	fc.record({server: fc.string(), requests: tenths}),
+	{maxLength: maximumRowsPerDatagram},
+);
+const demand: fc.Arbitrary<DemandMessage> = fc.oneof(
+	fc.record({
+		kind: fc.constantFrom(
+			'demand-node' as const,
+			'demand-zone' as const,
+			'demand-totals' as const,
+		),
+		from: fc.string(),
+		requests: serverRequests,
+	}),
+	fc.record({
+		kind: fc.constant('demand-regions' as const),
+		from: fc.string(),
+		loads: fc.array(
+			fc.record({
+				region: fc.string(),
+				service: fc.string(),
+				load: tenths,
+				slots: tenths,
+			}),
+			{maxLength: maximumRowsPerDatagram},
+		),
+	}),
+	fc.record({
+		kind: fc.constant('node-capacities' as const),
+		from: fc.string(),
+		capacities: fc.array(fc.record({node: fc.string(), capacity: tenths}), {
+			maxLength: maximumRowsPerDatagram,
+		}),
+	}),
+);
+
+test('decoding an encoded demand message returns the same message', () => {
+	fc.assert(
+		fc.property(demand, (sent) => {
+			const [datagram] = codec.encode(sent);
+			assert.equal(
+				JSON.stringify(codec.decode(datagram!)),
+				JSON.stringify(sent),
+			);
+		}),
+	);
+});
+
+test('a report of more servers than fit into a datagram arrives in parts', () => {
+	const requests = Array.from({length: 52}, (_, index) => ({
+		server: `server-${index}`,
+		requests: index,
+	}));
+	const datagrams = codec.encode({kind: 'demand-totals', from: 'n', requests});
+	assert.equal(datagrams.length, 2);
+	assert.deepEqual(
+		datagrams.flatMap((datagram) => {
+			const part = codec.decode(datagram);
+			return part?.kind === 'demand-totals' ? part.requests : [];
+		}),
+		requests,
+	);
+});
--- a/tests/platform/read-settings.test.ts
+++ b/tests/platform/read-settings.test.ts
@@ -39,3 +39,28 @@
 	assert.match(settings.error, /node_name is missing/v);
 	assert.match(settings.error, /listen\.front is not an IP address and port/v);
 });
+
+test('what a node may use of its machine is read, and not stated by default', () => {
+	const resources =
+		'limits.cpu_share=0.675\nlimits.cores=2\nlimits.link_mbps=140.0\n';
+	const settings = parseSettings(text + resources);
+	assert.ok(settings.isOk);
+	assert.equal(settings.value.processorCores, 1.35);
+	assert.equal(settings.value.linkMbps, 140);
+	const unstated = parseSettings(text);
+	assert.ok(unstated.isOk);
+	assert.equal(unstated.value.processorCores, undefined);
+	assert.equal(unstated.value.linkMbps, undefined);
+});
+
+for (const value of ['0', '-1', 'much', '']) {
+	test(`a processor share of "${value}" is reported with its name and value`, () => {
+		const settings = parseSettings(`${text}limits.cpu_share=${value}\n`);
+		assert.ok(settings.isErr);
+		assert.ok(
+			settings.error.includes(
+				`limits.cpu_share "${value}" is not a positive number`,
+			),
+		);
+	});
+}
