Bound the short requests of a node at a plain server; let least urgent prompts wait where their part is cached

Change: twice a node's equal share, and at least three, at a plain server; holders take their prompts up to all slots; moves to plain servers only up to their slots, while the own region keeps 1.35 times its slots.

--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -68,7 +68,9 @@
 	const peerRequests = peerRequestsAt(state, now);
 	if (peerRequests !== undefined) {
 		const load = state.inFlight + 1 + peerRequests;
-		return load / capacityOf(options, state, placement);
+		return isBurstExhausted(options, state, placement)
+			? Infinity
+			: load / capacityOf(options, state, placement);
 	}
 
 	const capacity =
@@ -111,24 +113,33 @@
 };
 
 const capacityOf = (
-	{service, urgencyLevels}: ServerChoiceOptions,
-	{known: {server}, peerRequests}: ServerState,
-	{priority, targetMs}: Placement,
+	options: ServerChoiceOptions,
+	state: ServerState,
+	placement: Placement,
+): number =>
+	state.known.server.slots * capacityFactorOf(options, state, placement);
+
+const capacityFactorOf = (
+	options: ServerChoiceOptions,
+	state: ServerState,
+	{priority, sharedPart, targetMs}: Placement,
 ): number => {
-	const levels = urgencyLevels?.(server.service);
-	if (service(server.service)?.engine === undefined) {
-		const factor =
-			levels === undefined
-				? plainCapacityFactor
-				: queueingCapacityFactor(peerRequests.meanDurationMs(), targetMs);
-		return server.slots * factor;
+	const {service} = state.known.server;
+	const levels = options.urgencyLevels?.(service);
+	if (options.service(service)?.engine === undefined) {
+		return levels === undefined
+			? plainCapacityFactor
+			: queueingCapacityFactor(state.peerRequests.meanDurationMs(), targetMs);
+	}
+
+	if (levels === undefined || priority === undefined) {
+		return engineCapacityFactor;
 	}
 
-	const factor =
-		levels === undefined || priority === undefined
-			? engineCapacityFactor
-			: gradedCapacityFactor(levels, priority);
-	return server.slots * factor;
+	// Processing a shared part again at another engine takes more from everyone than the slot does here.
+	const minimumFactor =
+		sharedPart && isHolderOf(options, state, sharedPart.id) ? 1 : 0;
+	return Math.max(minimumFactor, gradedCapacityFactor(levels, priority));
 };
 
 // Maximum requests in flight at a plain server whose requests are short beside their target, as a multiple of its slots. Servers
@@ -150,6 +161,35 @@
 		),
 	);
 
+const isHolderOf = (
+	{isCached}: ServerChoiceOptions,
+	{known, promptCache}: ServerState,
+	part: string,
+): boolean => isCached(known.server.id, part) || promptCache.has(part);
+
+// Multiple of its equal share of a plain server that a node may use while the other nodes leave the rest. Reports are older than
+// the short requests that they count, so in a rush of callers only this bound holds.
+const burstFactor = 2;
+
+// Callers send a few requests at once.
+const minimumBurst = 3;
+
+// Whether this node has as many short requests at a plain server as it may, whatever the reports say.
+const isBurstExhausted = (
+	options: ServerChoiceOptions,
+	state: ServerState,
+	placement: Placement,
+): boolean =>
+	options.service(state.known.server.service)?.engine === undefined &&
+	state.inFlight >=
+		Math.max(
+			minimumBurst,
+			Math.ceil(
+				(capacityOf(options, state, placement) * burstFactor) /
+					options.nodesServing(),
+			),
+		);
+
 /**
 Returns the requests that all nodes together may have in flight at a server of a service.
 */
@@ -204,11 +244,12 @@
 recently count as cached, because engines report their caches with a delay.
 */
 export const prefillCosts = (
-	{isCached, without}: ServerChoiceOptions,
+	options: ServerChoiceOptions,
 	candidates: readonly ServerState[],
 	placement: Placement,
 	now: number,
 ): ((state: ServerState) => number) => {
+	const {without} = options;
 	const {sharedPart} = placement;
 	if (!sharedPart || without.has('reread-cost')) {
 		return () => 0;
@@ -216,8 +257,7 @@
 
 	const {id, tokens} = sharedPart;
 	const prefillCost = tokens / fullLoadTokens;
-	const isHolder = ({known, promptCache}: ServerState) =>
-		isCached(known.server.id, id) || promptCache.has(id);
+	const isHolder = (state: ServerState) => isHolderOf(options, state, id);
 	const holders = new Set(candidates.filter((state) => isHolder(state)));
 	if (holders.size > 0) {
 		const isCopyUseful =
--- a/src/demand/overflow-fraction.ts
+++ b/src/demand/overflow-fraction.ts
@@ -6,6 +6,12 @@
 */
 export const comfortableUtilization = 0.9;
 
+/**
+The same for plain servers, whose requests are short: what waits until part of one of them ends costs its caller less than a
+round trip to another region.
+*/
+export const plainKeptUtilization = 1.35;
+
 // Part of the difference to the fraction that is needed by which each report changes the fraction. Reports are older than the
 // requests that nodes have moved meanwhile, so a full step would swing.
 const stepFraction = 0.5;
@@ -21,11 +27,13 @@
 @param local Load of the own region.
 @param others Loads of the regions that can be reached.
 @param current The present fraction, from 0 to 1.
+@param keptUtilization Fraction of its slots that the region keeps using before it moves anything.
 */
 export const nextOverflowFraction = (
 	local: RegionLoad,
 	others: readonly RegionLoad[],
 	current: number,
+	keptUtilization = comfortableUtilization,
 ): number => {
 	const regions = [local, ...others];
 	const load = regions.reduce((sum, each) => sum + each.load, 0);
@@ -34,7 +42,7 @@
 		return 0;
 	}
 
-	const kept = local.slots * Math.max(comfortableUtilization, load / slots);
+	const kept = local.slots * Math.max(keptUtilization, load / slots);
 	// What the region's load would be if nothing was moved.
 	const offered = local.load / (1 - current);
 	const needed =
--- a/src/demand/region-balance.ts
+++ b/src/demand/region-balance.ts
@@ -32,6 +32,10 @@
 	readonly localRegion: string;
 	readonly loads: RegionLoads;
 	/**
+	Fraction of the slots of a service that this region keeps using before it moves anything.
+	*/
+	readonly keptUtilization: (service: string) => number;
+	/**
 	Random number from 0 (inclusive) to 1 (exclusive).
 	*/
 	readonly randomFraction: () => number;
@@ -50,6 +54,7 @@
 export const createRegionBalance = ({
 	localRegion,
 	loads,
+	keptUtilization,
 	randomFraction,
 	onChange,
 }: RegionBalanceOptions): RegionBalance => {
@@ -90,6 +95,7 @@
 								local,
 								othersOf(service, now),
 								fractions.get(service) ?? 0,
+								keptUtilization(service),
 							)
 						: 0,
 				);
--- a/src/gateway/sharing/demand-sharing.ts
+++ b/src/gateway/sharing/demand-sharing.ts
@@ -4,11 +4,13 @@
 	type ServerInUse,
 } from '../../backends/index.ts';
 import {
+	comfortableUtilization,
 	createNodeCapacities,
 	createRegionBalance,
 	createRegionLoads,
 	createRequestSums,
 	isShareSmall,
+	plainKeptUtilization,
 	type RegionBalance,
 	type RegionLoad,
 	type RegionLoads,
@@ -80,10 +82,6 @@
 */
 export const minimumCoverage = 0.5;
 
-// Requests in flight at plain servers, as a multiple of their slots, that cost callers less than a round trip to another region:
-// part of them is on the way, and the others wait for less than one request to end.
-const plainQueueFactor = 1.5;
-
 // The holder of this role adds up the requests of its zone.
 const role = 'demand';
 
@@ -110,6 +108,8 @@
 	const balance = createRegionBalance({
 		localRegion,
 		loads,
+		keptUtilization: (service) =>
+			isEngine(service) ? comfortableUtilization : plainKeptUtilization,
 		randomFraction,
 		onChange(service, fraction) {
 			const local = loads.of(localRegion, service, lastTickAt);
@@ -230,9 +230,7 @@
 			region: localRegion,
 			service,
 			load: ofService.reduce((sum, server) => sum + totals.get(server.id)!, 0),
-			slots:
-				ofService.reduce((sum, {slots}) => sum + slots, 0) *
-				(isEngine(service) ? 1 : plainQueueFactor),
+			slots: ofService.reduce((sum, {slots}) => sum + slots, 0),
 		}));
 		loads.record(ownLoads, now);
 		mesh.send(
