--- a/src/gateway/choosing/choose-prompt-node.ts
+++ b/src/gateway/choosing/choose-prompt-node.ts
@@ -28,12 +28,21 @@
 		exchange: Exchange,
 		part: string,
 	) => PromptCandidate | undefined;
+	/**
+	Returns the load per slot from which a region refuses a request of this urgency; undefined if its servers are not filled by
+	urgency.
+	*/
+	readonly maximumRegionCost?: (exchange: Exchange) => number | undefined;
 };
 
 // A prompt is not forwarded to a home region with a higher load per slot than this. The bound exceeds 1 because
 // prefilling the prompt in the local region would add as much load here.
 const maximumHomeCost = 1.3;
 
+// The same where engines are filled by urgency. Holders of a shared part take its prompts until all their slots are in use; a
+// region that would refuse the prompt is not asked.
+const maximumHolderCost = 0.95;
+
 /**
 Chooses the nodes to which a request with a long prompt is forwarded. Returns undefined if the request is placed
 like any other.
@@ -55,7 +64,14 @@
 	}
 
 	const remote = home && nodesOfRegion(options, home.region, exchange, tried);
-	return remote && remote.cost < maximumHomeCost
+	const maximumCost = Math.min(
+		maximumHomeCost,
+		Math.max(
+			maximumHolderCost,
+			options.maximumRegionCost?.(exchange) ?? Infinity,
+		),
+	);
+	return remote && remote.cost < maximumCost
 		? {...remote, members: nodesFor(options, home, remote.members)}
 		: undefined;
 };
--- a/src/gateway/choosing/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -68,6 +68,8 @@
 const distanceCost = 0.7;
 // Regions with a higher load per slot than this receive no overflow.
 const maximumRemoteCost = 0.9;
+// Difference to the load from which a region refuses a request. Its load may have risen since it was reported.
+const urgencyMargin = 0.1;
 // Up to this cost, the local region serves the request regardless of the load of other regions.
 const acceptableLocalCost = 1;
 
@@ -123,12 +125,22 @@
 		const isRemoteBetter =
 			local.kind === 'none' ||
 			(!without.has('overflow') &&
-				remote.cost < maximumRemoteCost &&
+				remote.cost < maximumCostOf(options, exchange) &&
 				(local.kind === 'full' || remote.cost + distanceCost < local.cost));
 		return isRemoteBetter ? toPeer(remote) : local;
 	};
 };
 
+// A region that would refuse the request because of its urgency is not asked: the request would cross the network for nothing.
+const maximumCostOf = (
+	{maximumRegionCost}: UpstreamChooserOptions,
+	exchange: Exchange,
+): number =>
+	Math.min(
+		maximumRemoteCost,
+		(maximumRegionCost?.(exchange) ?? Infinity) - urgencyMargin,
+	);
+
 // A request is moved on its first try only. Long prompts stay with the servers that have their shared part cached.
 const nodesToMoveTo = (
 	options: UpstreamChooserOptions,
--- a/src/gateway/choosing/gateway-chooser.ts
+++ b/src/gateway/choosing/gateway-chooser.ts
@@ -53,6 +53,14 @@
 	readonly demand: {
 		readonly loads: RegionLoads;
 		readonly balance: RegionBalance;
+		/**
+		Returns the multiple of its slots up to which an engine is filled by requests of a priority; undefined if the servers of
+		the service are not filled by urgency.
+		*/
+		readonly capacityFactor: (
+			service: string,
+			priority: number,
+		) => number | undefined;
 	};
 	readonly random: Random;
 	readonly without: DisabledMechanisms;
@@ -85,6 +93,8 @@
 			promptHome: (exchange, part) => promptHome(options, exchange, part),
 			hasIdleConnection: (member) =>
 				options.client.hasIdleConnection(peerConnectionKey(member)),
+			maximumRegionCost: ({route, service}) =>
+				options.demand.capacityFactor(service, route.priority),
 			regionToMoveTo: ({route, service}) =>
 				options.demand.balance.regionFor(
 					service,
--- a/src/gateway/sharing/demand-sharing.ts
+++ b/src/gateway/sharing/demand-sharing.ts
@@ -9,6 +9,7 @@
 	createRegionBalance,
 	createRegionLoads,
 	createRequestSums,
+	gradedCapacityFactor,
 	isShareSmall,
 	plainKeptUtilization,
 	type RegionBalance,
@@ -32,6 +33,11 @@
 	*/
 	urgencyLevels(service: string): readonly number[] | undefined;
 	/**
+	Returns the multiple of its slots up to which an engine is filled by requests of a priority; undefined if the servers of the
+	service are not filled by urgency.
+	*/
+	capacityFactor(service: string, priority: number): number | undefined;
+	/**
 	Processes a message of another node.
 	*/
 	receive(message: DemandMessage, now: number): void;
@@ -284,9 +290,15 @@
 		}
 	};
 
+	const urgencyLevels = (service: string) =>
+		shared.has(service) ? routes()?.urgencyLevels?.get(service) : undefined;
+
 	return {
-		urgencyLevels: (service) =>
-			shared.has(service) ? routes()?.urgencyLevels?.get(service) : undefined,
+		urgencyLevels,
+		capacityFactor(service, priority) {
+			const levels = isEngine(service) ? urgencyLevels(service) : undefined;
+			return levels && gradedCapacityFactor(levels, priority);
+		},
 		receive(message, now) {
 			switch (message.kind) {
 				case 'demand-node': {
--- a/tests/gateway/choosing/choose-upstream.test.ts
+++ b/tests/gateway/choosing/choose-upstream.test.ts
@@ -22,6 +22,7 @@
 	readonly connected?: readonly string[];
 	readonly without?: DisabledMechanisms;
 	readonly regionToMoveTo?: string;
+	readonly maximumRegionCost?: number;
 }) => {
 	const fleet = createBackendFleet(
 		fleetOptionsOf({
@@ -70,6 +71,7 @@
 						region: options.promptRegion,
 					},
 		regionToMoveTo: () => options.regionToMoveTo,
+		maximumRegionCost: () => options.maximumRegionCost,
 		hasIdleConnection: ({id}) => options.connected?.includes(id) ?? false,
 		random: createRandom(1),
 	});
@@ -278,3 +280,24 @@
 		'server',
 	);
 });
+
+test('a region that would refuse a request because of its urgency is not asked', () => {
+	const loads = {near: {load: 7, slots: 8}, far: {load: 8, slots: 8}};
+	const placement = placementOf({sharedPart: {id: 'p', tokens: 9000}});
+	const chosenWith = (maximumRegionCost: number | undefined) => {
+		const {choose} = setUp({localServers: 0, loads, maximumRegionCost});
+		return regionOf(choose(exchangeOf(), nothingTried, placementOf({}), 0));
+	};
+
+	assert.equal(chosenWith(undefined), 'near');
+	const home = setUp({promptRegion: 'far', loads, maximumRegionCost: 0.75});
+	assert.equal(
+		regionOf(home.choose(exchangeOf(), nothingTried, placement, 0)),
+		'server',
+	);
+	const urgent = setUp({promptRegion: 'far', loads, maximumRegionCost: 1.25});
+	assert.equal(
+		regionOf(urgent.choose(exchangeOf(), nothingTried, placement, 0)),
+		'far',
+	);
+});
