Count time limits from the head of a request

The node that received a forwarded request counted its remaining time from the end of the body, which took a second over a full link. Ruled out: clocks of nodes (they differ), the abort (it waits on the same link).

--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
 import type {Socket} from 'node:net';
 import {
 	createServer,
@@ -30,6 +31,10 @@
 	readonly header: (name: string) => string | undefined;
 	readonly body: Buffer | undefined;
 	/**
+	Time that the body took to arrive after the head, in milliseconds.
+	*/
+	readonly bodyMs: number;
+	/**
 	Whether it is the first request on its connection.
 	*/
 	readonly isFirst: boolean;
@@ -96,6 +101,7 @@
 			highWaterMark: 65_536,
 		},
 		(request, response) => {
+			const headAt = performance.now();
 			readBody(request, limits.maximumBodyBytes, (body) => {
 				const sink = createResponseSink(response, options.isLeaving);
 				if (body === 'too-large') {
@@ -112,7 +118,10 @@
 
 				onCallerLeft(
 					response,
-					options.onRequest(toReceivedRequest(request, body), sink),
+					options.onRequest(
+						toReceivedRequest(request, body, performance.now() - headAt),
+						sink,
+					),
 				);
 			});
 		},
@@ -205,6 +214,7 @@
 export const toReceivedRequest = (
 	request: IncomingMessage,
 	body: Buffer | undefined,
+	bodyMs: number,
 ): ReceivedRequest => ({
 	method: request.method ?? 'GET',
 	target: request.url ?? '/',
@@ -212,6 +222,7 @@
 	rawHeaders: request.rawHeaders,
 	header: createHeaderReader(request.headers),
 	body,
+	bodyMs,
 	isFirst: isFirstOf(request.socket),
 });
 
--- a/src/gateway/intake/request-intake.ts
+++ b/src/gateway/intake/request-intake.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
 import {
@@ -215,7 +216,8 @@
 		request: ReceivedRequest,
 		sink: ResponseSink,
 	): (() => void) => {
-		const arrivedAt = readContext().now - socketWaitMs();
+		// On a slow link, a body arrives long after its head. The caller counts its time from before both.
+		const arrivedAt = readContext().now - request.bodyMs - socketWaitMs();
 		let cancel: () => void = () => undefined;
 		const cancelDeferral = requestDeferral.schedule(() => {
 			let callerLeft: () => void = () => undefined;
@@ -241,6 +243,7 @@
 			}
 		},
 		handleForwarded(request, response) {
+			const headAt = performance.now();
 			// The node that received the request from the caller has checked its length.
 			readBody(request, Number.MAX_SAFE_INTEGER, (body) => {
 				if (body === 'too-large') {
@@ -248,7 +251,11 @@
 				}
 
 				const sink = createHopSink(response);
-				const received = toReceivedRequest(request, body);
+				const received = toReceivedRequest(
+					request,
+					body,
+					performance.now() - headAt,
+				);
 				onCallerLeft(response, handleDeferred(readForwarded, received, sink));
 			});
 		},
--- a/tests/gateway/intake/read-exchange.test.ts
+++ b/tests/gateway/intake/read-exchange.test.ts
@@ -28,6 +28,7 @@
 		return index === -1 ? undefined : headers[index + 1];
 	},
 	body: undefined,
+	bodyMs: 0,
 	isFirst: false,
 });
 
