Send long prompts to fast engines

Change: each node learns the speed of a server beside the mean of its service from its own long prompts, and weighs the backlog and the prompt by it. On where servers are filled by urgency.

--- a/src/backends/backend-attempt.ts
+++ b/src/backends/backend-attempt.ts
@@ -152,7 +152,7 @@
 		recordFirstEvent(at) {
 			state.lastActivityAt = at;
 			if (hadNoPrefillBacklog && state.pending.has(pendingRequest)) {
-				state.prefillSpeed.record(tokens, at - now);
+				recordSpeed(state, tokens, at - now);
 			}
 
 			removePending();
@@ -177,6 +177,19 @@
 	};
 };
 
+const recordSpeed = (
+	{prefillSpeed, speed}: ServerState,
+	tokens: number,
+	milliseconds: number,
+): void => {
+	const mean = prefillSpeed.tokensPerMs();
+	if (mean !== undefined && prefillSpeed.canMeasure(tokens, milliseconds)) {
+		speed.record(tokens / milliseconds, mean);
+	}
+
+	prefillSpeed.record(tokens, milliseconds);
+};
+
 const tokensToPrefill = (
 	{promptCache, known}: ServerState,
 	{promptTokens, sharedPart}: Placement,
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -97,7 +97,7 @@
 
 		const cost =
 			load * slowdownOf(state, now) +
-			stateCost(options, state, now) +
+			stateCost(options, state, placement, now) +
 			prefillCostOf(state) +
 			options.randomFraction() * randomCostRange;
 		if (!best || cost < best.cost) {
--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -2,6 +2,7 @@
 export * from './cold-limit.ts';
 export * from './prompt-cache-estimate.ts';
 export type * from './placement.ts';
+export * from './server-speed.ts';
 export * from './server-state.ts';
 export * from './stated-load.ts';
 export * from './smoothed-count.ts';
--- a/src/backends/prefill-speed.ts
+++ b/src/backends/prefill-speed.ts
@@ -7,6 +7,10 @@
 	*/
 	record(tokens: number, milliseconds: number): void;
 	/**
+	Whether a prompt is long enough to be measured.
+	*/
+	canMeasure(tokens: number, milliseconds: number): boolean;
+	/**
 	Tokens per millisecond; undefined before the first measurement.
 	*/
 	tokensPerMs(): number | undefined;
@@ -26,10 +30,13 @@
 */
 export const createPrefillSpeed = (): PrefillSpeed => {
 	let speed: number | undefined;
+	const canMeasure = (tokens: number, milliseconds: number) =>
+		tokens >= minimumSampleTokens && milliseconds > 0;
 
 	return {
+		canMeasure,
 		record(tokens, milliseconds) {
-			if (tokens < minimumSampleTokens || milliseconds <= 0) {
+			if (!canMeasure(tokens, milliseconds)) {
 				return;
 			}
 
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -205,11 +205,12 @@
 ): number | undefined => peerRequests.estimate(known.server.id, now);
 
 /**
-Returns the cost of a server's state, independent of the request. A fully loaded server costs 1.
+Returns the cost of a server's state, without that of a shared part. A fully loaded server costs 1.
 */
 export const stateCost = (
 	options: ServerChoiceOptions,
 	state: ServerState,
+	placement: Placement,
 	now: number,
 ): number =>
 	(state.known.server.availabilityZone === options.availabilityZone
@@ -217,13 +218,28 @@
 		: otherZoneCost) +
 	(options.without.has('reading-cost')
 		? 0
-		: prefillBacklogOf(state, now) / fullLoadTokens) +
+		: prefillLoadOf(options, state, placement, now) / fullLoadTokens) +
 	(options.without.has('pace')
 		? 0
 		: effectiveChunkIntervalOf(state, now) / fullLoadChunkIntervalMs) +
 	(options.without.has('failure-cost') ? 0 : state.failureRate * failureCost) +
 	connectionCost(options, state, now);
 
+// Returns the tokens that delay a prompt at a server. Where servers are filled by urgency, the tokens of the prompt itself count too,
+// and a slow server takes longer for all of them: it pauses the streams that run beside a long prompt.
+const prefillLoadOf = (
+	{urgencyLevels}: ServerChoiceOptions,
+	state: ServerState,
+	{service, promptTokens, sharedPart}: Placement,
+	now: number,
+): number => {
+	const backlog = prefillBacklogOf(state, now);
+	return urgencyLevels?.(service) === undefined
+		? backlog
+		: (backlog + promptTokens - (sharedPart?.tokens ?? 0)) /
+				state.speed.relative();
+};
+
 // A server to which no connection is idle costs as much as the random part of a cost. With many nodes and servers, connections
 // otherwise close unused between two requests of a node.
 const newConnectionCost = 0.1;
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -9,6 +9,7 @@
 } from './prompt-cache-estimate.ts';
 import {createPeerRequests, type PeerRequests} from './peer-requests.ts';
 import {createPrefillSpeed, type PrefillSpeed} from './prefill-speed.ts';
+import {createServerSpeed, type ServerSpeed} from './server-speed.ts';
 import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 
 /**
@@ -66,6 +67,10 @@
 	*/
 	readonly prefillSpeed: PrefillSpeed;
 	/**
+	Speed of the server beside the mean of the service.
+	*/
+	readonly speed: ServerSpeed;
+	/**
 	Requests whose responses have not begun.
 	*/
 	readonly pending: Set<{since: number}>;
@@ -138,6 +143,7 @@
 	broadcastTokens: 0,
 	peerPrefillBacklog: createPeerPrefillBacklog(),
 	prefillSpeed,
+	speed: createServerSpeed(),
 	pending: new Set(),
 	lastActivityAt: now,
 	failureRate: 0,
