--- a/src/gateway/intake/request-deferral.ts
+++ b/src/gateway/intake/request-deferral.ts
@@ -25,14 +25,15 @@
 export const maximumSocketWaitMs = 1000;
 
 /**
-Returns how long a request that is read now has waited in its socket, in milliseconds. While the event loop is late, requests
-arrive long before they are read, and their time limits count from their arrival.
+Estimates how long a request that is read now has waited in its socket, in milliseconds. While the event loop is late, requests
+arrive long before they are read, and their time limits count from their arrival. They arrive at any moment of a late turn, so
+they have waited for half of it on average.
 
 @param lagMs Delay of the event loop in milliseconds; infinite while it is unknown.
 */
 export const socketWaitOf = (lagMs: number): number =>
 	Number.isFinite(lagMs) && lagMs >= deferralLagMs
-		? Math.min(lagMs, maximumSocketWaitMs)
+		? Math.min(lagMs / 2, maximumSocketWaitMs)
 		: 0;
 
 /**
--- a/tests/gateway/intake/request-deferral.test.ts
+++ b/tests/gateway/intake/request-deferral.test.ts
@@ -7,6 +7,8 @@
 import {
 	createRequestDeferral,
 	deferralLagMs,
+	maximumSocketWaitMs,
+	socketWaitOf,
 } from '../../../src/gateway/intake/request-deferral.ts';
 import {startCallerListener} from '../../../src/gateway/intake/caller-listener.ts';
 
@@ -93,3 +95,10 @@
 	// Without the deferral it is handled, because the close is read after it.
 	t.assert.strictEqual(await handledAfterClose(0, false), 1);
 });
+
+test('a request that is read by a late loop has waited for half of the delay, and at most for a second', (t: TestContext) => {
+	t.assert.strictEqual(socketWaitOf(Infinity), 0);
+	t.assert.strictEqual(socketWaitOf(deferralLagMs - 1), 0);
+	t.assert.strictEqual(socketWaitOf(400), 200);
+	t.assert.strictEqual(socketWaitOf(60_000), maximumSocketWaitMs);
+});
