--- a/tests/backends/server-speed.test.ts
+++ b/tests/backends/server-speed.test.ts
@@ -35,7 +35,7 @@
 	const speed = createServerSpeed();
 	speed.record(0, 160);
 	speed.record(160, 0);
-	speed.record(Number.NaN, 160);
+	speed.record(NaN, 160);
 	t.assert.strictEqual(speed.relative(), 1);
 	speed.record(1e9, 160);
 	t.assert.ok(speed.relative() <= 2);
@@ -44,7 +44,7 @@
 // Returns the fraction of long prompts that a node sends to slow servers, half of which it has.
 const slowFraction = (urgencyLevels: readonly number[] | undefined): number => {
 	const random = createRandom(5);
-	const slow = ['slow-1', 'slow-2'];
+	const slow = new Set(['slow-1', 'slow-2']);
 	const fast = ['fast-1', 'fast-2'];
 	const fleet = createBackendFleet({
 		...fleetOptionsOf({randomFraction: random.fraction}),
@@ -71,7 +71,7 @@
 			continue;
 		}
 
-		const isSlow = slow.includes(choice.id);
+		const isSlow = slow.has(choice.id);
 		sentToSlow += isSlow ? 1 : 0;
 		const attempt = fleet.begin(choice.id, placement, now);
 		now += 6600 / (isSlow ? 96 : 256);
--- a/tests/gateway/sharing/demand-sharing.test.ts
+++ b/tests/gateway/sharing/demand-sharing.test.ts
@@ -39,7 +39,7 @@
 	let now = 0;
 	const nodes = members.map((self, index) => {
 		const usable = () =>
-			members.filter((member) => !gone.has(member) && member !== self);
+			members.filter((member) => member !== self && !gone.has(member));
 		return createDemandSharing({
 			mesh: {
 				self: () => self,
@@ -50,7 +50,7 @@
 							to.availabilityZone !== self.availabilityZone &&
 							(cutZones.has(to.availabilityZone) ||
 								cutZones.has(self.availabilityZone));
-						if (gone.has(to) || isCut) {
+						if (isCut || gone.has(to)) {
 							continue;
 						}
 
