Move no more between regions than the others have free slots for

Change: regions at their peak share the free slots of the others by what they cannot serve; a request that finds its region full draws a region by free slots.

--- a/src/demand/overflow-fraction.ts
+++ b/src/demand/overflow-fraction.ts
@@ -22,7 +22,7 @@
 /**
 Returns the fraction of a region's requests that its nodes should send to other regions, given the fraction that they send
 now. It answers a peak that one region cannot serve while others have free slots: the region moves what brings it to the mean
-utilization of all regions, and at least keeps what it can serve comfortably.
+utilization of all regions, at least keeps what it can serve comfortably, and moves no more than the others have free slots for.
 
 @param local Load of the own region.
 @param others Loads of the regions that can be reached.
@@ -45,12 +45,23 @@
 	const kept = local.slots * Math.max(keptUtilization, load / slots);
 	// What the region's load would be if nothing was moved.
 	const offered = local.load / (1 - current);
-	const needed =
-		offered <= kept || freeSlots(others) === 0 ? 0 : 1 - kept / offered;
+	const moved = offered - local.load;
+	const excess = excessOf(local, keptUtilization);
+	const allExcess = regions.reduce(
+		(sum, region) => sum + excessOf(region, keptUtilization),
+		0,
+	);
+	// Regions at their peak at the same time share the free slots in proportion to what they cannot serve.
+	const share = allExcess === 0 ? 1 : excess / allExcess;
+	const movable = Math.min(offered - kept, moved + freeSlots(others) * share);
+	const needed = Math.max(0, movable) / Math.max(1, offered);
 	const next = current + (needed - current) * stepFraction;
 	return Math.min(maximumFraction, next);
 };
 
+const excessOf = ({load, slots}: RegionLoad, keptUtilization: number): number =>
+	Math.max(0, load - slots * keptUtilization);
+
 /**
 Returns the slots of a region that requests of other regions may take.
 */
--- a/src/demand/region-balance.ts
+++ b/src/demand/region-balance.ts
@@ -20,6 +20,17 @@
 		now: number,
 	): string | undefined;
 	/**
+	Returns the region that a request goes to which finds the own one full, drawn by free slots. Returns undefined if no region
+	that may serve it has any, or if no loads are known.
+
+	@param isAllowed Whether the request may be served in a region.
+	*/
+	regionWithFreeSlots(
+		service: string,
+		isAllowed: (region: string) => boolean,
+		now: number,
+	): string | undefined;
+	/**
 	The fraction of the requests that is moved, by service.
 	*/
 	fractions(): ReadonlyMap<string, number>;
@@ -81,6 +92,21 @@
 				(load) => load.service === service && load.region !== localRegion,
 			);
 
+	const drawByFreeSlots = (
+		regions: readonly RegionLoad[],
+	): string | undefined => {
+		const total = regions.reduce((sum, load) => sum + freeSlotsOf(load), 0);
+		let position = randomFraction() * total;
+		for (const load of regions) {
+			position -= freeSlotsOf(load);
+			if (position < 0) {
+				return load.region;
+			}
+		}
+
+		return undefined;
+	};
+
 	return {
 		update(now) {
 			for (const service of new Set([
@@ -107,20 +133,15 @@
 				return undefined;
 			}
 
-			const others = othersOf(service, now);
-			const total = others.reduce((sum, load) => sum + freeSlotsOf(load), 0);
 			// A draw that falls on a region that may not serve the request leaves it here, so that requests which are bound to few
 			// regions do not fill those.
-			let position = randomFraction() * total;
-			for (const load of others) {
-				position -= freeSlotsOf(load);
-				if (position < 0) {
-					return isAllowed(load.region) ? load.region : undefined;
-				}
-			}
-
-			return undefined;
+			const region = drawByFreeSlots(othersOf(service, now));
+			return region !== undefined && isAllowed(region) ? region : undefined;
 		},
+		regionWithFreeSlots: (service, isAllowed, now) =>
+			drawByFreeSlots(
+				othersOf(service, now).filter(({region}) => isAllowed(region)),
+			),
 		fractions: () => fractions,
 	};
 };
--- a/src/gateway/choosing/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -50,6 +50,14 @@
 	Returns the region to which a request is moved although this one may have capacity; undefined if it stays.
 	*/
 	readonly regionToMoveTo?: (exchange: Exchange) => string | undefined;
+	/**
+	Returns the region that a request goes to which finds this one full, if the loads of regions are shared directly: a region, or
+	`none`. Returns undefined if they are not.
+	*/
+	readonly regionWithFreeSlots?: (
+		exchange: Exchange,
+		tried: TriedTargets,
+	) => string | 'none' | undefined;
 	readonly random: Random;
 };
 
@@ -117,7 +125,7 @@
 		const remote =
 			shouldStayLocal || exchange.hop !== undefined
 				? undefined
-				: nodesOfLeastLoadedRegion(options, exchange, tried);
+				: overflowNodes(options, exchange, tried, local);
 		if (!remote) {
 			return local;
 		}
@@ -131,6 +139,32 @@
 	};
 };
 
+// If all nodes of a full region chose the one with the lowest reported load, they would fill it before the next report.
+const overflowNodes = (
+	options: UpstreamChooserOptions,
+	exchange: Exchange,
+	tried: TriedTargets,
+	local: LocalChoice,
+): RegionNodes | undefined => {
+	const region =
+		local.kind === 'full'
+			? options.regionWithFreeSlots?.(exchange, tried)
+			: undefined;
+	switch (region) {
+		case undefined: {
+			return nodesOfLeastLoadedRegion(options, exchange, tried);
+		}
+
+		case 'none': {
+			return undefined;
+		}
+
+		default: {
+			return nodesOfRegion(options, region, exchange, tried);
+		}
+	}
+};
+
 // A region that would refuse the request because of its urgency is not asked: the request would cross the network for nothing.
 const maximumCostOf = (
 	{maximumRegionCost}: UpstreamChooserOptions,
--- a/src/gateway/choosing/gateway-chooser.ts
+++ b/src/gateway/choosing/gateway-chooser.ts
@@ -95,6 +95,19 @@
 				options.client.hasIdleConnection(peerConnectionKey(member)),
 			maximumRegionCost: ({route, service}) =>
 				options.demand.capacityFactor(service, route.priority),
+			regionWithFreeSlots({route, service}, tried) {
+				const isShared =
+					options.demand.loads.of(options.localRegion, service, clock()) !==
+					undefined;
+				return isShared
+					? (options.demand.balance.regionWithFreeSlots(
+							service,
+							(region) =>
+								isRegionAllowed(route, region) && !tried.regions.has(region),
+							clock(),
+						) ?? 'none')
+					: undefined;
+			},
 			regionToMoveTo: ({route, service}) =>
 				options.demand.balance.regionFor(
 					service,
