Let a large configuration take its time over a slow link

The configuration had grown by 1,400 routes; links of 10 Mbit/s were full, and each read, by the relay and of the store, was aborted after 0.7 to 2.2 s in all. Untouched code reads the same way. Change: the time counts until the answer begins and then between its parts, 5 s in all.

--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -73,18 +73,15 @@
 	}
 
 	// Evaluated once, because it counts all nodes of the region, and there may be as many servers as nodes.
-	const sharingNodes = sharingNodesOf(placement, options.nodesServing());
+	const share = {
+		placement,
+		sharingNodes: sharingNodesOf(placement, options.nodesServing()),
+	};
 	const prefillCostOf = prefillCosts(options, candidates, placement, now);
 	const loadOf = estimatedLoads(options, candidates, placement, now);
 	let best: {readonly state: ServerState; readonly cost: number} | undefined;
 	for (const state of candidates) {
-		const utilization = utilizationOf(
-			options,
-			state,
-			sharingNodes,
-			placement,
-			now,
-		);
+		const utilization = utilizationOf(options, state, share, now);
 		const load = loadOf(state, utilization);
 		if (
 			utilization > 1 ||
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -54,6 +54,14 @@
 ): number =>
 	sharedPart ? Math.min(nodesServing, longPromptNodes) : nodesServing;
 
+/**
+A request for a server, and the number of nodes that share the server's capacity for such requests.
+*/
+export type ServerShare = {
+	readonly placement: Placement;
+	readonly sharingNodes: number;
+};
+
 /**
 Returns the utilization of a server's capacity after one more request of this node, where each node is limited to an equal
 share. A value above 1 means that no capacity is left.
@@ -61,8 +69,7 @@
 export const utilizationOf = (
 	options: ServerChoiceOptions,
 	state: ServerState,
-	sharingNodes: number,
-	placement: Placement,
+	{placement, sharingNodes}: ServerShare,
 	now: number,
 ): number => {
 	const peerRequests = peerRequestsAt(state, now);
--- a/src/mesh/peer-client.ts
+++ b/src/mesh/peer-client.ts
@@ -9,7 +9,11 @@
 } from '../registry/index.ts';
 import type {FeedAnswer, FeedQuery} from '../prompts/index.ts';
 import {feedLongPollMs} from '../prompts/prompt-feed.ts';
-import type {Address} from '../shared/index.ts';
+import {
+	createIdleTimeout,
+	readWithIdleTimeout,
+	type Address,
+} from '../shared/index.ts';
 import {knownViewHeader, peerPaths} from './peer-listener.ts';
 
 /**
@@ -45,7 +49,8 @@
 };
 
 /**
-Timeout of a call to another node, in milliseconds: several round trips between regions.
+Timeout of a call to another node, in milliseconds: several round trips between regions. It counts until the answer begins, and
+then between its parts, because a large configuration takes seconds over a full link.
 */
 export const peerCallTimeoutMs = 700;
 
@@ -70,17 +75,23 @@
 		timeoutMs = peerCallTimeoutMs,
 		headers: Readonly<Record<string, string>> = {},
 	): Promise<unknown> => {
-		const {statusCode, body} = await request(`http://${peer}${path}`, {
-			dispatcher,
-			headers,
-			signal: AbortSignal.timeout(timeoutMs),
-		});
-		const bytes = await body.bytes();
-		if (statusCode !== 200) {
-			throw new Error(`peer answered with status ${statusCode}`);
-		}
+		const timeout = createIdleTimeout(timeoutMs, peerCallTimeoutMs);
+		try {
+			const {statusCode, body} = await request(`http://${peer}${path}`, {
+				dispatcher,
+				headers,
+				signal: timeout.signal,
+			});
+			timeout.extend();
+			const bytes = await readWithIdleTimeout(body, timeout);
+			if (statusCode !== 200) {
+				throw new Error(`peer answered with status ${statusCode}`);
+			}
 
-		return unpack(bytes);
+			return unpack(bytes);
+		} finally {
+			timeout.clear();
+		}
 	};
 
 	return {
--- /dev/null
+++ b/src/shared/idle-timeout.ts
@@ -0,0 +1,73 @@
+import {Buffer} from 'node:buffer';
+
+/**
+A time limit for a response that ends when nothing arrives, however long the whole response takes.
+*/
+export type IdleTimeout = {
+	/**
+	Aborts when the time is over.
+	*/
+	readonly signal: AbortSignal;
+	/**
+	Restarts the time limit; called with each part of the response.
+	*/
+	extend(): void;
+	clear(): void;
+};
+
+/**
+Maximum time for a whole response, in milliseconds. One that arrives more slowly is requested elsewhere.
+*/
+export const maximumResponseMs = 5000;
+
+/**
+Creates a time limit.
+
+@param firstMs Time until the first part has to arrive, in milliseconds.
+@param idleMs Time until each further part has to arrive, in milliseconds.
+*/
+export const createIdleTimeout = (
+	firstMs: number,
+	idleMs: number,
+): IdleTimeout => {
+	const controller = new AbortController();
+	const abortAfter = (ms: number, reason: string) =>
+		setTimeout(() => {
+			controller.abort(new Error(`${reason} for ${ms} ms`));
+		}, ms);
+	let timer = abortAfter(firstMs, 'nothing received');
+	const totalTimer = abortAfter(
+		firstMs + maximumResponseMs,
+		'response not complete',
+	);
+
+	return {
+		signal: controller.signal,
+		extend() {
+			clearTimeout(timer);
+			timer = abortAfter(idleMs, 'nothing received');
+		},
+		clear() {
+			clearTimeout(timer);
+			clearTimeout(totalTimer);
+		},
+	};
+};
+
+/**
+Reads a whole body within an idle time limit.
+
+@throws {Error} If the limit passes without a further part.
+*/
+export const readWithIdleTimeout = async (
+	body: AsyncIterable<Uint8Array>,
+	timeout: IdleTimeout,
+): Promise<Buffer> => {
+	const parts: Uint8Array[] = [];
+	for await (const part of body) {
+		timeout.extend();
+		parts.push(part);
+	}
+
+	return Buffer.concat(parts);
+};
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -14,3 +14,4 @@
 export * from './node-order.ts';
 export * from './elapsed-clock.ts';
 export * from './machine-clock.ts';
+export * from './idle-timeout.ts';
