Let less urgent requests make way while more urgent ones find no capacity; overload control off by default

It is a flag now. The capacity that the directory goes by is that of the settings alone, so that subsets do not change.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -1,4 +1,5 @@
 import type {KnownServer} from '../registry/index.ts';
+import {createUrgencyPressure} from '../demand/index.ts';
 import {estimatedPeerRequests, estimatedLoad} from './estimated-load.ts';
 import {beginAttempt, type BackendAttempt} from './backend-attempt.ts';
 import {chooseServer, type LocalChoice} from './choose-server.ts';
@@ -140,6 +141,9 @@
 	const speedByService = new Map<string, PrefillSpeed>();
 	const peerRequestsByService = new Map<string, PeerRequests>();
 
+	const urgencyPressure = createUrgencyPressure();
+	const choiceOptions: ServerChoiceOptions = {...options, urgencyPressure};
+
 	const memoryTokensOf = ({server}: KnownServer): number =>
 		options.service(server.service)?.engine?.memoryTokens ?? 0;
 
@@ -221,8 +225,19 @@
 
 			return restarted;
 		},
-		choose: (placement, now) =>
-			chooseServer(options, states.values(), placement, now),
+		choose(placement, now) {
+			const choice = chooseServer(
+				choiceOptions,
+				states.values(),
+				placement,
+				now,
+			);
+			if (choice.kind === 'full' && placement.priority !== undefined) {
+				urgencyPressure.recordFull(placement.service, placement.priority, now);
+			}
+
+			return choice;
+		},
 		begin: (id, placement, now) =>
 			beginAttempt(states.get(id)!, placement, now, options),
 		server: (id) => states.get(id)?.known.server,
--- a/src/backends/server-choice-options.ts
+++ b/src/backends/server-choice-options.ts
@@ -1,3 +1,4 @@
+import type {UrgencyPressure} from '../demand/index.ts';
 import type {DisabledMechanisms} from '../mechanisms/index.ts';
 import type {Service} from '../routes/index.ts';
 import type {BackendLimits} from '../backend-limits/index.ts';
@@ -60,4 +61,8 @@
 	Whether an open connection to a server is idle.
 	*/
 	readonly hasIdleConnection?: (server: string) => boolean;
+	/**
+	Lowers the capacity that less urgent requests may use.
+	*/
+	readonly urgencyPressure?: Pick<UrgencyPressure, 'factor'>;
 };
--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -75,15 +75,15 @@
 	const peerRequests = peerRequestsAt(state, now);
 	if (peerRequests !== undefined) {
 		const load = state.inFlight + 1 + peerRequests;
-		return isBurstExhausted(options, state, placement)
+		return isBurstExhausted(options, state, placement, now)
 			? Infinity
-			: load / capacityOf(options, state, placement);
+			: load / capacityOf(options, state, placement, now);
 	}
 
 	const capacity =
 		Math.max(
 			1,
-			Math.ceil(capacityOf(options, state, placement) / sharingNodes),
+			Math.ceil(capacityOf(options, state, placement, now) / sharingNodes),
 		) * sharingNodes;
 	return estimatedLoad(state, sharingNodes, now, {additional: 1}) / capacity;
 };
@@ -116,20 +116,22 @@
 	const others = estimatedPeerRequests(mean, nodes, candidates.length);
 	return (state) =>
 		estimatedLoad(state, nodes, now, {additional: 1, others}) /
-		capacityOf(options, state, placement);
+		capacityOf(options, state, placement, now);
 };
 
 const capacityOf = (
 	options: ServerChoiceOptions,
 	state: ServerState,
 	placement: Placement,
+	now: number,
 ): number =>
-	state.known.server.slots * capacityFactorOf(options, state, placement);
+	state.known.server.slots * capacityFactorOf(options, state, placement, now);
 
 const capacityFactorOf = (
 	options: ServerChoiceOptions,
 	state: ServerState,
 	{priority, sharedPart, targetMs}: Placement,
+	now: number,
 ): number => {
 	const {service} = state.known.server;
 	const levels = options.urgencyLevels?.(service);
@@ -146,7 +148,13 @@
 	// Processing a shared part again at another engine takes more from everyone than the slot does here.
 	const minimumFactor =
 		sharedPart && isHolderOf(options, state, sharedPart.id) ? 1 : 0;
-	return Math.max(minimumFactor, gradedCapacityFactor(levels, priority));
+	const factor = Math.max(
+		minimumFactor,
+		gradedCapacityFactor(levels, priority),
+	);
+	return (
+		factor * (options.urgencyPressure?.factor(service, priority, now) ?? 1)
+	);
 };
 
 // Maximum requests in flight at a plain server whose requests are short beside their target, as a multiple of its slots. Servers
@@ -186,13 +194,14 @@
 	options: ServerChoiceOptions,
 	state: ServerState,
 	placement: Placement,
+	now: number,
 ): boolean =>
 	options.service(state.known.server.service)?.engine === undefined &&
 	state.inFlight >=
 		Math.max(
 			minimumBurst,
 			Math.ceil(
-				(capacityOf(options, state, placement) * burstFactor) /
+				(capacityOf(options, state, placement, now) * burstFactor) /
 					options.nodesServing(),
 			),
 		);
--- a/src/demand/index.ts
+++ b/src/demand/index.ts
@@ -4,4 +4,5 @@
 export * from './region-balance.ts';
 export * from './node-capacities.ts';
 export * from './graded-capacity.ts';
+export * from './urgency-pressure.ts';
 export * from './contended-services.ts';
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -36,10 +36,15 @@
 	readonly headers: WireHeaders;
 	readonly bounds: GatewayBounds;
 	/**
-	Processor time that the node may use, in cores. A node with less than one core sheds requests while it is overloaded.
+	Processor time that the node may use, in cores.
 	*/
 	readonly processorCores?: number | undefined;
 	/**
+	Whether the node refuses requests while its event loop is overloaded, the least urgent first, and counts the wait in the socket
+	into the time limits of requests. Off by default: nodes of a small fraction of a core serve some loads better without it.
+	*/
+	readonly refusesWhenOverloaded?: boolean;
+	/**
 	Bandwidth of the machine's link, in megabits per second.
 	*/
 	readonly linkMbps?: number | undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -65,15 +65,11 @@
 		onBadStatement(server, fault) {
 			observer.badStatement(server, fault);
 		},
-		capacity() {
-			const carried = capacityOfNode({
+		capacity: () =>
+			capacityOfNode({
 				processorCores: options.processorCores,
 				linkMbps: options.linkMbps,
-			});
-			return carried === undefined
-				? undefined
-				: carried * (1 - (overload?.refusedFraction() ?? 0));
-		},
+			}),
 	});
 	const {
 		clock,
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -86,9 +86,7 @@
 		announcements,
 	} = nodeState;
 	const {routesVersion} = mirror;
-	const hasOverloadControl =
-		(options.processorCores ?? 1) < 1 && !options.without.has('node-overload');
-	const overload = hasOverloadControl
+	const overload = options.refusesWhenOverloaded
 		? createNodeOverload({
 				lagMs: hooks.lagMs,
 				utilization: hooks.utilization,
--- a/src/mechanisms/mechanisms.ts
+++ b/src/mechanisms/mechanisms.ts
@@ -104,10 +104,6 @@
 	Shares the requests in flight at each server between the nodes of a region, and moves requests between regions by them.
 	*/
 	'regional-demand',
-	/**
-	Makes a node whose event loop is late reject requests, the least urgent first.
-	*/
-	'node-overload',
 ] as const;
 
 /**
