--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -109,6 +109,10 @@
 		counts: ReadonlyMap<string, number>,
 		now: number,
 	): void;
+	/**
+	Returns the lowest fraction of their usual capacity that requests of any priority may use now.
+	*/
+	lowestUrgencyFactor(): number;
 };
 
 /**
@@ -354,6 +358,7 @@
 					slots: server.slots,
 					inFlight,
 				})),
+		lowestUrgencyFactor: urgencyPressure.lowest,
 		recordPeerRequests(service, counts, now) {
 			peerRequestsOf(service).record(counts, now);
 		},
--- a/src/demand/urgency-pressure.ts
+++ b/src/demand/urgency-pressure.ts
@@ -13,6 +13,10 @@
 	Returns the fraction of their usual capacity that requests of a priority may use.
 	*/
 	factor(service: string, priority: number, now: number): number;
+	/**
+	Returns the lowest of these fractions.
+	*/
+	lowest(): number;
 };
 
 /**
@@ -74,5 +78,6 @@
 				: Math.min(1, level.factor + increase * intervals);
 			return level.factor;
 		},
+		lowest: () => Math.min(1, ...levels.values().map(({factor}) => factor)),
 	};
 };
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -201,6 +201,7 @@
 			loopLagMilliseconds: hooks.lagMs,
 			loopUtilization: hooks.utilization,
 			overloadRefusedFraction: () => overload?.refusedFraction() ?? 0,
+			urgencyCapacityFactor: fleet.lowestUrgencyFactor,
 			regionalOverflowFraction: () =>
 				Math.max(0, ...nodeState.demand.balance.fractions().values()),
 			registryEra: () => mirror.position().era,
--- a/src/gateway/sharing/demand-sharing.ts
+++ b/src/gateway/sharing/demand-sharing.ts
@@ -200,61 +200,82 @@
 		return (1 + zones.size) / (1 + heard);
 	};
 
-	const sendTotals = (now: number) => {
-		nodeSums.expire(now);
-		zoneSums.expire(now);
-		const scale = zoneScale();
-		if (scale === undefined) {
-			return;
-		}
+	const isInRegion = ({availabilityZone}: Member) =>
+		regionOf(availabilityZone) === localRegion;
 
-		const {id, availabilityZone} = mesh.self();
-		const servers = shared.values().toArray().flat();
-		const ofZone = servers.map((server) => ({
-			server: server.id,
-			requests: nodeSums.at(server.id) * scale,
+	const loadsOf = (requests: readonly ServerRequests[]): RegionLoad[] => {
+		const totals = new Map(
+			requests.map((each) => [each.server, each.requests]),
+		);
+		return [...shared].map(([service, servers]) => ({
+			region: localRegion,
+			service,
+			load: servers.reduce((sum, {id}) => sum + totals.get(id)!, 0),
+			slots: servers.reduce((sum, {slots}) => sum + slots, 0),
 		}));
+	};
+
+	const sendToOtherZones = (
+		ofZone: readonly ServerRequests[],
+		ownLoads: readonly RegionLoad[],
+	) => {
+		const {id, availabilityZone} = mesh.self();
 		const others = holders()
 			.values()
 			.filter((holder) => !isInOwnZone(holder))
 			.toArray();
-		const isInRegion = (member: Member) =>
-			regionOf(member.availabilityZone) === localRegion;
 		mesh.send(
 			others.filter((holder) => isInRegion(holder)),
 			{kind: 'demand-zone', from: availabilityZone, requests: ofZone},
 		);
-		const spread = regionScale();
-		const ofRegion = ofZone.map(({server, requests}) => ({
-			server,
-			requests: (requests + zoneSums.at(server)) * spread,
-		}));
-		const totals = new Map(
-			ofRegion.map((each) => [each.server, each.requests]),
-		);
-		const ownLoads = [...shared].map(([service, ofService]): RegionLoad => ({
-			region: localRegion,
-			service,
-			load: ofService.reduce((sum, server) => sum + totals.get(server.id)!, 0),
-			slots: ofService.reduce((sum, {slots}) => sum + slots, 0),
-		}));
-		loads.record(ownLoads, now);
 		mesh.send(
 			others.filter((holder) => !isInRegion(holder)),
 			{kind: 'demand-regions', from: id, loads: ownLoads},
 		);
-		const zoneNodes = mesh.usable().filter((member) => isInOwnZone(member));
-		mesh.send(zoneNodes, {kind: 'demand-totals', from: id, requests: ofRegion});
-		mesh.send(zoneNodes, {
+	};
+
+	const sendToOwnZone = (requests: readonly ServerRequests[], now: number) => {
+		const from = mesh.self().id;
+		const nodes = mesh.usable().filter((member) => isInOwnZone(member));
+		mesh.send(nodes, {kind: 'demand-totals', from, requests});
+		mesh.send(nodes, {
 			kind: 'demand-regions',
-			from: id,
+			from,
 			loads: loads.recent(now),
 		});
-		mesh.send(zoneNodes, {
+		mesh.send(nodes, {
 			kind: 'node-capacities',
-			from: id,
+			from,
 			capacities: capacities.recent(now),
 		});
+	};
+
+	const sendTotals = (now: number) => {
+		nodeSums.expire(now);
+		zoneSums.expire(now);
+		const scale = zoneScale();
+		if (scale === undefined) {
+			return;
+		}
+
+		const spread = regionScale();
+		const ids = shared
+			.values()
+			.toArray()
+			.flat()
+			.map(({id}) => id);
+		const ofZone = ids.map((server) => ({
+			server,
+			requests: nodeSums.at(server) * scale,
+		}));
+		const ofRegion = ofZone.map(({server, requests}) => ({
+			server,
+			requests: (requests + zoneSums.at(server)) * spread,
+		}));
+		const ownLoads = loadsOf(ofRegion);
+		loads.record(ownLoads, now);
+		sendToOtherZones(ofZone, ownLoads);
+		sendToOwnZone(ofRegion, now);
 		applyTotals(ofRegion, now);
 		balance.update(now);
 	};
