--- a/src/backends/server-cost.ts
+++ b/src/backends/server-cost.ts
@@ -63,8 +63,8 @@
 };
 
 /**
-Returns the utilization of a server's capacity after one more request of this node, where each node is limited to an equal
-share. A value above 1 means that no capacity is left.
+Returns the utilization of a server's capacity after one more request of this node. A value above 1 means that no capacity is
+left. If the other nodes reported their requests, these count; otherwise each node is limited to an equal share.
 */
 export const utilizationOf = (
 	options: ServerChoiceOptions,
@@ -101,6 +101,7 @@
 	placement: Placement,
 	now: number,
 ): ((state: ServerState, utilization: number) => number) => {
+	// The utilization already counts what the other nodes reported.
 	if (candidates[0] && peerRequestsAt(candidates[0], now) !== undefined) {
 		return (_state, utilization) => utilization;
 	}
