--- a/src/demand/node-capacities.ts
+++ b/src/demand/node-capacities.ts
@@ -1,3 +1,5 @@
+import {createRecentReports} from './recent-reports.ts';
+
 /**
 Relative capacity of a node: the requests a second that its processor and its link carry.
 */
@@ -27,32 +29,16 @@
 Creates capacities without reports.
 */
 export const createNodeCapacities = (): NodeCapacities => {
-	const reports = new Map<
-		string,
-		{readonly capacity: number; readonly at: number}
-	>();
-	const isRecent = (at: number, now: number) =>
-		now - at <= capacityMaximumAgeMs;
+	const reports = createRecentReports<NodeCapacity>(capacityMaximumAgeMs);
 
 	return {
 		record(capacities, now) {
-			for (const {node, capacity} of capacities) {
-				reports.set(node, {capacity, at: now});
+			for (const capacity of capacities) {
+				reports.record(capacity.node, capacity, now);
 			}
 		},
-		of(node, now) {
-			const report = reports.get(node);
-			return report && isRecent(report.at, now) ? report.capacity : undefined;
-		},
-		recent(now) {
-			for (const [node, {at}] of reports) {
-				if (!isRecent(at, now)) {
-					reports.delete(node);
-				}
-			}
-
-			return [...reports].map(([node, {capacity}]) => ({node, capacity}));
-		},
+		of: (node, now) => reports.of(node, now)?.capacity,
+		recent: reports.all,
 	};
 };
 
--- a/src/demand/region-load.ts
+++ b/src/demand/region-load.ts
@@ -1,3 +1,5 @@
+import {createRecentReports} from './recent-reports.ts';
+
 /**
 Load of a service in a region: requests of all nodes in flight, and the number of requests that its servers run without a
 noticeable wait.
@@ -33,28 +35,16 @@
 Creates loads without reports.
 */
 export const createRegionLoads = (): RegionLoads => {
-	const reports = new Map<
-		string,
-		{readonly load: RegionLoad; readonly at: number}
-	>();
-	const isRecent = (at: number, now: number) =>
-		now - at <= regionLoadMaximumAgeMs;
+	const reports = createRecentReports<RegionLoad>(regionLoadMaximumAgeMs);
+	const keyOf = (region: string, service: string) => `${region} ${service}`;
 
 	return {
 		record(loads, now) {
 			for (const load of loads) {
-				reports.set(`${load.region} ${load.service}`, {load, at: now});
+				reports.record(keyOf(load.region, load.service), load, now);
 			}
 		},
-		of(region, service, now) {
-			const report = reports.get(`${region} ${service}`);
-			return report && isRecent(report.at, now) ? report.load : undefined;
-		},
-		recent: (now) =>
-			reports
-				.values()
-				.filter(({at}) => isRecent(at, now))
-				.map(({load}) => load)
-				.toArray(),
+		of: (region, service, now) => reports.of(keyOf(region, service), now),
+		recent: reports.all,
 	};
 };
--- a/src/gateway/choosing/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -37,6 +37,20 @@
 	*/
 	| {readonly kind: 'none'};
 
+/**
+The region that a request goes to which finds the local one full.
+*/
+export type OverflowRegion =
+	/**
+	Nodes do not share the loads of regions directly.
+	*/
+	| {readonly kind: 'unknown'}
+	/**
+	No region that may serve the request has free slots.
+	*/
+	| {readonly kind: 'none'}
+	| {readonly kind: 'region'; readonly region: string};
+
 /**
 Options of `createUpstreamChooser`.
 */
@@ -51,13 +65,12 @@
 	*/
 	readonly regionToMoveTo?: (exchange: Exchange) => string | undefined;
 	/**
-	Returns the region that a request goes to which finds this one full, if the loads of regions are shared directly: a region, or
-	`none`. Returns undefined if they are not.
+	Returns the region that a request goes to which finds this one full.
 	*/
 	readonly regionWithFreeSlots?: (
 		exchange: Exchange,
 		tried: TriedTargets,
-	) => string | 'none' | undefined;
+	) => OverflowRegion;
 	readonly random: Random;
 };
 
@@ -146,12 +159,11 @@
 	tried: TriedTargets,
 	local: LocalChoice,
 ): RegionNodes | undefined => {
-	const region =
-		local.kind === 'full'
-			? options.regionWithFreeSlots?.(exchange, tried)
-			: undefined;
-	switch (region) {
-		case undefined: {
+	const overflow: OverflowRegion = (local.kind === 'full'
+		? options.regionWithFreeSlots?.(exchange, tried)
+		: undefined) ?? {kind: 'unknown'};
+	switch (overflow.kind) {
+		case 'unknown': {
 			return nodesOfLeastLoadedRegion(options, exchange, tried);
 		}
 
@@ -159,8 +171,8 @@
 			return undefined;
 		}
 
-		default: {
-			return nodesOfRegion(options, region, exchange, tried);
+		case 'region': {
+			return nodesOfRegion(options, overflow.region, exchange, tried);
 		}
 	}
 };
--- a/src/gateway/choosing/gateway-chooser.ts
+++ b/src/gateway/choosing/gateway-chooser.ts
@@ -13,8 +13,10 @@
 import {peerConnectionKey} from '../delivery/index.ts';
 import {
 	createUpstreamChooser,
+	type OverflowRegion,
 	type UpstreamChooser,
 } from './choose-upstream.ts';
+import type {TriedTargets} from './region-nodes.ts';
 import type {PlacementView} from './placement-view.ts';
 import {findPromptHome, type PromptCandidate} from './prompt-home.ts';
 
@@ -95,19 +97,8 @@
 				options.client.hasIdleConnection(peerConnectionKey(member)),
 			maximumRegionCost: ({route, service}) =>
 				options.demand.capacityFactor(service, route.priority),
-			regionWithFreeSlots({route, service}, tried) {
-				const isShared =
-					options.demand.loads.of(options.localRegion, service, clock()) !==
-					undefined;
-				return isShared
-					? (options.demand.balance.regionWithFreeSlots(
-							service,
-							(region) =>
-								isRegionAllowed(route, region) && !tried.regions.has(region),
-							clock(),
-						) ?? 'none')
-					: undefined;
-			},
+			regionWithFreeSlots: (exchange, tried) =>
+				regionWithFreeSlots(options, exchange, tried),
 			regionToMoveTo: ({route, service}) =>
 				options.demand.balance.regionFor(
 					service,
@@ -123,6 +114,24 @@
 	};
 };
 
+const regionWithFreeSlots = (
+	{demand, localRegion, clock}: GatewayChooserOptions,
+	{route, service}: Exchange,
+	tried: TriedTargets,
+): OverflowRegion => {
+	const now = clock();
+	if (!demand.loads.of(localRegion, service, now)) {
+		return {kind: 'unknown'};
+	}
+
+	const region = demand.balance.regionWithFreeSlots(
+		service,
+		(each) => isRegionAllowed(route, each) && !tried.regions.has(each),
+		now,
+	);
+	return region === undefined ? {kind: 'none'} : {kind: 'region', region};
+};
+
 // The load of a region is the load of its most loaded zone.
 const loadIn = (
 	{zones, placement, mesh, clock, demand}: GatewayChooserOptions,
--- a/src/mesh/peer-client.ts
+++ b/src/mesh/peer-client.ts
@@ -10,8 +10,8 @@
 import type {FeedAnswer, FeedQuery} from '../prompts/index.ts';
 import {feedLongPollMs} from '../prompts/prompt-feed.ts';
 import {
-	createIdleTimeout,
 	readWithIdleTimeout,
+	withIdleTimeout,
 	type Address,
 } from '../shared/index.ts';
 import {knownViewHeader, peerPaths} from './peer-listener.ts';
@@ -74,9 +74,8 @@
 		path: string,
 		timeoutMs = peerCallTimeoutMs,
 		headers: Readonly<Record<string, string>> = {},
-	): Promise<unknown> => {
-		const timeout = createIdleTimeout(timeoutMs, peerCallTimeoutMs);
-		try {
+	): Promise<unknown> =>
+		withIdleTimeout(timeoutMs, peerCallTimeoutMs, async (timeout) => {
 			const {statusCode, body} = await request(`http://${peer}${path}`, {
 				dispatcher,
 				headers,
@@ -88,11 +87,8 @@
 				throw new Error(`peer answered with status ${statusCode}`);
 			}
 
-			return unpack(bytes);
-		} finally {
-			timeout.clear();
-		}
-	};
+			return unpack(bytes) as unknown;
+		});
 
 	return {
 		async members(peer, knownView) {
--- a/src/shared/idle-timeout.ts
+++ b/src/shared/idle-timeout.ts
@@ -54,6 +54,22 @@
 	};
 };
 
+/**
+Calls a function with a time limit, and clears the limit when it has ended.
+*/
+export const withIdleTimeout = async <Value>(
+	firstMs: number,
+	idleMs: number,
+	act: (timeout: IdleTimeout) => Promise<Value>,
+): Promise<Value> => {
+	const timeout = createIdleTimeout(firstMs, idleMs);
+	try {
+		return await act(timeout);
+	} finally {
+		timeout.clear();
+	}
+};
+
 /**
 Reads a whole body within an idle time limit.
 
