--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -81,6 +81,7 @@
 		prompts,
 		limits,
 		demand,
+		origins,
 		fleet,
 		client,
 		quarantine,
@@ -157,6 +158,7 @@
 		prompts.tick();
 		limits.tick(now);
 		demand.tick(now);
+		origins.tick(now);
 		deliveries.tick(now);
 		observer.tick(now);
 		joiner.tick(now);
--- a/src/gateway/sharing/origin-sharing.ts
+++ b/src/gateway/sharing/origin-sharing.ts
@@ -41,6 +41,10 @@
 	refresh(): void;
 	receive(message: StreamOriginMessage): void;
 	/**
+	Must be called at each tick.
+	*/
+	tick(now: number): void;
+	/**
 	For metrics: records kept here, records sent to other nodes, and searches at other nodes.
 	*/
 	kept(): number;
@@ -145,6 +149,14 @@
 			);
 		},
 		receive: origins.receive,
+		tick(now) {
+			// Versions may come and go while the copy is not confirmed.
+			if (copyAgeMs() > maximumVersionAgeMs) {
+				history.interrupt();
+			} else {
+				history.follow(now);
+			}
+		},
 		kept: origins.kept,
 		sent: origins.sent,
 		searches: origins.searches,
--- a/src/stream-origins/version-history.ts
+++ b/src/stream-origins/version-history.ts
@@ -7,8 +7,17 @@
 	*/
 	update(servers: Iterable<VersionedServer>, now: number): void;
 	/**
+	Must be called while the copy of the registry is confirmed, so that the time is known for which this node has followed the
+	registry.
+	*/
+	follow(now: number): void;
+	/**
+	Must be called when the copy of the registry is not confirmed any more.
+	*/
+	interrupt(): void;
+	/**
 	Returns the versions of a service that were registered at any time in the last `spanMs` milliseconds; undefined if this node has
-	not followed the registry for so long.
+	not followed the registry without interruption for so long.
 	*/
 	versionsWithin(
 		service: string,
@@ -34,7 +43,7 @@
 export const createVersionHistory = (): VersionHistory => {
 	// By service and version: when the last server was removed, or infinite while there is one.
 	const lastSeenAt = new Map<string, Map<string, number>>();
-	let startedAt: number | undefined;
+	let followedSince: number | undefined;
 
 	const markRemoved = (now: number) => {
 		for (const [service, versions] of lastSeenAt) {
@@ -54,7 +63,6 @@
 
 	return {
 		update(servers, now) {
-			startedAt ??= now;
 			markRemoved(now);
 			for (const {service, softwareVersion} of servers) {
 				const versions = lastSeenAt.get(service) ?? new Map<string, number>();
@@ -62,8 +70,14 @@
 				versions.set(softwareVersion, Infinity);
 			}
 		},
+		follow(now) {
+			followedSince ??= now;
+		},
+		interrupt() {
+			followedSince = undefined;
+		},
 		versionsWithin(service, spanMs, now) {
-			if (startedAt === undefined || now - startedAt < spanMs) {
+			if (followedSince === undefined || now - followedSince < spanMs) {
 				return undefined;
 			}
 
--- a/tests/stream-origins/decide-continuation.test.ts
+++ b/tests/stream-origins/decide-continuation.test.ts
@@ -66,6 +66,7 @@
 		...(history.versionsWithin('engine', 4000, now) ?? []),
 	];
 	history.update([serverOf('v1')], 0);
+	history.follow(0);
 	t.assert.deepStrictEqual(versionsAt(9000), ['v1']);
 	history.update([serverOf('v1'), serverOf('v2')], 10_000);
 	t.assert.deepStrictEqual(versionsAt(15_000), ['v1', 'v2']);
@@ -78,6 +79,11 @@
 	const history = createVersionHistory();
 	t.assert.strictEqual(history.versionsWithin('engine', 4000, 0), undefined);
 	history.update([serverOf('v1')], 1000);
+	history.follow(1000);
 	t.assert.strictEqual(history.versionsWithin('engine', 4000, 4999), undefined);
 	t.assert.strictEqual(history.versionsWithin('engine', 4000, 5000)?.size, 1);
+	history.interrupt();
+	history.follow(6000);
+	t.assert.strictEqual(history.versionsWithin('engine', 4000, 9999), undefined);
+	t.assert.strictEqual(history.versionsWithin('engine', 4000, 10_000)?.size, 1);
 });
