--- a/src/engines/engine-client.ts
+++ b/src/engines/engine-client.ts
@@ -136,11 +136,26 @@
 */
 export const leavingHeader = 'x-leaving';
 
+/**
+Header by which a backend server states the version of its software in its answers. Optional; versions have no order.
+*/
+export const softwareVersionHeader = 'x-software-version';
+
 /**
 Header with the attempt id, in requests to a backend server and in its answers.
 */
 export const attemptHeader = 'x-attempt-id';
 
+/**
+Returns the version of the software that a backend server states in an answer.
+*/
+export const softwareVersionOf = ({
+	headers,
+}: Pick<UpstreamAnswer, 'headers'>): string | undefined => {
+	const version = headers[softwareVersionHeader];
+	return typeof version === 'string' ? version : undefined;
+};
+
 const statusSchema = z.object({
 	running: z.number(),
 	queued: z.number(),
--- a/src/node/forward-handler.ts
+++ b/src/node/forward-handler.ts
@@ -1,6 +1,11 @@
 import type {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
-import {attemptHeader, notRunHeader} from '../engines/index.ts';
+import {
+	attemptHeader,
+	notRunHeader,
+	softwareVersionHeader,
+	softwareVersionOf,
+} from '../engines/index.ts';
 import {
 	answerTable,
 	createGatewayError,
@@ -141,6 +146,7 @@
 ) => {
 	const {upstream} = attempt;
 	const contentType = upstream.headers['content-type'];
+	const softwareVersion = softwareVersionOf(upstream);
 	void reply.code(upstream.status).headers({
 		'content-type':
 			typeof contentType === 'string'
@@ -148,6 +154,9 @@
 				: 'application/octet-stream',
 		[attemptHeader]: envelope.attemptId,
 		[backendServerHeader]: attempt.backendServer,
+		...(softwareVersion !== undefined && {
+			[softwareVersionHeader]: softwareVersion,
+		}),
 	});
 	await reply.send(Readable.from(observeBody(attempt)));
 };
--- a/src/requests/attempt-outcomes.ts
+++ b/src/requests/attempt-outcomes.ts
@@ -54,6 +54,18 @@
 	),
 });
 
+/**
+Failure of an attempt to resume a stream at a server whose software differs from the one that began it.
+*/
+export const otherVersionFailure = (): AttemptFailure => ({
+	outcome: 'ran',
+	isStated: true,
+	error: createGatewayError(
+		'attempt-failed',
+		'The backend server has another software version than the one that began the stream',
+	),
+});
+
 /**
 Failure of an attempt that the backend server answered with a server error.
 */
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -48,6 +48,10 @@
 	*/
 	outcome: Outcome;
 	readonly excluded: Set<string>;
+	/**
+	Version of the software that began the stream, if its server states one.
+	*/
+	softwareVersion?: string | undefined;
 	readonly isForwarded: boolean;
 };
 
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -1,7 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import type {BackendServer} from '../configuration/index.ts';
-import type {EngineClient, UpstreamAnswer} from '../engines/index.ts';
+import {
+	softwareVersionOf,
+	type EngineClient,
+	type UpstreamAnswer,
+} from '../engines/index.ts';
 import {createGatewayError, type GatewayError} from '../errors/index.ts';
 import type {AttemptEnd, Fleet} from '../fleet/index.ts';
 import type {Logger} from '../logging/index.ts';
@@ -16,6 +20,7 @@
 import {
 	overloadedError,
 	attemptEndOf,
+	otherVersionFailure,
 	worstOutcome,
 	withOutcome,
 } from './attempt-outcomes.ts';
@@ -113,6 +118,14 @@
 
 const smallestAttemptMs = 500;
 
+// A server may state no version; then only another that states none continues the stream.
+const canContinue = (
+	{softwareVersion}: Progress,
+	{upstream}: OpenAttempt,
+	resumeFrom: number,
+): boolean =>
+	resumeFrom === 0 || softwareVersionOf(upstream) === softwareVersion;
+
 /**
 Creates the functions that make attempts.
 */
@@ -138,22 +151,23 @@
 				attemptId: options.issueAttemptId(),
 				resumeFrom,
 			});
-			if (attempt.isOk) {
+			if (attempt.isOk && canContinue(progress, attempt.value, resumeFrom)) {
 				return Result.ok(attempt.value);
 			}
 
-			if (attempt.error.isWithdrawn) {
+			if (attempt.isOk) {
+				attempt.value.abort.abort();
+				attempt.value.finish('canceled');
+			}
+
+			const failure = attempt.isOk ? otherVersionFailure() : attempt.error;
+			if (failure.isWithdrawn) {
 				progress.attempts -= 1;
 				continue;
 			}
 
 			progress.excluded.add(targetId(target.value));
-			const verdict = handleFailure(
-				request,
-				progress,
-				attempt.error,
-				resumeFrom > 0,
-			);
+			const verdict = handleFailure(request, progress, failure, resumeFrom > 0);
 			if (verdict.isErr) {
 				return Result.err(verdict.error);
 			}
--- a/src/requests/request-executor.ts
+++ b/src/requests/request-executor.ts
@@ -1,5 +1,5 @@
 import {Result} from 'true-myth';
-import type {UpstreamAnswer} from '../engines/index.ts';
+import {softwareVersionOf, type UpstreamAnswer} from '../engines/index.ts';
 import {createGatewayError, type GatewayError} from '../errors/index.ts';
 import type {AttemptEnd} from '../fleet/index.ts';
 import type {AttemptFailure, RetryBudget} from '../retries/index.ts';
@@ -165,6 +165,7 @@
 
 			const attempt = opened.value;
 			if (attempt.upstream.status === 200) {
+				progress.softwareVersion = softwareVersionOf(attempt.upstream);
 				return {
 					kind: 'stream',
 					status: 200,
--- a/tests/requests/request-chain.test.ts
+++ b/tests/requests/request-chain.test.ts
@@ -7,10 +7,11 @@
 	type Configuration,
 	type ParsedConfiguration,
 } from '../../src/configuration/index.ts';
-import type {
-	BackendCall,
-	EngineClient,
-	UpstreamAnswer,
+import {
+	softwareVersionHeader,
+	type BackendCall,
+	type EngineClient,
+	type UpstreamAnswer,
 } from '../../src/engines/index.ts';
 import {createGatewayError, type GatewayError} from '../../src/errors/index.ts';
 import {createFleet} from '../../src/fleet/index.ts';
@@ -397,6 +398,32 @@
 	assert.equal(inFlight.count(), 0);
 });
 
+test('a broken stream is not resumed by a server that states another software version', async () => {
+	const versions = ['v1', 'v2', 'v1'];
+	const data = ['"a"', '"joined"', '"b"'];
+	const engine: Engine = (call, count) => {
+		const events = [
+			eventOf(call, call.resumeFrom, data[count - 1]),
+			...(count > 1 ? [eventOf(call, 'end', '[DONE]')] : []),
+		];
+		return Result.ok({
+			status: 200,
+			headers: {
+				'content-type': 'text/event-stream',
+				[softwareVersionHeader]: versions[count - 1],
+			},
+			body: bodyOf(...events),
+		});
+	};
+
+	const {chain, sends} = createHarness({engine});
+	const {text} = await readAll(
+		await chain.answer(incoming({}, {stream: true})),
+	);
+	assert.equal(text, 'data: "a"\n\ndata: "b"\n\ndata: [DONE]\n\n');
+	assert.equal(sends(), 3);
+});
+
 test('a request past its deadline is refused before anything is sent', async () => {
 	let now = 0;
 	const clock = () => {
