--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -2,8 +2,13 @@
 Checks the guarantees of the gateway against the records of callers and servers.
 */
 import {maximumInWindow} from '../tests/most-in-span.ts';
-import {eventOf} from '../stand-ins/registered-server.ts';
-import {nodeOfRequest, type CallerRecord} from './soak-callers.ts';
+import {
+	eventsIn,
+	firstOf,
+	lastIndexOf,
+	nodeOfRequest,
+	type CallerRecord,
+} from './soak-callers.ts';
 import {applyMs, maximumAttempts} from './soak-routes.ts';
 import type {Disturbance} from './soak-nodes.ts';
 import {eventsPerStream, type ServerEvent} from './soak-server.ts';
@@ -17,6 +22,8 @@
 		| 'own answer'
 		| 'refusal without run'
 		| 'complete stream'
+		| 'one version'
+		| 'continuation'
 		| 'attempts'
 		| 'leaving'
 		| 'backoff'
@@ -50,6 +57,11 @@
 const limitWindowMs = 4000;
 const cancellationMs = 500;
 const allowedUncancelled = 3;
+// A node counts as undisturbed from this time after the end of its disturbance.
+const contactMs = 5000;
+const minimumTakenUp = 12;
+const minimumVersionServers = 2;
+const versionSpanMs = 500;
 
 /**
 Finds violations of guarantees. Each violation names a request, a server or a count.
@@ -65,6 +77,7 @@
 		...checkCancellation(history),
 		...checkRoutes(history),
 		...checkRecovery(history),
+		...checkContinuations(history),
 	];
 };
 
@@ -97,20 +110,91 @@
 			(!signature.endsWith(`/${requestId}`) ||
 				(kind !== 'stream' && body !== requestId)),
 	);
+	addIf('complete stream', kind === 'stream' && hasGap(record));
 	addIf(
 		'complete stream',
-		kind === 'stream' && isServed && body !== completeStream,
-	);
-	addIf(
-		'complete stream',
-		kind === 'stream' && status === 200 && !completeStream.startsWith(body),
+		kind === 'stream' && isServed && lastIndexOf(record) !== eventsPerStream,
 	);
+	addIf('one version', kind === 'stream' && versionsOf(record).size > 1);
 	return found;
 };
 
-const completeStream = Array.from({length: eventsPerStream}, (_, index) =>
-	eventOf(index + 1),
-).join('');
+const hasGap = (record: CallerRecord): boolean => {
+	const before = record.continues ? lastIndexOf(record.continues) : 0;
+	const events = eventsIn(record);
+	const isOfEvents =
+		record.status !== 200 ||
+		record.body
+			.split('\n\n')
+			.slice(0, -1)
+			.every((_, position) => events[position] !== undefined);
+	return (
+		!isOfEvents ||
+		events.some(({index}, position) => index !== before + position + 1)
+	);
+};
+
+// Versions that wrote the events of a stream, over all requests of its caller.
+const versionsOf = (record: CallerRecord): ReadonlySet<string> =>
+	new Set([
+		...eventsIn(record).map(({version}) => version),
+		...(record.continues ? versionsOf(record.continues) : []),
+	]);
+
+// Streams that are taken up at undisturbed nodes have to go on half as often as new ones begin there, while two servers of
+// their version are in use.
+const checkContinuations = ({
+	records,
+	disturbances,
+	events,
+}: SoakHistory): readonly Violation[] => {
+	const atSoundNodes = records.filter(
+		({kind, node, sentAt, latencyMs}) =>
+			kind === 'stream' &&
+			disturbances.every(
+				(each) =>
+					each.node !== node ||
+					each.from > sentAt + latencyMs ||
+					each.until + contactMs < sentAt,
+			),
+	);
+	const takenUp = atSoundNodes.filter(
+		(record) =>
+			record.continues !== undefined &&
+			serversOf(record, events) >= minimumVersionServers,
+	);
+	const fresh = atSoundNodes.filter(({continues}) => continues === undefined);
+	const shareOf = (all: readonly CallerRecord[]) =>
+		all.filter((record) => eventsIn(record).length > 0).length / all.length;
+	return takenUp.length < minimumTakenUp ||
+		shareOf(takenUp) >= shareOf(fresh) / 2
+		? []
+		: [
+				{
+					promise: 'continuation',
+					detail: `${shareOf(takenUp)} of ${takenUp.length} go on, ${shareOf(fresh)} of ${fresh.length} begin`,
+				},
+			];
+};
+
+// Number of servers that ran requests with the version of a stream shortly before it was taken up.
+const serversOf = (
+	record: CallerRecord,
+	events: readonly ServerEvent[],
+): number => {
+	const [version] = versionsOf(firstOf(record));
+	return new Set(
+		events
+			.filter(
+				({at, isRun, softwareVersion}) =>
+					isRun &&
+					softwareVersion === version &&
+					at > record.sentAt - versionSpanMs &&
+					at < record.sentAt + versionSpanMs,
+			)
+			.map(({server}) => server),
+	).size;
+};
 
 // A node has to follow the statements in the answers that it received, until the node is disturbed.
 const checkStatements = ({
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -24,7 +24,8 @@
 				| 'fail'
 				| 'break'
 				| 'hang'
-				| 'crash';
+				| 'crash'
+				| 'upgrade';
 			/**
 			Index of the backend server.
 			*/
@@ -67,6 +68,7 @@
 	'break',
 	'hang',
 	'crash',
+	'upgrade',
 ] as const;
 
 const maximumLostWrites = 8;
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -69,12 +69,12 @@
 	const routes = createSoakRoutes(registry);
 	const servers = await Promise.all(
 		Array.from({length: options.servers}, async (_, index) =>
-			startSoakServer(
-				registry,
-				`engine-${index}`,
-				`${network}.${serverHost + index}:${port}`,
-				zones[index % zones.length]!,
-			),
+			startSoakServer(registry, {
+				firstId: `engine-${index}`,
+				address: `${network}.${serverHost + index}:${port}`,
+				availabilityZone: zones[index % zones.length]!,
+				firstVersion: 1 + (Math.floor(index / zones.length) % 2),
+			}),
 		),
 	);
 	const nodes = startSoakNodes({
@@ -202,6 +202,11 @@
 			return;
 		}
 
+		case 'upgrade': {
+			servers[fault.server]!.upgrade();
+			return;
+		}
+
 		case 'refuse':
 		case 'rest':
 		case 'fail':
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -36,12 +36,47 @@
 	Time when the caller disconnected without waiting for the answer; infinite if it did not.
 	*/
 	readonly leftAt: number;
+	/**
+	The stream that the request continues, as far as the caller has received it.
+	*/
+	readonly continues: CallerRecord | undefined;
 };
 
+/**
+Ids of the events that a caller has received in one answer, and the versions of the software that wrote them.
+*/
+export const eventsIn = ({
+	body,
+}: Pick<CallerRecord, 'body'>): ReadonlyArray<{
+	readonly index: number;
+	readonly version: string;
+}> =>
+	body
+		.matchAll(/id: (?<index>\d+)\ndata: (?<version>\S+)\n\n/gv)
+		.map(({groups}) => ({
+			index: Number(groups!.index),
+			version: groups!.version!,
+		}))
+		.toArray();
+
+/**
+Returns the first request of a stream, whose first event the caller has received.
+*/
+export const firstOf = (record: CallerRecord): CallerRecord =>
+	record.continues ? firstOf(record.continues) : record;
+
+/**
+Returns the id of the last event that a caller has received of a stream, 0 for none.
+*/
+export const lastIndexOf = (record: CallerRecord): number =>
+	eventsIn(record).at(-1)?.index ??
+	(record.continues ? lastIndexOf(record.continues) : 0);
+
 const deadlineMs = 3000;
 // The caller of every n-th request disconnects before the answer.
 const leaveEvery = 20;
 const leaveAfterMs = 25;
+const maximumTakeUps = 2;
 
 /**
 Returns the index of the node that received a request; the request id begins with it.
@@ -61,21 +96,29 @@
 	appliedVersion: () => number,
 ): (() => Promise<readonly CallerRecord[]>) => {
 	const dispatcher = new Agent({connections: 20, connect: {timeout: 500}});
-	const records: Array<Promise<CallerRecord>> = [];
+	const records: Array<Promise<readonly CallerRecord[]>> = [];
 	let sent = 0;
 
 	const send = async (
 		node: number,
 		kind: RequestKind,
+		continues?: CallerRecord,
 	): Promise<CallerRecord> => {
 		sent += 1;
 		const requestId = `${node}-${sent}`;
-		const willLeave = kind !== 'once' && sent % leaveEvery === 0;
+		const willLeave = kind !== 'once' && !continues && sent % leaveEvery === 0;
 		const path =
 			kind === 'added'
 				? `/added/${appliedVersion()}/${sent}`
 				: `/${kind}/${sent}`;
-		const base = {requestId, kind, path, node, sentAt: performance.now()};
+		const base = {
+			requestId,
+			kind,
+			path,
+			node,
+			sentAt: performance.now(),
+			continues,
+		};
 		const elapsedMs = () => performance.now() - base.sentAt;
 		let head = {status: 0, signature: ''};
 		let body = '';
@@ -88,6 +131,10 @@
 					host: 'site.example',
 					[productHeaders.requestId]: requestId,
 					[productHeaders.remainingMs]: String(deadlineMs),
+					...(continues && {
+						'last-event-id': String(lastIndexOf(continues)),
+						[productHeaders.continuedRequestId]: firstOf(continues).requestId,
+					}),
 				},
 				signal: AbortSignal.timeout(
 					willLeave ? leaveAfterMs : deadlineMs + 500,
@@ -121,17 +168,37 @@
 		}
 	};
 
+	// Takes a stream that broke off up again, at any node.
+	const sendAndContinue = async (
+		node: number,
+		kind: RequestKind,
+	): Promise<readonly CallerRecord[]> => {
+		const all = [await send(node, kind)];
+		for (let tries = 0; tries < maximumTakeUps; tries += 1) {
+			const last = all.at(-1)!;
+			const hasBrokenOff =
+				kind === 'stream' && !last.isWhole && last.leftAt === Infinity;
+			if (!hasBrokenOff || lastIndexOf(last) === 0) {
+				return all;
+			}
+
+			all.push(await send(random.below(addresses.length), kind, last));
+		}
+
+		return all;
+	};
+
 	const timer = setInterval(() => {
 		const drawn = requestKinds[random.below(requestKinds.length)]!;
 		const kind =
 			drawn === 'added' && appliedVersion() === 0 ? 'repeatable' : drawn;
-		records.push(send(random.below(addresses.length), kind));
+		records.push(sendAndContinue(random.below(addresses.length), kind));
 	}, 1000 / perSecond);
 
 	return async () => {
 		clearInterval(timer);
 		const all = await Promise.all(records);
 		await dispatcher.destroy();
-		return all;
+		return all.flat();
 	};
 };
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -9,7 +9,6 @@
 import {productHeaders} from '../src/gateway/product-headers.ts';
 import {closeServer} from '../src/shared/index.ts';
 import {listenAt} from '../stand-ins/http-server.ts';
-import {eventOf} from '../stand-ins/registered-server.ts';
 import type {StandInRegistry} from '../stand-ins/registry.ts';
 
 /**
@@ -28,6 +27,10 @@
 	readonly resumedAfter: number;
 	readonly isRun: boolean;
 	/**
+	Version of the server's software.
+	*/
+	readonly softwareVersion: string;
+	/**
 	Whether the answer announced the server's shutdown.
 	*/
 	readonly isLeaving: boolean;
@@ -69,9 +72,19 @@
 	Simulates a restart under the same id and resets all faults.
 	*/
 	restart(): void;
+	/**
+	Replaces the server by one under another id with the next version of the software. Its streams break off.
+	*/
+	upgrade(): void;
 	close(): Promise<void>;
 };
 
+/**
+Returns the text of an event that names the version of the software that wrote it.
+*/
+export const soakEventOf = (index: number, version: string): string =>
+	`id: ${index}\ndata: ${version}\n\n`;
+
 /**
 Number of events in a complete stream.
 */
@@ -81,16 +94,34 @@
 const workMs = 15;
 const pauseMs = 10;
 const slots = 16;
+const versions = 3;
+
+/**
+Entry of a simulated server until it is replaced.
+*/
+export type SoakServerOptions = {
+	readonly firstId: string;
+	/**
+	Kept when the server is replaced.
+	*/
+	readonly address: string;
+	readonly availabilityZone: string;
+	/**
+	Number of the software version.
+	*/
+	readonly firstVersion: number;
+};
 
 /**
 Starts a simulated server and writes it to the registry.
 */
 export const startSoakServer = async (
 	registry: StandInRegistry,
-	id: string,
-	address: string,
-	availabilityZone: string,
+	{firstId, address, availabilityZone, firstVersion}: SoakServerOptions,
 ): Promise<SoakServer> => {
+	let id = firstId;
+	let version = firstVersion;
+	const open = new Set<ServerResponse>();
 	const events: ServerEvent[] = [];
 	let behaviour: Behaviour = 'sound';
 	let isLeaving = false;
@@ -104,6 +135,7 @@
 				id,
 				startedAt,
 				service: 'engine',
+				softwareVersion: `v${version}`,
 				address,
 				availabilityZone,
 				slots,
@@ -141,14 +173,19 @@
 		breaksAt: number,
 	) => {
 		let index = after;
+		const writtenBy = `v${version}`;
 		const sendNext = () => {
 			index += 1;
+			if (response.destroyed) {
+				return;
+			}
+
 			if (index === breaksAt) {
 				response.destroy();
 				return;
 			}
 
-			response.write(eventOf(index));
+			response.write(soakEventOf(index, writtenBy));
 			if (index >= eventsPerStream) {
 				response.end();
 			} else {
@@ -225,13 +262,16 @@
 				requestId,
 				resumedAfter: Number(request.headers['last-event-id'] ?? 0),
 				isRun: !isRefused,
+				softwareVersion: `v${version}`,
 				isLeaving,
 				backoffMs,
 				limit,
 				endedAt: Infinity,
 			};
 			events.push(event);
+			open.add(response);
 			response.once('close', () => {
+				open.delete(response);
 				event.endedAt = performance.now();
 			});
 			if (isRefused) {
@@ -264,6 +304,20 @@
 			startedAt += 1;
 			register();
 		},
+		upgrade() {
+			registry.write(`server ${id}`, undefined);
+			for (const response of open) {
+				response.destroy();
+			}
+
+			version = (version % versions) + 1;
+			id = `${firstId}-${startedAt}`;
+			isLeaving = false;
+			limit = undefined;
+			behaviour = 'sound';
+			startedAt += 1;
+			register();
+		},
 		close: async () => closeServer(server),
 	};
 };
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -2,12 +2,12 @@
 import {
 	checkSoak,
 	eventsPerStream,
+	soakEventOf,
 	type CallerRecord,
 	type ServerEvent,
 	type SoakHistory,
 	type Violation,
 } from '../../soak/index.ts';
-import {eventOf} from '../../stand-ins/registered-server.ts';
 
 const recordOf = (change: Partial<CallerRecord> = {}): CallerRecord => ({
 	requestId: '0-1',
@@ -21,6 +21,7 @@
 	isWhole: true,
 	latencyMs: 20,
 	leftAt: Infinity,
+	continues: undefined,
 	...change,
 });
 
@@ -30,6 +31,7 @@
 	requestId: '0-1',
 	resumedAfter: 0,
 	isRun: true,
+	softwareVersion: 'v1',
 	isLeaving: false,
 	backoffMs: undefined,
 	limit: undefined,
@@ -49,7 +51,7 @@
 	}).map(({promise}) => promise);
 
 const completeStream = Array.from({length: eventsPerStream}, (_, index) =>
-	eventOf(index + 1),
+	soakEventOf(index + 1, 'v1'),
 ).join('');
 
 test('a history without violations yields none', (t: TestContext) => {
@@ -84,6 +86,59 @@
 		'at most once',
 		{records: [recordOf()], events: [eventFor(), eventFor({server: 'b'})]},
 	],
+	[
+		'events of two software versions in one answer',
+		'one version',
+		{
+			records: [
+				recordOf({
+					kind: 'stream',
+					isWhole: false,
+					body: soakEventOf(1, 'v1') + soakEventOf(2, 'v2'),
+				}),
+			],
+		},
+	],
+	[
+		'a stream that is continued by another software version',
+		'one version',
+		{
+			records: [
+				recordOf({
+					kind: 'stream',
+					isWhole: false,
+					body: soakEventOf(2, 'v2'),
+					continues: recordOf({
+						kind: 'stream',
+						isWhole: false,
+						body: soakEventOf(1, 'v1'),
+					}),
+				}),
+			],
+		},
+	],
+	[
+		'refusals of all streams that are taken up',
+		'continuation',
+		{
+			records: Array.from({length: 24}, (_, index) => {
+				const begun = recordOf({
+					kind: 'stream',
+					isWhole: false,
+					body: soakEventOf(1, 'v1'),
+				});
+				return index % 2 === 0
+					? begun
+					: recordOf({
+							kind: 'stream',
+							status: 503,
+							body: '',
+							continues: begun,
+						});
+			}),
+			events: [eventFor(), eventFor({server: 'b'})],
+		},
+	],
 	[
 		'more attempts than the route allows',
 		'attempts',
@@ -106,7 +161,7 @@
 		'a truncated stream that ends without an error',
 		'complete stream',
 		{
-			records: [recordOf({kind: 'stream', body: eventOf(1)})],
+			records: [recordOf({kind: 'stream', body: soakEventOf(1, 'v1')})],
 			events: [eventFor()],
 		},
 	],
--- a/tests/tools/account.test.ts
+++ b/tests/tools/account.test.ts
@@ -31,6 +31,14 @@
 		{reason: 'No backend server that may serve it is in use'},
 		'no server that may serve it',
 	],
+	[
+		{
+			reason:
+				'No backend server with software v1, which began the stream, may serve it',
+			outcome: 'not-run',
+		},
+		'stream could not be continued',
+	],
 	[{result: 'rejected'}, 'this node was not ready'],
 	[
 		{result: 'rejected', reason: 'This node ends before the request would'},
--- a/tools/account/cause.ts
+++ b/tools/account/cause.ts
@@ -4,6 +4,7 @@
 export const causes = [
 	'no room',
 	'no server that may serve it',
+	'stream could not be continued',
 	'this node was not ready',
 	'no connection to a server or node',
 	'server broke off before the first event',
@@ -95,6 +96,10 @@
 		return 'this node was not ready';
 	}
 
+	if (/began the stream/iv.test(reason)) {
+		return 'stream could not be continued';
+	}
+
 	if (/no backend server that/iv.test(reason)) {
 		return 'no server that may serve it';
 	}
