--- a/tests/backends/backend-fleet.test.ts
+++ b/tests/backends/backend-fleet.test.ts
@@ -270,6 +270,21 @@
 	);
 });
 
+test('an entry that states another software version under the same id is a new server', () => {
+	const fleet = setUp([]);
+	const entryOf = (softwareVersion: string) => {
+		const known = knownServerOf('a', 1);
+		return new Map([
+			['a', {...known, server: {...known.server, softwareVersion}}],
+		]);
+	};
+
+	assert.deepEqual(fleet.sync(entryOf('v1'), 0), []);
+	assert.deepEqual(fleet.sync(entryOf('v1'), 10), []);
+	assert.deepEqual(fleet.sync(entryOf('v2'), 20), ['a']);
+	assert.equal(fleet.hasVersion('engine', 'v1'), false);
+});
+
 test('a clock jump does not make a server silent or a cold server warm', () => {
 	const fleet = setUp(['a'], {coldUntil: 3000});
 	while (idOf(fleet.choose(placementOf(), 100)) === 'a') {
--- a/tests/gateway/intake/read-exchange.test.ts
+++ b/tests/gateway/intake/read-exchange.test.ts
@@ -279,6 +279,30 @@
 	assert.equal(clientAt(6, keyIsGone), 'told');
 });
 
+test('a forwarded continuation keeps its service under newer routes, and is refused if they do not lead there', () => {
+	const readBound = (service: string) => {
+		const hop = encodeHopCall({
+			origin: 'node-2',
+			version: 4,
+			route: 'route',
+			service,
+			remainingMs: 700,
+			excluded: [],
+			canWait: false,
+			softwareVersion: 'v1',
+			client: undefined,
+		});
+		const exchange = readForwarded(
+			requestOf(['X-Test-Id', 'r', ...hop]),
+			contextOf(),
+		);
+		return exchange.isOk ? exchange.value.service : exchange.error.kind;
+	};
+
+	assert.equal(readBound('engine'), 'engine');
+	assert.equal(readBound('gone'), 'no-candidate');
+});
+
 test('a node that has no accounts yet forwards the key, and the receiving node finds the account', () => {
 	const hop = encodeHopCall({
 		origin: 'node-2',
