--- a/src/gateway/sharing/origin-sharing.ts
+++ b/src/gateway/sharing/origin-sharing.ts
@@ -105,17 +105,32 @@
 		clock,
 	});
 
+	// No record can be found for a caller that does not name the request that it continues, so a service that has one version now
+	// is taken to have had it before.
+	const versionsOf = ({
+		route,
+		service,
+		continuedRequestId,
+	}: Exchange): ReadonlySet<string> | undefined => {
+		const spanMs = originLifeMsOf(route);
+		if (continuedRequestId === undefined) {
+			return history.knownWithin(service, spanMs, clock());
+		}
+
+		return copyAgeMs() > maximumVersionAgeMs
+			? undefined
+			: history.versionsWithin(service, spanMs, clock());
+	};
+
 	const decide = (
-		{route, service}: Exchange,
+		exchange: Exchange,
 		origin: StreamOrigin | undefined,
 	): Continuation =>
 		decideContinuation({
 			origin,
-			services: route.services.map((each) => each.service),
-			versions:
-				copyAgeMs() > maximumVersionAgeMs
-					? undefined
-					: history.versionsWithin(service, originLifeMsOf(route), clock()),
+			service: exchange.service,
+			services: exchange.route.services.map(({service}) => service),
+			versions: versionsOf(exchange),
 		});
 
 	return {
--- a/src/node/node-controllers.ts
+++ b/src/node/node-controllers.ts
@@ -100,6 +100,9 @@
 					case 'demand-totals':
 					case 'demand-regions':
 					case 'node-capacities':
+					case 'stream-origins':
+					case 'stream-origin-query':
+					case 'stream-origins-unknown':
 					case undefined:
 				}
 			},
--- a/src/stream-origins/decide-continuation.ts
+++ b/src/stream-origins/decide-continuation.ts
@@ -9,7 +9,7 @@
 	*/
 	| {readonly kind: 'bound'; readonly origin: StreamOrigin}
 	/**
-	At any server of its service.
+	At any server of its service, because none of another version can be known to the node.
 	*/
 	| {readonly kind: 'any'}
 	| {readonly kind: 'impossible'; readonly reason: string};
@@ -23,6 +23,10 @@
 	*/
 	readonly origin: StreamOrigin | undefined;
 	/**
+	The service to which the request would go if it were a new one.
+	*/
+	readonly service: string;
+	/**
 	The services of the stream's route.
 	*/
 	readonly services: readonly string[];
@@ -37,6 +41,7 @@
 */
 export const decideContinuation = ({
 	origin,
+	service,
 	services,
 	versions,
 }: ContinuationEvidence): Continuation => {
@@ -50,13 +55,17 @@
 				};
 	}
 
-	const isUnambiguous =
-		services.length === 1 && versions !== undefined && versions.size <= 1;
-	return isUnambiguous
+	if (versions === undefined || versions.size > 1 || services.length > 1) {
+		return {
+			kind: 'impossible',
+			reason:
+				'No record says which software version began the stream; send the request without Last-Event-Id',
+		};
+	}
+
+	// Naming the version keeps a node with a later copy of the registry from using another one.
+	const [softwareVersion] = versions;
+	return softwareVersion === undefined
 		? {kind: 'any'}
-		: {
-				kind: 'impossible',
-				reason:
-					'No record says which software version began the stream; send the request without Last-Event-Id',
-			};
+		: {kind: 'bound', origin: {service, softwareVersion}};
 };
--- a/tests/stream-origins/stream-origins.test.ts
+++ b/tests/stream-origins/stream-origins.test.ts
@@ -1,6 +1,9 @@
 import {test, type TestContext} from 'node:test';
 import {createRandom} from '../../src/shared/index.ts';
-import {lookupTimeoutMs} from '../../src/stream-origins/index.ts';
+import {
+	lookupRepeatMs,
+	lookupTimeoutMs,
+} from '../../src/stream-origins/index.ts';
 import {memberOf} from '../fixtures.ts';
 import {createOriginNetwork} from './origin-network.ts';
 
@@ -87,6 +90,22 @@
 	t.assert.ok(cut.now() <= lookupTimeoutMs + 10);
 });
 
+test('holders that the first question did not reach are asked again', (t: TestContext) => {
+	let isCut = false;
+	const network = createOriginNetwork(t, {
+		members,
+		regionOf,
+		isLost: () => isCut,
+	});
+	network.origins(0).record('request', origin, lifeMs);
+	network.pass(60);
+	isCut = true;
+	setTimeout(() => {
+		isCut = false;
+	}, lookupRepeatMs / 2);
+	t.assert.deepStrictEqual(network.search(2, 'request'), origin);
+});
+
 test('a search that is cancelled has no result', (t: TestContext) => {
 	const network = createOriginNetwork(t, {members, regionOf});
 	const results: unknown[] = [];
