--- a/src/gateway/delivery/fail-call.ts
+++ b/src/gateway/delivery/fail-call.ts
@@ -9,6 +9,7 @@
 } from './delivery-run.ts';
 import {closeRun, endCurrentCall, failRun, recordRun} from './end-run.ts';
 import type {HopResult} from './hop.ts';
+import {boundOriginOf} from './take-up.ts';
 
 const severity: Readonly<Record<Outcome, number>> = {
 	'not-run': 0,
@@ -163,13 +164,15 @@
 		: run.isRepeatable || outcome === 'not-run';
 
 // A node of an earlier release does not state which version began a stream that it relays.
-const canContinue = (
-	{origins}: DeliveryContext,
-	{hasPassedEvent, origin, exchange}: DeliveryRun,
-): boolean =>
-	!hasPassedEvent ||
-	origin !== undefined ||
-	origins.decideWithoutRecord(exchange).kind === 'any';
+const canContinue = ({origins}: DeliveryContext, run: DeliveryRun): boolean => {
+	if (!run.hasPassedEvent || run.origin) {
+		return true;
+	}
+
+	const continuation = origins.decideWithoutRecord(run.exchange);
+	run.origin = boundOriginOf(continuation);
+	return continuation.kind !== 'impossible';
+};
 
 const hasRetryBudget = (
 	{budget, clock, budgetNodes}: DeliveryContext,
--- a/tests/gateway/delivery/take-up.test.ts
+++ b/tests/gateway/delivery/take-up.test.ts
@@ -209,6 +209,32 @@
 	t.assert.strictEqual(seen.isBroken, true);
 });
 
+test('a stream that a node without a stated version relayed is continued at the only version in use', (t: TestContext) => {
+	const {deliveries, sent} = setUp(
+		[],
+		1000,
+		true,
+		() => ({kind: 'peer', member: memberOf('node-2', 'far'), region: 'far'}),
+		() => true,
+		() => ({kind: 'clear'}),
+		{
+			origins: {
+				...originsOfOneVersion,
+				decideWithoutRecord: () => ({kind: 'bound', origin}),
+			},
+		},
+	);
+	deliveries.deliver(exchangeFor(streaming), createSink().sink);
+	answer(sent[0]!, 200, forwardedAnswer());
+	sent[0]!.listener.onData(eventOf(1));
+	sent[0]!.listener.onFailure({wasSent: true, reason: 'reset'});
+	const headers = sent[1]?.call.headers ?? [];
+	t.assert.strictEqual(
+		headers[headers.indexOf(hopHeaders.softwareVersion) + 1],
+		'v1',
+	);
+});
+
 test('a forwarded continuation without a version is refused while two versions are in use', (t: TestContext) => {
 	const hop = {
 		origin: 'node-2',
