Log and count the framing of response bodies and where their events end

Which mark ended a response (length, chunks, end of the connection) and whether its last byte ended an event stood in no log line and no metric.

The framing follows from the head. A stream that ends elsewhere than between two events is always logged, within the lines of failures. Nothing is decided by it yet.

--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -6,6 +6,7 @@
 } from '../../backends/index.ts';
 import type {Outcome} from '../../errors/index.ts';
 import type {Member} from '../../membership/index.ts';
+import type {ReceivedBody} from '../../response-bodies/index.ts';
 import {isRepeatable, placementPart} from '../../routes/index.ts';
 import type {StreamOrigin} from '../../stream-origins/index.ts';
 import type {ResponseSink, Exchange} from '../exchange.ts';
@@ -91,6 +92,10 @@
 	*/
 	outcome: Outcome;
 	/**
+	The body of the current or latest response that is passed on.
+	*/
+	body: ReceivedBody | undefined;
+	/**
 	Set once a resumable stream has started.
 	*/
 	relay: EventRelay | undefined;
@@ -221,6 +226,7 @@
 		waitedMs: 0,
 		current: undefined,
 		outcome: 'not-run',
+		body: undefined,
 		relay: undefined,
 		currentVersion: undefined,
 		origin,
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -1,5 +1,6 @@
 import type {BackendAttemptEnd} from '../../backends/index.ts';
 import {createGatewayError, type ErrorKind} from '../../errors/index.ts';
+import {streamTailOf} from '../../response-bodies/index.ts';
 import {assertNever} from '../../shared/index.ts';
 import type {DeliveryRecord} from '../exchange.ts';
 import type {StreamEnd, StreamRecord} from '../stream-record.ts';
@@ -27,7 +28,7 @@
 	run: DeliveryRun,
 	ending: Pick<DeliveryRecord, 'result' | 'status' | 'reason'>,
 ): void => {
-	const {exchange} = run;
+	const {body, exchange} = run;
 	onRecord({
 		exchange,
 		...ending,
@@ -41,6 +42,8 @@
 		waitedMs: run.waitedMs,
 		longestPauseMs: run.longestPauseMs,
 		isQuarantined: run.isQuarantined,
+		bodyFraming: body?.framing,
+		streamTail: body?.events && streamTailOf(body.events),
 		stream:
 			exchange.route.kind === 'streaming'
 				? streamRecordOf(run, ending.result, clock())
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -1,5 +1,10 @@
 import {Buffer} from 'node:buffer';
 import type {UpstreamHead, UpstreamListener} from '../../backends/index.ts';
+import {
+	bodyFramingOf,
+	createEventScanner,
+	type EventScanner,
+} from '../../response-bodies/index.ts';
 import {forwardableHeaders} from '../wire-headers.ts';
 import {recordStatements} from './record-statements.ts';
 import type {DeliveryContext} from './delivery-context.ts';
@@ -44,6 +49,7 @@
 	let size = 0;
 	let head: UpstreamHead | undefined;
 	let isStream = false;
+	let scanner: EventScanner | undefined;
 	const isCurrent = () => run.current === current;
 
 	return {
@@ -56,13 +62,22 @@
 
 			head = received;
 			current.attempt?.recordActivity(context.clock());
+			const framing = bodyFramingOf(run.exchange.method, received);
+			run.body = {framing, events: undefined};
 			isStream = handleHead(context, run, current, received) === 'stream';
+			if (!isStream || framing !== 'close') {
+				return;
+			}
+
+			scanner = createEventScanner();
+			run.body = {framing, events: scanner};
 		},
 		onData(chunk) {
 			if (!isCurrent()) {
 				return true;
 			}
 
+			scanner?.scan(chunk);
 			if (isStream) {
 				return isReadyForMore(context, run, current, chunk);
 			}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,5 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type {GatewayError} from '../errors/index.ts';
+import type {BodyFraming, StreamTail} from '../response-bodies/index.ts';
 import type {Prompt, Route} from '../routes/index.ts';
 import type {StreamRecord} from './stream-record.ts';
 
@@ -139,6 +140,14 @@
 	*/
 	readonly isQuarantined: boolean;
 	/**
+	How the body of the latest response was framed; undefined without a response.
+	*/
+	readonly bodyFraming: BodyFraming | undefined;
+	/**
+	Where that body ended; undefined if its events were not scanned.
+	*/
+	readonly streamTail: StreamTail | undefined;
+	/**
 	Set for requests of streaming routes.
 	*/
 	readonly stream: StreamRecord | undefined;
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -107,6 +107,12 @@
 		help: 'Answers with events of several versions of the software of backend servers',
 		registers: [registry],
 	});
+	const bodies = new Counter({
+		name: 'quillford_response_bodies_total',
+		help: 'Responses of backend servers and nodes by the framing of their body, where their events ended, and result of the request',
+		labelNames: ['framing', 'tail', 'result'],
+		registers: [registry],
+	});
 	const rejections = new Counter({
 		name: 'quillford_rejected_total',
 		help: 'Requests that ended before they had a route',
@@ -217,6 +223,12 @@
 		}
 	};
 
+	const countBody = ({bodyFraming, streamTail, result}: DeliveryRecord) => {
+		if (bodyFraming !== undefined) {
+			bodies.inc({framing: bodyFraming, tail: streamTail ?? '', result});
+		}
+	};
+
 	const shouldLog = (record: DeliveryRecord): boolean => {
 		if (record.result !== 'answered' || record.status >= 500) {
 			return linesLeft > 0;
@@ -227,7 +239,7 @@
 			return linesLeft > linesPerSecond / 4;
 		}
 
-		if (record.stream && hasSeveralVersions(record.stream)) {
+		if (isUnusualStream(record)) {
 			return linesLeft > 0;
 		}
 
@@ -274,6 +286,8 @@
 			firstByteMs: rounded(record.firstByteMs),
 			waitedMs: rounded(record.waitedMs),
 			longestPauseMs: rounded(record.longestPauseMs),
+			bodyFraming: record.bodyFraming,
+			streamTail: record.streamTail,
 			totalMs: rounded(record.totalMs),
 			targetMs: exchange.route.targetLatencyMs,
 			...streamFields(record),
@@ -296,6 +310,7 @@
 			});
 			countStream(record);
 			countSoftware(record);
+			countBody(record);
 			if (record.isQuarantined) {
 				quarantineRefusals.inc();
 			}
@@ -365,7 +380,12 @@
 	record.stream?.end === 'complete' &&
 	record.status < 500 &&
 	!isLate(record) &&
-	!hasSeveralVersions(record.stream);
+	!isUnusualStream(record);
+
+// Streams whose lines are not left out with those of other streams that ended well.
+const isUnusualStream = ({stream, streamTail}: DeliveryRecord): boolean =>
+	(stream !== undefined && hasSeveralVersions(stream)) ||
+	(streamTail !== undefined && streamTail !== 'between-events');
 
 const hasSeveralVersions = ({softwareVersions}: StreamRecord): boolean =>
 	softwareVersions.length > 1;
--- a/tests/gateway/gateway-observer.test.ts
+++ b/tests/gateway/gateway-observer.test.ts
@@ -54,6 +54,8 @@
 	waitedMs: 0,
 	longestPauseMs: 0,
 	isQuarantined: false,
+	bodyFraming: 'chunked',
+	streamTail: undefined,
 	stream: undefined,
 	...change,
 });
@@ -195,6 +197,24 @@
 	);
 });
 
+test('an answered stream that ends inside an event is always logged, and bodies are counted by framing and tail', async () => {
+	const {observer, lines} = setUp();
+	for (let index = 0; index < streamLinesPerSecond; index += 1) {
+		observer.record(streamOf({bodyFraming: 'close'}));
+	}
+
+	observer.record(streamOf({bodyFraming: 'close', streamTail: 'inside-event'}));
+	const {bodyFraming, streamTail} = lines.at(-1)!.facts;
+	assert.deepEqual(
+		[lines.length, bodyFraming, streamTail],
+		[streamLinesPerSecond + 1, 'close', 'inside-event'],
+	);
+	assert.match(
+		await observer.metrics(),
+		/quillford_response_bodies_total\{framing="close",tail="inside-event",result="answered"\} 1/v,
+	);
+});
+
 test('servers are exposed by service, zone and version of their software', async () => {
 	const {observer} = setUp();
 	assert.match(
