Break off a redeemed answer that broke off where it ran

What callers would see: a request that may run only once, asked for again at another node, is answered by the node that ran it. If that answer had broken off, the answer of the other node was framed as complete. Nobody reported it; it was found by looking for the cause of streams that broke off and looked complete at each relay between nodes.

Cause: the pieces of an answer end with a return value that says how, and the relay to the other node dropped it.

Change: an end other than a complete one throws, which breaks off the response between the nodes; the other node then ends its answer as broken, as it does today where the connection fails. With the pieces passed on as before, the test fails.

--- a/src/node/forward-handler.ts
+++ b/src/node/forward-handler.ts
@@ -27,6 +27,7 @@
 	type RequestExecutor,
 } from '../requests/index.ts';
 import type {NodeContext} from './node-context.ts';
+import {relayPieces} from './relay-pieces.ts';
 
 /**
 Options of `createForwardHandler`.
@@ -84,7 +85,9 @@
 			.code(answer.status)
 			.headers({...answer.headers, [attemptHeader]: envelope.attemptId});
 		await reply.send(
-			answer.kind === 'complete' ? answer.body : Readable.from(answer.pieces),
+			answer.kind === 'complete'
+				? answer.body
+				: Readable.from(relayPieces(answer.pieces)),
 		);
 	};
 
