Reset callers of HTTP/1.0 on the product's own interface as well

The same cause as at the gateway: a body that is not an event stream and is broken off was closed in order. Both ways in now abort a response by the same function. Event streams of this interface end with an error event, which tells their callers on every framing.

--- a/src/callers/write-answer.ts
+++ b/src/callers/write-answer.ts
@@ -8,6 +8,7 @@
 	type GatewayError,
 } from '../errors/index.ts';
 import type {Answer, StreamEnd} from '../requests/index.ts';
+import {abortResponse} from '../shared/index.ts';
 
 /**
  Writes an answer to the caller.
@@ -114,7 +115,7 @@
 	}
 
 	if (!isEventStream) {
-		response.destroy();
+		abortResponse(response);
 		return;
 	}
 
--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -12,6 +12,7 @@
 	type GatewayError,
 } from '../../errors/index.ts';
 import {
+	abortResponse,
 	closeServer,
 	createHeaderReader,
 	splitAddress,
@@ -272,15 +273,6 @@
 	};
 };
 
-// A response without chunks, which callers of HTTP/1.0 receive, would be complete with an orderly close of its connection.
-const abortResponse = (response: ServerResponse): void => {
-	if (response.headersSent && !response.chunkedEncoding) {
-		response.socket?.resetAndDestroy();
-	}
-
-	response.destroy();
-};
-
 // Once the head is sent, each chunk of a chunked response is written to the socket together with its framing in one write.
 // `response.write` makes four writes of it, buffers them until the end of the event-loop turn and sends them as a vector,
 // which takes a seventh of the main thread of a fresh node. A stream of 40 events needs 8.7 and 8.6 ms of processor time
--- a/src/node/relay-pieces.ts
+++ b/src/node/relay-pieces.ts
@@ -3,7 +3,7 @@
 /**
 Relays the pieces of an answer to another node, which reads them to their end.
 
-@yields The pieces.
+@yields What the answer holds until it ends or breaks off.
 @throws {Error} If the answer broke off, so that its response breaks off too.
 */
 export async function* relayPieces(
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -1,6 +1,7 @@
 export * from './assert-never.ts';
 export * from './random.ts';
 export * from './hash.ts';
+export * from './abort-response.ts';
 export * from './address.ts';
 export * from './keyed-loops.ts';
 export * from './long-poll-waiters.ts';
