Log the shared parts of the prompts that were in flight at a crash

A crash was logged with the fingerprints of the requests in flight.

Parts are stated as digests of service, software version and id: a part that crashes one version need not crash another. Lines of requests that may have run name their parts as the caller stated them. Nothing is decided by it yet.

--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -31,6 +31,10 @@
 	Identifies the incarnation of the server.
 	*/
 	readonly incarnationId: string;
+	/**
+	Version of its software.
+	*/
+	readonly softwareVersion: string;
 	readonly sentAt: number;
 };
 
--- a/src/gateway/delivery/fail-call.ts
+++ b/src/gateway/delivery/fail-call.ts
@@ -94,11 +94,16 @@
 */
 export const reportBrokenCall = (
 	{onCallBroken}: DeliveryContext,
-	{exchange}: DeliveryRun,
+	{exchange, currentVersion = ''}: DeliveryRun,
 	{server, incarnationId, sentAt}: CurrentCall,
 ): void => {
 	if (server !== undefined && incarnationId !== undefined) {
-		onCallBroken(exchange, {server, incarnationId, sentAt});
+		onCallBroken(exchange, {
+			server,
+			incarnationId,
+			softwareVersion: currentVersion,
+			sentAt,
+		});
 	}
 };
 
--- a/src/gateway/fingerprint-of-exchange.ts
+++ b/src/gateway/fingerprint-of-exchange.ts
@@ -1,4 +1,8 @@
-import {fingerprintOf} from '../quarantine/index.ts';
+import {
+	fingerprintOf,
+	maximumPartsPerPrompt,
+	partFingerprintOf,
+} from '../quarantine/index.ts';
 import type {Exchange} from './exchange.ts';
 
 const fingerprints = new WeakMap<Exchange, string>();
@@ -13,3 +17,15 @@
 	fingerprints.set(exchange, fingerprint);
 	return fingerprint;
 };
+
+/**
+Returns the fingerprints of the parts of a prompt that other requests may share, which are all but the last.
+*/
+export const partFingerprintsOfExchange = (
+	{prompt, service}: Pick<Exchange, 'prompt' | 'service'>,
+	softwareVersion: string,
+): readonly string[] =>
+	(prompt?.parts ?? [])
+		.slice(0, -1)
+		.slice(0, maximumPartsPerPrompt)
+		.map(({id}) => partFingerprintOf({service, softwareVersion, part: id}));
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -4,7 +4,7 @@
 import {softwareVersionOf, type RegisteredServer} from '../registry/index.ts';
 import type {StatementFault} from '../server-statements/index.ts';
 import {createClientLimitLog} from './client-limit-log.ts';
-import type {DeliveryRecord} from './exchange.ts';
+import type {DeliveryRecord, Exchange} from './exchange.ts';
 import {fingerprintOfExchange} from './fingerprint-of-exchange.ts';
 import {lengthBoundOf, sizeOf, type StreamRecord} from './stream-record.ts';
 
@@ -71,6 +71,7 @@
 export const answeredSample = 50;
 
 const secondMs = 1000;
+const maximumPromptPartsLength = 200;
 // Upper bounds of the latency histogram buckets, in milliseconds.
 const latencyBuckets = [
 	10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12_800,
@@ -281,6 +282,8 @@
 				record.isQuarantined || record.outcome === 'unknown'
 					? fingerprintOfExchange(exchange)
 					: undefined,
+			promptParts:
+				record.outcome === 'unknown' ? promptPartsOf(exchange) : undefined,
 			steps: record.steps.join(' | '),
 			origin: exchange.hop?.origin,
 			firstByteMs: rounded(record.firstByteMs),
@@ -412,6 +415,13 @@
 const rounded = (milliseconds: number | undefined): number | undefined =>
 	milliseconds === undefined ? undefined : Math.round(milliseconds);
 
+// The ids of the parts are texts of callers, so their length is bounded.
+const promptPartsOf = ({prompt}: Exchange): string | undefined =>
+	prompt?.parts
+		.map(({id}) => id)
+		.join(' ')
+		.slice(0, maximumPromptPartsLength);
+
 const snakeCase = (name: string): string =>
 	name.replaceAll(/[A-Z]/gv, (letter) => `_${letter.toLowerCase()}`);
 
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -7,7 +7,10 @@
 	createRouteDurations,
 } from './delivery/index.ts';
 import {createGatewayChooser} from './choosing/index.ts';
-import {fingerprintOfExchange} from './fingerprint-of-exchange.ts';
+import {
+	fingerprintOfExchange,
+	partFingerprintsOfExchange,
+} from './fingerprint-of-exchange.ts';
 import {
 	createGatewayObserver,
 	type GatewayObserver,
@@ -153,8 +156,15 @@
 			logger.warn({server, reason}, 'backend server suspected');
 		},
 		onCallBroken(exchange, call) {
-			const fingerprint = fingerprintOfExchange(exchange);
-			quarantine.connectionBroken({...call, fingerprint}, clock());
+			const run = {
+				...call,
+				fingerprint: fingerprintOfExchange(exchange),
+				partFingerprints: partFingerprintsOfExchange(
+					exchange,
+					call.softwareVersion,
+				),
+			};
+			quarantine.connectionBroken(run, clock());
 		},
 		onServed(exchange) {
 			quarantine.served(() => fingerprintOfExchange(exchange));
--- a/src/quarantine/crash-log.ts
+++ b/src/quarantine/crash-log.ts
@@ -1,12 +1,12 @@
 import type {Logger} from '../logging/index.ts';
-import type {Crash} from './crash.ts';
+import type {ObservedCrash} from './crash.ts';
 import type {QuarantineEntry} from './quarantine-entry.ts';
 
 /**
 Logs crashes of backend servers and the quarantine decisions that follow from them.
 */
 export type CrashLog = {
-	crashed(crash: Crash, now: number): void;
+	crashed(crash: ObservedCrash, now: number): void;
 	/**
 	Logs that a request was put in quarantine.
 
@@ -64,7 +64,7 @@
 	};
 
 	return {
-		crashed({incarnationId, at, runs}, now) {
+		crashed({incarnationId, at, runs, parts}, now) {
 			// One crash may be reported in several parts.
 			crashesSeen += incarnationId === latest ? 0 : 1;
 			latest = incarnationId;
@@ -76,6 +76,12 @@
 					.slice(0, maximumFingerprintsPerLine)
 					.map(({fingerprint}) => fingerprint)
 					.join(' '),
+				// Parts that few of the requests have tell more than those of all.
+				parts: parts
+					.toSorted((left, right) => left.runs - right.runs)
+					.slice(0, maximumFingerprintsPerLine)
+					.map((part) => `${part.fingerprint}*${part.runs}`)
+					.join(' '),
 			};
 			write(now, facts, 'backend server crashed');
 		},
--- a/src/quarantine/crash-watch.ts
+++ b/src/quarantine/crash-watch.ts
@@ -1,4 +1,8 @@
-import {maximumRunsPerCrash, type Crash} from './crash.ts';
+import {
+	maximumRunsPerCrash,
+	type CrashedPart,
+	type ObservedCrash,
+} from './crash.ts';
 
 /**
 A request whose connection to a backend server ended without a complete answer.
@@ -10,6 +14,10 @@
 	*/
 	readonly incarnationId: string;
 	readonly fingerprint: string;
+	/**
+	Fingerprints of the parts of its prompt that other requests may share.
+	*/
+	readonly partFingerprints: readonly string[];
 	readonly sentAt: number;
 };
 
@@ -50,7 +58,7 @@
 	/**
 	Called for each crash, and again for requests whose connections break later.
 	*/
-	readonly onCrash: (crash: Crash) => void;
+	readonly onCrash: (crash: ObservedCrash) => void;
 };
 
 /**
@@ -77,6 +85,10 @@
 	The time at which each request was sent, by fingerprint; emptied when the crash is reported.
 	*/
 	runs: Map<string, number>;
+	/**
+	The parts of the prompts of these requests, by fingerprint.
+	*/
+	parts: Map<string, CrashedPart>;
 };
 
 /**
@@ -104,6 +116,7 @@
 			probedAt: -Infinity,
 			isCrash: false,
 			runs: new Map<string, number>(),
+			parts: new Map<string, CrashedPart>(),
 		};
 		watched.set(incarnationId, entry);
 		return entry;
@@ -119,15 +132,19 @@
 			fingerprint,
 			sentAt,
 		}));
+		const parts = entry.parts.values().toArray();
 		entry.runs = new Map();
-		onCrash({incarnationId, at: entry.since, runs});
+		entry.parts = new Map();
+		onCrash({incarnationId, at: entry.since, runs, parts});
 	};
 
 	return {
-		connectionBroken({server, incarnationId, fingerprint, sentAt}, now) {
+		connectionBroken(run, now) {
+			const {server, incarnationId, fingerprint, sentAt} = run;
 			const entry = entryOf(incarnationId, now);
 			if (entry.runs.size < maximumRunsPerCrash) {
 				entry.runs.set(fingerprint, sentAt);
+				addParts(entry.parts, run);
 			}
 
 			if (entry.isCrash) {
@@ -160,3 +177,17 @@
 		},
 	};
 };
+
+const addParts = (
+	parts: Map<string, CrashedPart>,
+	{partFingerprints, sentAt}: BrokenRun,
+): void => {
+	for (const fingerprint of partFingerprints) {
+		const known = parts.get(fingerprint);
+		parts.set(fingerprint, {
+			fingerprint,
+			sentAt: Math.max(sentAt, known?.sentAt ?? -Infinity),
+			runs: (known?.runs ?? 0) + 1,
+		});
+	}
+};
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -2,6 +2,7 @@
 export * from './crash-ledger.ts';
 export * from './crash-records.ts';
 export * from './crash-watch.ts';
+export * from './part-fingerprint.ts';
 export * from './quarantine-entry.ts';
 export * from './quarantine-list.ts';
 export * from './request-fingerprint.ts';
--- a/src/requests/request-quarantine.ts
+++ b/src/requests/request-quarantine.ts
@@ -65,7 +65,8 @@
 			quarantine.served(() => fingerprintOfRequest(request));
 		} else if (end === 'failed' && incarnation) {
 			const fingerprint = fingerprintOfRequest(request);
-			quarantine.connectionBroken({...incarnation, fingerprint}, clock());
+			const run = {...incarnation, fingerprint, partFingerprints: []};
+			quarantine.connectionBroken(run, clock());
 		}
 	},
 });
--- a/tests/node/node-quarantine.test.ts
+++ b/tests/node/node-quarantine.test.ts
@@ -38,6 +38,7 @@
 			server: 'engine',
 			incarnationId,
 			fingerprint: 'fatal',
+			partFingerprints: [],
 			sentAt: 900,
 		},
 		1000,
--- a/tests/quarantine/crash-watch.test.ts
+++ b/tests/quarantine/crash-watch.test.ts
@@ -5,12 +5,12 @@
 	createCrashWatch,
 	maximumWatchedIncarnations,
 	crashEvidenceWindowMs,
-	type Crash,
+	type ObservedCrash,
 } from '../../src/quarantine/index.ts';
 
 const setUp = () => {
 	const probed: string[] = [];
-	const crashes: Crash[] = [];
+	const crashes: ObservedCrash[] = [];
 	const watch = createCrashWatch({
 		probe(server) {
 			probed.push(server);
@@ -23,12 +23,14 @@
 		fingerprint: string,
 		now: number,
 		incarnationId = 'engine 1',
+		partFingerprints: readonly string[] = [],
 	) => {
 		watch.connectionBroken(
 			{
 				server: 'engine',
 				incarnationId,
 				fingerprint,
+				partFingerprints,
 				sentAt: now - 10,
 			},
 			now,
@@ -92,3 +94,15 @@
 	watch.entryRemoved('incarnation 1');
 	assert.equal(crashes.length, 1);
 });
+
+test('a crash states each part of the prompts in flight once, with its latest send and the number of its requests', () => {
+	const {watch, broke, crashes} = setUp();
+	broke('a', 100, 'engine 1', ['common', 'own a']);
+	broke('b', 120, 'engine 1', ['common', 'own b']);
+	watch.connectionRefused('engine 1', 130);
+	assert.deepEqual(crashes[0]?.parts, [
+		{fingerprint: 'common', sentAt: 110, runs: 2},
+		{fingerprint: 'own a', sentAt: 90, runs: 1},
+		{fingerprint: 'own b', sentAt: 110, runs: 1},
+	]);
+});
--- a/tests/quarantine/quarantine.test.ts
+++ b/tests/quarantine/quarantine.test.ts
@@ -56,12 +56,18 @@
 				node.tick(now);
 			}
 		},
-		crash(index: number, incarnationId: string, fingerprint: string) {
+		crash(
+			index: number,
+			incarnationId: string,
+			fingerprint: string,
+			partFingerprints: readonly string[] = [],
+		) {
 			nodes[index]!.connectionBroken(
 				{
 					server: incarnationId,
 					incarnationId,
 					fingerprint,
+					partFingerprints,
 					sentAt: now - 10,
 				},
 				now,
