--- a/tests/gateway/crashing-request.test.ts
+++ b/tests/gateway/crashing-request.test.ts
@@ -5,23 +5,13 @@
 // spare capacity, so that overload is not the cause.
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {request} from 'undici';
-import {
-	startCrashingServer,
-	type RunLog,
-} from '../../stand-ins/crashing-server.ts';
-import {startGateways} from '../../stand-ins/gateways.ts';
-import {createStandInRegistry, writeRoutes} from '../../stand-ins/registry.ts';
-import {standInHeaders} from '../../stand-ins/stand-in-headers.ts';
+import type {RunLog} from '../../stand-ins/crashing-server.ts';
 import type {Route} from '../../src/routes/index.ts';
 import {waitUntil} from '../until.ts';
-import {documentOf, routeOf, serviceOf} from './fixtures.ts';
+import {ask, setUpCrashes, type Answer} from './crash-scene.ts';
 
-const zones = {'north-1': 'upland', 'north-2': 'upland', south: 'lowland'};
-const nodes = 6;
-const servers = 6;
 const fatalBody = 'a request that crashes what runs it';
-const accepted = 'text/event-stream';
+const isFatal = (body: string) => body === fatalBody;
 
 // Tolerated crashes of one request: one can happen to any request, a second one to a request that was retried, and a
 // third one by coincidence.
@@ -34,80 +24,6 @@
 // Tolerated sends of the request after that, by all nodes together.
 const toleratedSends = 3;
 
-let attempts = 0;
-
-type Answer = {readonly status: number; readonly text: string};
-
-const ask = async (address: string, body: string): Promise<Answer> => {
-	attempts += 1;
-	try {
-		const answer = await request(`http://${address}/a/draft`, {
-			method: 'POST',
-			body,
-			headers: {
-				host: 'site.example',
-				accept: accepted,
-				[standInHeaders.requestId]: `attempt-${attempts}`,
-				[standInHeaders.remainingMs]: '4000',
-			},
-		});
-		return {status: answer.statusCode, text: await answer.body.text()};
-	} catch (error) {
-		return {status: 0, text: String(error)};
-	}
-};
-
-const setUp = async (t: TestContext, route: Partial<Route>) => {
-	const registry = createStandInRegistry();
-	const deployment = await startGateways(zones, nodes, registry);
-	const runLog: RunLog = {runs: [], crashes: []};
-	writeRoutes(
-		registry,
-		documentOf({
-			routes: [
-				routeOf({
-					kind: 'streaming',
-					maximumAttempts: 3,
-					services: [{service: 'engine', weight: 1}],
-					...route,
-				}),
-			],
-			services: [serviceOf()],
-		}),
-	);
-	const engines = await Promise.all(
-		Array.from({length: servers}, async (_, index) =>
-			startCrashingServer(
-				registry,
-				{
-					id: `engine-${index}`,
-					service: 'engine',
-					address: deployment.nextAddress(),
-					availabilityZone: index % 2 === 0 ? 'north-1' : 'north-2',
-					slots: 16,
-				},
-				{
-					isFatal: (body) => body === fatalBody,
-					events: 5,
-					pauseMs: 20,
-					downMs: 250,
-				},
-				runLog,
-			),
-		),
-	);
-	t.after(async () => {
-		await deployment.stop();
-		await Promise.all(engines.map(async (engine) => engine.close()));
-	});
-	await waitUntil(() =>
-		deployment.nodes.every(
-			(node) => node.isReady() && node.entryAddresses('', '').length === nodes,
-		),
-	);
-	return {deployment, runLog};
-};
-
 // Counts the sends of the fatal request after the nodes had time to inform each other of the third crash.
 const lateSends = ({runs, crashes}: RunLog): number => {
 	const thirdCrashAt = crashes[toleratedCrashes - 1]?.at ?? Infinity;
@@ -125,7 +41,7 @@
 	const fatal: Array<Promise<Answer>> = [];
 	for (let turn = 0; turn < turns; turn += 1) {
 		const address = addresses[turn % addresses.length]!;
-		others.push(ask(address, `other ${attempts}`));
+		others.push(ask(address, `other ${turn}`));
 		if (turn % 5 === 0) {
 			fatal.push(ask(addresses[(turn / 5) % addresses.length]!, fatalBody));
 		}
@@ -148,7 +64,7 @@
 
 for (const {name, route} of kinds) {
 	test(`${name}: if it crashes its servers, it reaches few of them, through any node`, async (t: TestContext) => {
-		const {deployment, runLog} = await setUp(t, route);
+		const {deployment, runLog} = await setUpCrashes(t, route, isFatal);
 		const answers = await sendWithFatal(deployment.callerAddresses, 200);
 		t.assert.ok(runLog.crashes.length >= toleratedCrashes);
 		t.assert.ok(
@@ -164,7 +80,11 @@
 }
 
 test('a node that has just started learns of a crashing request from the others', async (t: TestContext) => {
-	const {deployment, runLog} = await setUp(t, {isResumable: true});
+	const {deployment, runLog} = await setUpCrashes(
+		t,
+		{isResumable: true},
+		isFatal,
+	);
 	await sendWithFatal(deployment.callerAddresses, 100);
 	await deployment.restart(1);
 	await waitUntil(() => deployment.nodes[1]!.isReady());
