Play streams without length and a fatal part of prompts in the soak

Servers answer without length or chunks, every other stream cut inside its last event at a byte that moves on; from a random moment on all servers crash on one part of prompts, which every 31st stream has. The checks are as strict as before: a stream that its caller received as complete has all its events. A new one counts the requests with the part that reach servers later than five seconds after its fifth crash. Requests with the part are left out where callers have to be served again.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -30,6 +30,7 @@
 		| 'limit'
 		| 'cancellation'
 		| 'configuration'
+		| 'fatal part'
 		| 'recovery';
 	readonly detail: string;
 };
@@ -42,6 +43,10 @@
 	readonly events: readonly ServerEvent[];
 	readonly disturbances: readonly Disturbance[];
 	/**
+	Times at which servers crashed on the fatal part of prompts.
+	*/
+	readonly fatalCrashes: readonly number[];
+	/**
 	Time from which all nodes and servers work without faults again.
 	*/
 	readonly recoveredAt: number;
@@ -76,11 +81,39 @@
 		...checkLimits(history),
 		...checkCancellation(history),
 		...checkRoutes(history),
-		...checkRecovery(history),
-		...checkContinuations(history),
+		...checkRecovery(withoutFatalPart(history)),
+		...checkContinuations(withoutFatalPart(history)),
+		...checkFatalPart(history),
 	];
 };
 
+const withoutFatalPart = (history: SoakHistory): SoakHistory => ({
+	...history,
+	records: history.records.filter(({hasFatalPart}) => !hasFatalPart),
+});
+
+const toleratedFatalCrashes = 5;
+const toleratedFatalSends = 3;
+
+// After its fifth crash and the time in which nodes are in contact again, next to no request with the part reaches a server.
+const checkFatalPart = ({
+	events,
+	fatalCrashes,
+}: SoakHistory): readonly Violation[] => {
+	const fifthAt = fatalCrashes[toleratedFatalCrashes - 1] ?? Infinity;
+	const late = events.filter(
+		({hasFatalPart, at}) => hasFatalPart && at > fifthAt + contactMs,
+	).length;
+	return late > toleratedFatalSends
+		? [
+				{
+					promise: 'fatal part',
+					detail: `${late} requests with the part reached servers later than ${contactMs} ms after its fifth crash; ${fatalCrashes.length} crashes`,
+				},
+			]
+		: [];
+};
+
 const checkRecord = (
 	record: CallerRecord,
 	events: readonly ServerEvent[],
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -25,7 +25,8 @@
 				| 'break'
 				| 'hang'
 				| 'crash'
-				| 'upgrade';
+				| 'upgrade'
+				| 'unframed';
 			/**
 			Index of the backend server.
 			*/
@@ -41,7 +42,10 @@
 			*/
 			readonly writes: number;
 	  }
-	| {readonly kind: 'routes'; readonly forMs: number};
+	/**
+	From then on, all servers crash on one part of prompts.
+	*/
+	| {readonly kind: 'routes' | 'fatal-part'; readonly forMs: number};
 
 /**
 Fault and its start time, in milliseconds since the load started.
@@ -69,6 +73,7 @@
 	'hang',
 	'crash',
 	'upgrade',
+	'unframed',
 ] as const;
 
 const maximumLostWrites = 8;
@@ -95,7 +100,7 @@
 const drawFault = (random: Random, {nodes, servers}: PlanOptions): Fault => {
 	const forMs =
 		minimumDurationMs + random.below(maximumDurationMs - minimumDurationMs);
-	const draw = random.below(13);
+	const draw = random.below(14);
 	switch (draw) {
 		case 0: {
 			return {kind: 'registry-away', forMs};
@@ -114,6 +119,10 @@
 			return {kind: 'routes', forMs};
 		}
 
+		case 4: {
+			return {kind: 'fatal-part', forMs};
+		}
+
 		default: {
 			return drawNodeOrServerFault(random, {nodes, servers}, forMs);
 		}
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -97,6 +97,7 @@
 		await playFaults(options, {nodes, servers, routes});
 		for (const server of servers) {
 			server.restart();
+			server.setFatal(false);
 		}
 
 		await sleep(recoveryMs);
@@ -108,6 +109,9 @@
 			events: servers
 				.flatMap(({events}) => events)
 				.toSorted((left, right) => left.at - right.at),
+			fatalCrashes: servers
+				.flatMap(({crashes}) => crashes)
+				.toSorted((left, right) => left - right),
 			disturbances: nodes.disturbances,
 			recoveredAt,
 		};
@@ -212,6 +216,7 @@
 		case 'fail':
 		case 'break':
 		case 'hang':
+		case 'unframed':
 		case 'crash': {
 			servers[fault.server]!.setBehaviour(fault.kind);
 			await sleep(fault.forMs);
@@ -229,6 +234,13 @@
 
 		case 'routes': {
 			routes.change();
+			return;
+		}
+
+		case 'fatal-part': {
+			for (const server of servers) {
+				server.setFatal(true);
+			}
 		}
 	}
 };
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -4,6 +4,7 @@
 import {Agent, request} from 'undici';
 import {productHeaders} from '../src/gateway/product-headers.ts';
 import type {Random} from '../src/shared/index.ts';
+import {fatalPart} from './soak-server.ts';
 
 /**
 Kinds of requests: non-idempotent, idempotent, streaming, and to a route that was added during the test.
@@ -40,6 +41,10 @@
 	The stream that the request continues, as far as the caller has received it.
 	*/
 	readonly continues: CallerRecord | undefined;
+	/**
+	Whether the prompt has the part on which servers may crash.
+	*/
+	readonly hasFatalPart: boolean;
 };
 
 /**
@@ -76,6 +81,9 @@
 // The caller of every n-th request disconnects before the answer.
 const leaveEvery = 20;
 const leaveAfterMs = 25;
+// Every n-th stream has the part on which servers may crash.
+const fatalEvery = 31;
+const topics = 9;
 const maximumTakeUps = 2;
 
 /**
@@ -107,6 +115,7 @@
 		sent += 1;
 		const requestId = `${node}-${sent}`;
 		const willLeave = kind !== 'once' && !continues && sent % leaveEvery === 0;
+		const hasFatalPart = kind === 'stream' && sent % fatalEvery === 0;
 		const path =
 			kind === 'added'
 				? `/added/${appliedVersion()}/${sent}`
@@ -118,6 +127,7 @@
 			node,
 			sentAt: performance.now(),
 			continues,
+			hasFatalPart,
 		};
 		const elapsedMs = () => performance.now() - base.sentAt;
 		let head = {status: 0, signature: ''};
@@ -131,6 +141,10 @@
 					host: 'site.example',
 					[productHeaders.requestId]: requestId,
 					[productHeaders.remainingMs]: String(deadlineMs),
+					...(kind === 'stream' && {
+						[productHeaders.tokenUsage]: '3,5',
+						[productHeaders.promptParts]: partsOf(sent, hasFatalPart),
+					}),
 					...(continues && {
 						'last-event-id': String(lastIndexOf(continues)),
 						[productHeaders.continuedRequestId]: firstOf(continues).requestId,
@@ -202,3 +216,8 @@
 		return all.flat();
 	};
 };
+
+const partsOf = (sent: number, hasFatalPart: boolean): string =>
+	['common', hasFatalPart ? fatalPart : `topic-${sent % topics}`, `own-${sent}`]
+		.map((id) => `${id}:1`)
+		.join(',');
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -27,6 +27,10 @@
 	readonly resumedAfter: number;
 	readonly isRun: boolean;
 	/**
+	Whether the prompt has the part on which servers may crash.
+	*/
+	readonly hasFatalPart: boolean;
+	/**
 	Version of the server's software.
 	*/
 	readonly softwareVersion: string;
@@ -52,13 +56,31 @@
 Current behaviour of a server: `sound` serves all requests; `rest` refuses them with `Retry-After`.
 */
 export type Behaviour =
-	'sound' | 'refuse' | 'rest' | 'fail' | 'break' | 'hang' | 'crash';
+	| 'sound'
+	| 'refuse'
+	| 'rest'
+	| 'fail'
+	| 'break'
+	| 'hang'
+	| 'crash'
+	/**
+	Streams have neither a length nor chunks, and every other one is cut inside an event.
+	*/
+	| 'unframed';
 
 /**
 Controls a simulated server of a soak test.
 */
 export type SoakServer = {
 	readonly events: readonly ServerEvent[];
+	/**
+	Times of the crashes on the fatal part.
+	*/
+	readonly crashes: readonly number[];
+	/**
+	Sets whether the server crashes on the fatal part.
+	*/
+	setFatal(isFatal: boolean): void;
 	setBehaviour(behaviour: Behaviour): void;
 	/**
 	Makes the server announce its shutdown until it restarts.
@@ -95,6 +117,12 @@
 const pauseMs = 10;
 const slots = 16;
 const versions = 3;
+const downMs = 400;
+
+/**
+The part of prompts on which servers may crash.
+*/
+export const fatalPart = 'deadly';
 
 /**
 Entry of a simulated server until it is replaced.
@@ -123,6 +151,9 @@
 	let version = firstVersion;
 	const open = new Set<ServerResponse>();
 	const events: ServerEvent[] = [];
+	const crashes: number[] = [];
+	let isFatal = false;
+	let streams = 0;
 	let behaviour: Behaviour = 'sound';
 	let isLeaving = false;
 	let limit: number | undefined;
@@ -196,6 +227,42 @@
 		sendNext();
 	};
 
+	// Ends a stream that has neither a length nor chunks, inside its last event or after it.
+	const closeUnframed = (response: ServerResponse, isCut: boolean) => {
+		if (!isCut) {
+			response.end();
+			return;
+		}
+
+		const event = soakEventOf(eventsPerStream, `v${version}`);
+		response.end(event.slice(0, 1 + (streams % (event.length - 2))));
+	};
+
+	const streamUnframed = (response: ServerResponse, after: number) => {
+		streams += 1;
+		const isCut = streams % 2 === 0;
+		const last = isCut ? eventsPerStream - 1 : eventsPerStream;
+		for (let index = after + 1; index <= last; index += 1) {
+			response.write(soakEventOf(index, `v${version}`));
+		}
+
+		closeUnframed(response, isCut);
+	};
+
+	const crash = () => {
+		if (!server.listening) {
+			return;
+		}
+
+		crashes.push(performance.now());
+		server.close();
+		server.closeAllConnections();
+		setTimeout(() => {
+			startedAt += 1;
+			void listenAt(server, address).then(register);
+		}, downMs);
+	};
+
 	const run = (
 		request: IncomingMessage,
 		response: ServerResponse,
@@ -221,12 +288,20 @@
 			case 'sound':
 			case 'refuse':
 			case 'rest':
+			case 'unframed':
 			case 'break': {
+				const isUnframed = behaviour === 'unframed' && isStream;
+				response.useChunkedEncodingByDefault = !isUnframed;
 				response.writeHead(200, {
 					...headersOf(requestId),
 					[productHeaders.signature]: `${id}/${requestId}`,
 				});
-				if (isStream) {
+				if (isFatal && hasFatalPart(request)) {
+					response.write('id: 1\nda');
+					setTimeout(crash, pauseMs);
+				} else if (isUnframed) {
+					streamUnframed(response, after);
+				} else if (isStream) {
 					stream(response, after, behaviour === 'break' ? after + 3 : 0);
 				} else if (behaviour === 'break') {
 					response.write('half');
@@ -262,6 +337,7 @@
 				requestId,
 				resumedAfter: Number(request.headers['last-event-id'] ?? 0),
 				isRun: !isRefused,
+				hasFatalPart: hasFatalPart(request),
 				softwareVersion: `v${version}`,
 				isLeaving,
 				backoffMs,
@@ -288,6 +364,10 @@
 
 	return {
 		events,
+		crashes,
+		setFatal(next) {
+			isFatal = next;
+		},
 		setBehaviour(next) {
 			behaviour = next;
 		},
@@ -321,3 +401,6 @@
 		close: async () => closeServer(server),
 	};
 };
+
+const hasFatalPart = ({headers}: IncomingMessage): boolean =>
+	String(headers[productHeaders.promptParts] ?? '').includes(fatalPart);
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -22,6 +22,7 @@
 	latencyMs: 20,
 	leftAt: Infinity,
 	continues: undefined,
+	hasFatalPart: false,
 	...change,
 });
 
@@ -31,6 +32,7 @@
 	requestId: '0-1',
 	resumedAfter: 0,
 	isRun: true,
+	hasFatalPart: false,
 	softwareVersion: 'v1',
 	isLeaving: false,
 	backoffMs: undefined,
@@ -46,6 +48,7 @@
 		records: [],
 		events: [],
 		disturbances: [],
+		fatalCrashes: [],
 		recoveredAt: Infinity,
 		...history,
 	}).map(({promise}) => promise);
@@ -240,3 +243,19 @@
 		[],
 	);
 });
+
+test('the check finds requests with a fatal part that reach servers long after its fifth crash', (t: TestContext) => {
+	const fatalCrashes = [1, 2, 3, 4, 5].map((second) => second * 1000);
+	const eventsAt = (at: number) =>
+		Array.from({length: 4}, (_, index) =>
+			eventFor({requestId: `0-${index}`, hasFatalPart: true, at: at + index}),
+		);
+	t.assert.deepStrictEqual(
+		violatedBy({fatalCrashes, events: eventsAt(10_001)}),
+		['fatal part'],
+	);
+	t.assert.deepStrictEqual(
+		violatedBy({fatalCrashes, events: eventsAt(9000)}),
+		[],
+	);
+});
