Keep the counts of crashes between the crashes of one tick; name a remaining risk of quarantined parts

The counts that weigh suspects were dropped after each crash that was judged, also without a verdict. At a power loss of many servers they were computed again for each of them. They change with the list or the records only.

--- a/src/quarantine/crash-judge.ts
+++ b/src/quarantine/crash-judge.ts
@@ -62,8 +62,8 @@
 };
 
 /**
-Number of crashes after which a part of prompts is put in quarantine, if no complete answer had it since the first. Sound parts that
-are rare are at fewer: requests that a crash interrupts are retried, and one in two of these is interrupted again at the worst.
+Number of crashes after which a part of prompts is put in quarantine, if no complete answer had it since the first. A sound part is in
+flight at fewer by chance, because its requests are retried and answered in between.
 */
 export const minimumPartCrashes = 5;
 
--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -221,8 +221,12 @@
 			meanCount: () => meanCountOf(fingerprint),
 		}));
 		const fingerprint = judge(suspects);
+		if (fingerprint === undefined) {
+			return undefined;
+		}
+
 		forgetCounts();
-		return fingerprint === undefined ? undefined : list.add(fingerprint, now);
+		return list.add(fingerprint, now);
 	};
 
 	const isUnsettled = (incarnationIds: ReadonlySet<string>): boolean =>
