State the parts of a prompt and their fingerprints in lines of requests in quarantine

Lines of crashes and of quarantined parts have fingerprints; only the line of a request can say which part of its prompt that is. It did so where the request may have run, and not where it was refused for one of its parts.

--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -5,7 +5,10 @@
 import type {StatementFault} from '../server-statements/index.ts';
 import {createClientLimitLog} from './client-limit-log.ts';
 import type {DeliveryRecord, Exchange} from './exchange.ts';
-import {fingerprintOfExchange} from './fingerprint-of-exchange.ts';
+import {
+	fingerprintOfExchange,
+	partFingerprintsOfExchange,
+} from './fingerprint-of-exchange.ts';
 import {lengthBoundOf, sizeOf, type StreamRecord} from './stream-record.ts';
 
 /**
@@ -277,13 +280,7 @@
 			status: record.status,
 			outcome: record.outcome,
 			reason: record.reason,
-			// Identifies the request under its other ids, and among the requests of a server that crashed.
-			fingerprint:
-				record.isQuarantined || record.outcome === 'unknown'
-					? fingerprintOfExchange(exchange)
-					: undefined,
-			promptParts:
-				record.outcome === 'unknown' ? promptPartsOf(exchange) : undefined,
+			...crashFields(record),
 			steps: record.steps.join(' | '),
 			origin: exchange.hop?.origin,
 			firstByteMs: rounded(record.firstByteMs),
@@ -415,6 +412,20 @@
 const rounded = (milliseconds: number | undefined): number | undefined =>
 	milliseconds === undefined ? undefined : Math.round(milliseconds);
 
+// Identify the request under its other ids, and its parts among those of a server that crashed.
+const crashFields = ({
+	exchange,
+	isQuarantined,
+	outcome,
+}: DeliveryRecord): Readonly<Record<string, string | undefined>> =>
+	isQuarantined || outcome === 'unknown'
+		? {
+				fingerprint: fingerprintOfExchange(exchange),
+				promptParts: promptPartsOf(exchange),
+				partFingerprints: partFingerprintsOfExchange(exchange).join(' '),
+			}
+		: {};
+
 // The ids of the parts are texts of callers, so their length is bounded.
 const promptPartsOf = ({prompt}: Exchange): string | undefined =>
 	prompt?.parts
--- a/tests/gateway/gateway-observer.test.ts
+++ b/tests/gateway/gateway-observer.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {partFingerprintOf} from '../../src/quarantine/index.ts';
 import type {DeliveryRecord} from '../../src/gateway/exchange.ts';
 import {
 	answeredSample,
@@ -215,6 +216,30 @@
 	);
 });
 
+test('the line of a request in quarantine has the parts of its prompt and their fingerprints', () => {
+	const {observer, lines} = setUp();
+	const prompt = {
+		parts: ['common', 'own'].map((id) => ({id, tokens: 1})),
+		tokensIn: 2,
+		tokensOut: 1,
+		expectedTokensOut: undefined,
+	};
+	const exchange = exchangeOf({prompt});
+	observer.record(
+		recordOf({
+			exchange,
+			result: 'refused',
+			outcome: 'not-run',
+			isQuarantined: true,
+		}),
+	);
+	const {promptParts, partFingerprints} = lines.at(-1)!.facts;
+	assert.deepEqual(
+		[promptParts, partFingerprints],
+		['common own', partFingerprintOf('engine', 'common')],
+	);
+});
+
 test('servers are exposed by service, zone and version of their software', async () => {
 	const {observer} = setUp();
 	assert.match(
