--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -165,10 +165,9 @@
 		},
 		onServed(exchange, status) {
 			quarantine.served(() => fingerprintOfExchange(exchange));
-			// A server may fail without having begun to process the prompt.
-			if (isSuccess(status)) {
-				quarantine.partsServed(() => partFingerprintsOfExchange(exchange));
-			}
+			quarantine.partsServed(status, () =>
+				partFingerprintsOfExchange(exchange),
+			);
 		},
 		quarantineStatus: (exchange) =>
 			quarantine.status(
@@ -277,7 +276,5 @@
 	return {intake, deliveries, observer, admission, overload};
 };
 
-const isSuccess = (status: number): boolean => status >= 200 && status < 300;
-
 const tokensOf = (prompt: Prompt | undefined): number | undefined =>
 	prompt && prompt.tokensIn + prompt.tokensOut;
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -37,9 +37,10 @@
 	*/
 	served(fingerprint: () => string): void;
 	/**
-	Clears the parts of a prompt that received a complete answer.
+	Clears the parts of a prompt that received a complete answer, if it is a success: a server may fail without having begun to process
+	the prompt.
 	*/
-	partsServed(fingerprints: () => readonly string[]): void;
+	partsServed(status: number, fingerprints: () => readonly string[]): void;
 	/**
 	Handles a message of another node.
 	*/
@@ -279,8 +280,8 @@
 			const fingerprints = [fingerprint()];
 			send(usable(), {kind: 'served', from: self, fingerprints});
 		},
-		partsServed(fingerprints) {
-			if (parts.isEmpty()) {
+		partsServed(status, fingerprints) {
+			if (parts.isEmpty() || !isSuccess(status)) {
 				return;
 			}
 
@@ -341,6 +342,8 @@
 	};
 };
 
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
 const memberIncarnationId = ({id, incarnation}: Member): string =>
 	`${id} ${incarnation}`;
 
--- a/tests/quarantine/quarantine.test.ts
+++ b/tests/quarantine/quarantine.test.ts
@@ -151,7 +151,7 @@
 		'clear',
 	);
 	nodes[0]!.served(unexpectedCall);
-	nodes[0]!.partsServed(unexpectedParts);
+	nodes[0]!.partsServed(200, unexpectedParts);
 	pass(10 * quarantineGossipMs);
 	t.assert.deepStrictEqual(sent, []);
 });
@@ -215,10 +215,13 @@
 	t.assert.deepStrictEqual(together.found, []);
 });
 
-test('a complete answer with a part on any node clears it on all nodes, and ends its quarantine', (t: TestContext) => {
+test('a complete success with a part on any node clears it on all nodes and ends its quarantine, a failure does not', (t: TestContext) => {
 	const world = setUp(3);
 	crashWithPart(world);
-	world.nodes[2]!.partsServed(() => ['part-fatal']);
+	world.nodes[2]!.partsServed(500, () => ['part-fatal']);
+	world.pass(150);
+	t.assert.ok(isRefused(world, 0, 'part-fatal'));
+	world.nodes[2]!.partsServed(200, () => ['part-fatal']);
 	world.pass(150);
 	for (const index of [0, 1, 2]) {
 		t.assert.ok(!isRefused(world, index, 'part-fatal'));
