--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -424,3 +424,43 @@
 	pass(maximumIsolationWaitMs + 1);
 	assert.equal(sent.length, 3);
 });
+
+test('when a part of prompts is put in quarantine, requests with it that have received no event are ended, and others go on', () => {
+	let quarantined = new Set<string>();
+	const {deliveries, sent} = setUp(
+		['a', 'b'],
+		undefined,
+		undefined,
+		undefined,
+		undefined,
+		undefined,
+		{
+			quarantineStatus: ({requestId}) =>
+				quarantined.has(requestId)
+					? {kind: 'quarantined', until: 60_000}
+					: {kind: 'clear'},
+		},
+	);
+	const callers = ['without event', 'with event', 'sound'].map((requestId) => {
+		const {sink, seen} = createSink();
+		const exchange = exchangeFor({kind: 'streaming'}, {requestId});
+		deliveries.deliver(exchange, sink);
+		return seen;
+	});
+	answer(sent[1]!, 200, {...signed, 'x-test-id': 'with event'});
+	sent[1]!.listener.onData(Buffer.from('id: 1\ndata: x\n\n'));
+	quarantined = new Set(['without event', 'with event']);
+	deliveries.cancelQuarantined('part-0123456789abcdef');
+	assert.deepEqual(
+		sent.map(({isAborted}) => isAborted),
+		[true, false, false],
+	);
+	assert.equal(callers[0]?.error?.outcome, 'unknown');
+	assert.deepEqual(
+		callers.slice(1).map(({error, isBroken}) => [error, isBroken]),
+		[
+			[undefined, false],
+			[undefined, false],
+		],
+	);
+});
