--- a/src/quarantine/served-parts.ts
+++ b/src/quarantine/served-parts.ts
@@ -22,8 +22,8 @@
 };
 
 /**
-Longest wait per node to be told, in milliseconds. A message takes up to a hundred milliseconds to all regions, so some twenty nodes tell
-of the same part, however many there are.
+Longest wait per node to be told, in milliseconds. A message takes up to a tick and a hundred milliseconds to all regions, so some fifty
+nodes tell of the same part, however many there are.
 */
 export const waitPerNodeMs = 5;
 
