Compute a suspect's crashes once; abort forwarded responses in the one way there is

The judge of prompt parts computed the crashes of each suspect twice. The sink of forwarded requests destroyed a response that had begun by itself, beside the function that all other sinks use; nodes speak HTTP/1.1 with chunks, where both are the same.

--- a/src/gateway/intake/hop-sink.ts
+++ b/src/gateway/intake/hop-sink.ts
@@ -20,7 +20,7 @@
 		},
 		refuse({outcome, message}, tried, availableInMs) {
 			if (response.headersSent || response.destroyed) {
-				response.destroy();
+				sink.abort();
 				return;
 			}
 
--- a/src/quarantine/crash-judge.ts
+++ b/src/quarantine/crash-judge.ts
@@ -90,11 +90,10 @@
 */
 export const judgeBySpecificity: CrashJudge = (suspects) => {
 	const [first, second] = suspects
-		.map(({fingerprint, wasInQuarantine, crashes, meanCount}) => ({
-			fingerprint,
-			wasInQuarantine,
-			crashes: crashes(),
-			weight: 2 ** crashes() / meanCount(),
+		.map((suspect) => ({...suspect, crashes: suspect.crashes()}))
+		.map((suspect) => ({
+			...suspect,
+			weight: 2 ** suspect.crashes / suspect.meanCount(),
 		}))
 		.toSorted((left, right) => right.weight - left.weight);
 	if (!first) {
