Log who ended a request without a complete response, and its silence

The log could not tell whether the caller, the backend server, the deadline or the node ended a request, nor how long the server had been silent, and lines of such requests shared a budget with refusals, which displaced them.

Such a request now has a line from a budget of its own: who ended it, the time of the last byte of its latest call, the length of the silence, and the version of the routes on receipt and now; a counter and a histogram. The line of a server that stopped responding says what the belief rests on. No logic changes.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -68,9 +68,9 @@
 	/**
 	Marks servers as suspect that have been silent with requests in flight and did not answer a health probe in time.
 
-	@returns Ids of the servers that became suspect.
+	@returns The servers that became suspect.
 	*/
-	tick(now: number): readonly string[];
+	tick(now: number): readonly SilentServer[];
 	/**
 	Returns the ids of the servers whose health probe is due.
 	*/
@@ -130,6 +130,26 @@
 	lowestUrgencyFactor(): number;
 };
 
+/**
+A server that became suspect because it was silent, and what that rests on.
+*/
+export type SilentServer = {
+	readonly id: string;
+	/**
+	Time without activity, in milliseconds.
+	*/
+	readonly silentMs: number;
+	/**
+	Time that its health probe has been without an answer, in milliseconds; undefined if it answers probes.
+	*/
+	readonly unansweredProbeMs: number | undefined;
+	readonly inFlight: number;
+	/**
+	Requests in flight whose responses have not begun.
+	*/
+	readonly pending: number;
+};
+
 /**
 A backend server and this node's requests in flight at it.
 */
@@ -279,8 +299,8 @@
 
 			const silent = [...states]
 				.filter(([, state]) => !state.isSuspect && isProvenSilent(state, now))
-				.map(([id]) => id);
-			for (const id of silent) {
+				.map(([id, state]) => silentServerOf(id, state, now));
+			for (const {id} of silent) {
 				suspect(id, now);
 			}
 
@@ -401,6 +421,19 @@
 const isSameIncarnation = (left: KnownServer, right: KnownServer): boolean =>
 	incarnationIdOf(left.server) === incarnationIdOf(right.server);
 
+const silentServerOf = (
+	id: string,
+	state: ServerState,
+	now: number,
+): SilentServer => ({
+	id,
+	silentMs: silentFor(state, now),
+	unansweredProbeMs:
+		state.probingSince === undefined ? undefined : now - state.probingSince,
+	inFlight: state.inFlight,
+	pending: state.pending.size,
+});
+
 // A silent server is probed first, and becomes suspect only if it does not answer in time.
 const isProvenSilent = (state: ServerState, now: number): boolean => {
 	const silence = silentFor(state, now);
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -9,7 +9,7 @@
 import type {ReceivedBody} from '../../response-bodies/index.ts';
 import {isRepeatable, placementPart} from '../../routes/index.ts';
 import type {StreamOrigin} from '../../stream-origins/index.ts';
-import type {ResponseSink, Exchange} from '../exchange.ts';
+import type {Exchange, RequestEnder, ResponseSink} from '../exchange.ts';
 import type {EventRelay} from './event-relay.ts';
 import type {QueuedRequest} from './request-queue.ts';
 
@@ -29,6 +29,10 @@
 	readonly incarnationId: string | undefined;
 	readonly sentAt: number;
 	/**
+	The time at which the latest byte arrived.
+	*/
+	lastByteAt: number | undefined;
+	/**
 	Set, as is `region`, for a call to another node.
 	*/
 	readonly member: Member | undefined;
@@ -88,6 +92,18 @@
 	waitedMs: number;
 	current: CurrentCall | undefined;
 	/**
+	The current call or, after its end, the one before.
+	*/
+	latestCall: CurrentCall | undefined;
+	/**
+	Who ended the latest call, if it ended without a complete response.
+	*/
+	endedBy: RequestEnder | undefined;
+	/**
+	Version of the routes when the request was received.
+	*/
+	readonly receivedRoutesVersion: number;
+	/**
 	The most severe outcome of the calls so far.
 	*/
 	outcome: Outcome;
@@ -199,11 +215,13 @@
 
 @param exchange The request.
 @param sink Destination of the response.
+@param receivedRoutesVersion Version of the routes on receipt of the request.
 @param origin What began the stream that the request continues.
 */
 export const createDeliveryRun = (
 	exchange: Exchange,
 	sink: ResponseSink,
+	receivedRoutesVersion: number,
 	origin?: StreamOrigin,
 ): DeliveryRun => {
 	// The placement shares this set, so it also sees servers that are excluded later.
@@ -229,6 +247,9 @@
 		queued: undefined,
 		waitedMs: 0,
 		current: undefined,
+		latestCall: undefined,
+		endedBy: undefined,
+		receivedRoutesVersion,
 		outcome: 'not-run',
 		body: undefined,
 		relay: undefined,
--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -176,9 +176,9 @@
 	sink: ResponseSink,
 	continuation: Continuation = anyServer,
 ): DeliveryRun => {
-	const {budget, clock, runs} = context;
+	const {budget, clock, runs, routesVersion} = context;
 	const origin = boundOriginOf(continuation);
-	const run = createDeliveryRun(exchange, sink, origin);
+	const run = createDeliveryRun(exchange, sink, routesVersion(), origin);
 	runs.add(run);
 	if (continuation.kind === 'impossible') {
 		refuseRun(context, run, 'not-resumable', continuation.reason);
@@ -220,6 +220,7 @@
 	}
 
 	run.steps.push('expired');
+	run.endedBy = 'deadline';
 	endCurrentCall(context, run, 'abandoned', true);
 	if (run.hasBegun) {
 		abortRun(context, run, 'The time of the request is over');
@@ -256,12 +257,17 @@
 	}
 
 	if (run.isRepeatable && hasAttemptLeft(run, context.clock())) {
-		failCall(context, run, {
-			outcome: 'unknown',
-			reason: 'The backend server fell silent',
-			reachedServer: true,
-			end: 'failed',
-		});
+		failCall(
+			context,
+			run,
+			{
+				outcome: 'unknown',
+				reason: 'The backend server fell silent',
+				reachedServer: true,
+				end: 'failed',
+			},
+			'this-node',
+		);
 	}
 };
 
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -2,7 +2,7 @@
 import {createGatewayError, type ErrorKind} from '../../errors/index.ts';
 import {streamTailOf} from '../../response-bodies/index.ts';
 import {assertNever} from '../../shared/index.ts';
-import type {DeliveryRecord} from '../exchange.ts';
+import type {DeliveryRecord, IncompleteEnd} from '../exchange.ts';
 import type {StreamEnd, StreamRecord} from '../stream-record.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import type {DeliveryRun} from './delivery-run.ts';
@@ -39,6 +39,8 @@
 				? undefined
 				: run.firstByteAt - exchange.receivedAt,
 		totalMs: clock() - exchange.receivedAt,
+		receivedRoutesVersion: run.receivedRoutesVersion,
+		incomplete: incompleteEndOf(run, ending.result, clock()),
 		waitedMs: run.waitedMs,
 		longestPauseMs: run.longestPauseMs,
 		isQuarantined: run.isQuarantined,
@@ -51,6 +53,24 @@
 	});
 };
 
+const incompleteEndOf = (
+	{endedBy, exchange, latestCall}: DeliveryRun,
+	result: DeliveryRecord['result'],
+	now: number,
+): IncompleteEnd | undefined => {
+	if (result === 'answered' || !latestCall) {
+		return undefined;
+	}
+
+	const {lastByteAt, sentAt} = latestCall;
+	return {
+		endedBy: result === 'caller-left' ? 'caller' : (endedBy ?? 'this-node'),
+		lastByteMs:
+			lastByteAt === undefined ? undefined : lastByteAt - exchange.receivedAt,
+		silentMs: now - (lastByteAt ?? sentAt),
+	};
+};
+
 // A server stops at the deadline that it was sent, slightly before or after the timer of this node. In milliseconds.
 const deadlineToleranceMs = 50;
 
--- a/src/gateway/delivery/fail-call.ts
+++ b/src/gateway/delivery/fail-call.ts
@@ -1,5 +1,6 @@
 import type {UpstreamFailure} from '../../backends/index.ts';
 import type {Outcome} from '../../errors/index.ts';
+import type {RequestEnder} from '../exchange.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import {
 	hasAttemptLeft,
@@ -24,8 +25,10 @@
 	context: DeliveryContext,
 	run: DeliveryRun,
 	fault: CallFault,
+	endedBy: RequestEnder = run.current?.member ? 'other-node' : 'backend-server',
 ): void => {
 	run.steps.push(`${fault.outcome}: ${fault.reason}`);
+	run.endedBy = endedBy;
 	const wasLocal = run.current?.server !== undefined;
 	endCurrentCall(context, run, fault.end, true);
 	if (severity[fault.outcome] > severity[run.outcome]) {
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -63,6 +63,7 @@
 			}
 
 			head = received;
+			current.lastByteAt = context.clock();
 			current.attempt?.recordActivity(context.clock());
 			const framing = bodyFramingOf(run.exchange.method, received);
 			run.body = {framing, events: undefined};
@@ -84,6 +85,7 @@
 				return true;
 			}
 
+			current.lastByteAt = context.clock();
 			scanner?.scan(chunk);
 			if (isStream) {
 				return isReadyForMore(context, run, current, chunk);
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -355,13 +355,19 @@
 const startCall = (
 	context: DeliveryContext,
 	run: DeliveryRun,
-	to: Omit<CurrentCall, 'open'>,
+	to: Omit<CurrentCall, 'open' | 'lastByteAt'>,
 	call: Omit<UpstreamCall, 'method' | 'target' | 'body'>,
 ): void => {
 	const {method, target, body} = run.exchange;
 	// `open` is assigned below, so the client must not notify the listener before `call` has returned.
-	const current: CurrentCall = {...to, open: () => open};
+	const current: CurrentCall = {
+		...to,
+		lastByteAt: undefined,
+		open: () => open,
+	};
 	run.current = current;
+	run.latestCall = current;
+	run.endedBy = undefined;
 	const open = context.client.call(
 		{...call, method, target, body},
 		createAnswerListener(context, run, current),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -115,6 +115,40 @@
 	onDrain(resume: () => void): void;
 };
 
+/**
+Who ended a request that received no complete response.
+*/
+export const requestEnders = [
+	'caller',
+	/**
+	The time of the request was over.
+	*/
+	'deadline',
+	'backend-server',
+	'other-node',
+	'this-node',
+] as const;
+
+/**
+The one that ended a request.
+*/
+export type RequestEnder = (typeof requestEnders)[number];
+
+/**
+The end of a request that was sent and received no complete response.
+*/
+export type IncompleteEnd = {
+	readonly endedBy: RequestEnder;
+	/**
+	Time of the last byte of its latest call after the request was received, in milliseconds; undefined if there was none.
+	*/
+	readonly lastByteMs: number | undefined;
+	/**
+	Time without a byte on its latest call, in milliseconds.
+	*/
+	readonly silentMs: number;
+};
+
 /**
 How a request ended, for logs and metrics.
 */
@@ -130,6 +164,14 @@
 	readonly steps: readonly string[];
 	readonly firstByteMs: number | undefined;
 	readonly totalMs: number;
+	/**
+	Version of the routes when the request was received.
+	*/
+	readonly receivedRoutesVersion: number;
+	/**
+	Undefined for a complete response, and for a request that was not sent.
+	*/
+	readonly incomplete: IncompleteEnd | undefined;
 	readonly waitedMs: number;
 	/**
 	Longest time between two chunks of a stream.
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -63,6 +63,12 @@
 */
 export const linesPerSecond = 40;
 
+/**
+Maximum number of log lines per second about requests that were sent and received no complete response. Refusals do not displace
+them.
+*/
+export const incompleteLinesPerSecond = 40;
+
 /**
 Maximum number of log lines per second about streams that ended well.
 */
@@ -117,6 +123,19 @@
 		labelNames: ['framing', 'tail', 'result'],
 		registers: [registry],
 	});
+	const incomplete = new Counter({
+		name: 'quillford_incomplete_responses_total',
+		help: 'Requests that were sent and received no complete response, by who ended them',
+		labelNames: ['route', 'ender'],
+		registers: [registry],
+	});
+	const silenceAtEnd = new Histogram({
+		name: 'quillford_silence_at_end_milliseconds',
+		help: 'Time since the last byte of the backend server when such a request ended',
+		labelNames: ['ender'],
+		buckets: latencyBuckets,
+		registers: [registry],
+	});
 	const rejections = new Counter({
 		name: 'quillford_rejected_total',
 		help: 'Requests that ended before they had a route',
@@ -203,6 +222,7 @@
 	);
 	let linesLeft = linesPerSecond;
 	let streamLinesLeft = streamLinesPerSecond;
+	let incompleteLinesLeft = incompleteLinesPerSecond;
 	let refilledAt = 0;
 	let answered = 0;
 
@@ -233,7 +253,22 @@
 		}
 	};
 
+	const countIncomplete = ({exchange, incomplete: end}: DeliveryRecord) => {
+		if (!end) {
+			return;
+		}
+
+		const {endedBy, silentMs} = end;
+		incomplete.inc({route: exchange.route.name, ender: endedBy});
+		silenceAtEnd.observe({ender: endedBy}, silentMs);
+	};
+
 	const shouldLog = (record: DeliveryRecord): boolean => {
+		if (record.incomplete) {
+			incompleteLinesLeft -= 1;
+			return incompleteLinesLeft >= 0;
+		}
+
 		if (record.result !== 'answered' || record.status >= 500) {
 			return linesLeft > 0;
 		}
@@ -289,6 +324,8 @@
 			bodyFraming: record.bodyFraming,
 			streamTail: record.streamTail,
 			totalMs: rounded(record.totalMs),
+			...incompleteFields(record),
+			receivedRoutesVersion: record.receivedRoutesVersion,
 			targetMs: exchange.route.targetLatencyMs,
 			...streamFields(record),
 			...options.logContext(),
@@ -311,6 +348,7 @@
 			countStream(record);
 			countSoftware(record);
 			countBody(record);
+			countIncomplete(record);
 			if (record.isQuarantined) {
 				quarantineRefusals.inc();
 			}
@@ -328,7 +366,7 @@
 			}
 
 			if (shouldLog(record)) {
-				linesLeft -= isCompleteInTime(record) ? 0 : 1;
+				linesLeft -= isCompleteInTime(record) || record.incomplete ? 0 : 1;
 				logRequest(record);
 			} else if (record.result !== 'answered') {
 				droppedLines.inc();
@@ -366,6 +404,7 @@
 			refilledAt = now;
 			linesLeft = linesPerSecond;
 			streamLinesLeft = streamLinesPerSecond;
+			incompleteLinesLeft = incompleteLinesPerSecond;
 		},
 		metrics: async () => registry.metrics(),
 	};
@@ -409,6 +448,17 @@
 			}
 		: {};
 
+const incompleteFields = ({
+	incomplete,
+}: DeliveryRecord): Readonly<Record<string, number | string | undefined>> =>
+	incomplete
+		? {
+				endedBy: incomplete.endedBy,
+				lastByteMs: rounded(incomplete.lastByteMs),
+				silentMs: rounded(incomplete.silentMs),
+			}
+		: {};
+
 const rounded = (milliseconds: number | undefined): number | undefined =>
 	milliseconds === undefined ? undefined : Math.round(milliseconds);
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -152,9 +152,20 @@
 		overload?.tick();
 		mesh.tick(now);
 		registry.tick(now);
-		for (const server of fleet.tick(now)) {
-			logger.warn({server}, 'backend server stopped responding');
-			deliveries.serverStoppedResponding(server);
+		for (const {id, silentMs, unansweredProbeMs, ...counts} of fleet.tick(
+			now,
+		)) {
+			const fields = {
+				server: id,
+				silentMs: Math.round(silentMs),
+				unansweredProbeMs:
+					unansweredProbeMs === undefined
+						? undefined
+						: Math.round(unansweredProbeMs),
+				...counts,
+			};
+			logger.warn(fields, 'backend server stopped responding');
+			deliveries.serverStoppedResponding(id);
 		}
 
 		probes.tick(now);
--- a/tests/gateway/gateway-observer.test.ts
+++ b/tests/gateway/gateway-observer.test.ts
@@ -5,6 +5,7 @@
 import {
 	answeredSample,
 	createGatewayObserver,
+	incompleteLinesPerSecond,
 	linesPerSecond,
 	streamLinesPerSecond,
 } from '../../src/gateway/gateway-observer.ts';
@@ -52,6 +53,8 @@
 	steps: ['server a'],
 	firstByteMs: 20,
 	totalMs: 40,
+	receivedRoutesVersion: 2,
+	incomplete: undefined,
 	waitedMs: 0,
 	longestPauseMs: 0,
 	isQuarantined: false,
@@ -100,6 +103,39 @@
 	assert.equal(lines.length, linesPerSecond + 1);
 });
 
+test('refusals do not displace the line of a request that was sent and received no complete response', async () => {
+	const {observer, lines} = setUp();
+	for (let index = 0; index < 2 * linesPerSecond; index += 1) {
+		observer.record(recordOf({result: 'refused', outcome: 'not-run'}));
+	}
+
+	const incomplete = {
+		endedBy: 'backend-server',
+		lastByteMs: 120.4,
+		silentMs: 1890,
+	} as const;
+	for (let index = 0; index <= incompleteLinesPerSecond; index += 1) {
+		observer.record(recordOf({result: 'broken', incomplete}));
+	}
+
+	assert.equal(lines.length, linesPerSecond + incompleteLinesPerSecond);
+	const {facts} = lines.at(-1)!;
+	assert.deepEqual(
+		[
+			facts.endedBy,
+			facts.lastByteMs,
+			facts.silentMs,
+			facts.receivedRoutesVersion,
+			facts.routesVersion,
+		],
+		['backend-server', 120, 1890, 2, 3],
+	);
+	assert.match(
+		await observer.metrics(),
+		/incomplete_responses_total\{route="route",ender="backend-server"\} 41/v,
+	);
+});
+
 const streamOf = (change: Partial<DeliveryRecord> = {}): DeliveryRecord =>
 	recordOf({
 		exchange: exchangeOf({
