Weigh five ways to treat the requests at silent servers: design and model

Servers that are silent for a second and go on, and servers that hang for good, at 3, 9 and 74 nodes; requests lost, runs cut in vain and the time to the first event for each way.

--- a/benchmarks/run.ts
+++ b/benchmarks/run.ts
@@ -16,6 +16,7 @@
 import {measureRegistryOrders} from './registry-orders.ts';
 import {measureRests} from './rests.ts';
 import {measureRouting} from './routing.ts';
+import {measureSilentServers} from './silent-servers.ts';
 import {measureStreamOrigins} from './stream-origins.ts';
 import type {Row} from './table.ts';
 
@@ -42,6 +43,7 @@
 	rests: measureRests,
 	'refusing-servers': measureRefusingServers,
 	'registry-orders': measureRegistryOrders,
+	'silent-servers': measureSilentServers,
 	'stream-origins': measureStreamOrigins,
 };
 
