Leave requests in flight at silent servers, and hedge them after callers' patience

Callers saw streams that ended with a closed connection and 502 for plain requests. Cause: a server that was silent for 1.1 s counted as failed, and all its requests that may be repeated left it. Where no other server of its software version was in use, a stream was ended at once. Ruled out: the change of the configuration, and callers that give up.

The belief now only steers new requests, and any byte of the server ends it. A request stays at its server; after 2 s without a byte a second call begins elsewhere, and the first call is given up only when the second one really answers. A silence is no longer reported as a crash of the requests at it.

--- a/src/backends/backend-attempt.ts
+++ b/src/backends/backend-attempt.ts
@@ -5,6 +5,7 @@
 	isCold,
 	leasedServerOf,
 	prefillBacklogOf,
+	recordLifeSign,
 	type ServerState,
 } from './server-state.ts';
 import type {StatedLoad} from './stated-load.ts';
@@ -151,7 +152,7 @@
 	return {
 		server: state.known.server.id,
 		recordActivity(at) {
-			state.lastActivityAt = at;
+			recordLifeSign(state, at);
 		},
 		recordStatedLoad(load, at) {
 			state.statedSlowdown =
@@ -167,7 +168,7 @@
 			state.chunkIntervalAt = at;
 		},
 		recordFirstEvent(at) {
-			state.lastActivityAt = at;
+			recordLifeSign(state, at);
 			if (hadNoPrefillBacklog && state.pending.has(pendingRequest)) {
 				recordSpeed(state, tokens, at - now);
 			}
@@ -186,7 +187,7 @@
 			state.serviceInFlight.add(-1, at);
 			state.peerRequests.recordDuration(at - now);
 			if (lifeSigns.has(how)) {
-				state.lastActivityAt = at;
+				recordLifeSign(state, at);
 			}
 
 			recordOutcome(state, how);
--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -22,6 +22,7 @@
 	silenceThresholdMs,
 	silentFor,
 	type ServerState,
+	type Suspicion,
 } from './server-state.ts';
 
 /**
@@ -66,11 +67,11 @@
 	*/
 	hasVersion(service: string, softwareVersion: string): boolean;
 	/**
-	Marks servers as suspect that have been silent with requests in flight and did not answer a health probe in time.
+	Marks servers as silent that have sent nothing with requests in flight and did not answer a health probe in time.
 
-	@returns The servers that became suspect.
+	@returns The servers that became silent, and those that have sent something since.
 	*/
-	tick(now: number): readonly SilentServer[];
+	tick(now: number): readonly SilenceChange[];
 	/**
 	Returns the ids of the servers whose health probe is due.
 	*/
@@ -92,15 +93,18 @@
 	*/
 	markPossiblyCold(ids: readonly string[]): void;
 	/**
-	Marks a server as suspect: a connection to it failed, or it has been silent.
+	Marks a server as unreachable: a connection to it could not be opened.
 	*/
-	suspect(id: string, now: number): void;
+	recordConnectFailure(id: string, now: number): void;
 	/**
 	Shifts all times after the machine was suspended or its clock jumped. Silence and cold time are measured only while this node
 	was running.
 	*/
 	shiftClock(ms: number): void;
-	isSuspect(id: string): boolean;
+	/**
+	Returns why a server receives no new requests; undefined if it does, or is unknown.
+	*/
+	suspicionOf(id: string): Suspicion | undefined;
 	loadOf(service: string, now: number): ServiceLoad;
 	/**
 	Estimates the requests of all nodes in flight at a server.
@@ -131,24 +135,35 @@
 };
 
 /**
-A server that became suspect because it was silent, and what that rests on.
+A change of the belief that a server is silent.
 */
-export type SilentServer = {
-	readonly id: string;
-	/**
-	Time without activity, in milliseconds.
-	*/
-	readonly silentMs: number;
-	/**
-	Time that its health probe has been without an answer, in milliseconds; undefined if it answers probes.
-	*/
-	readonly unansweredProbeMs: number | undefined;
-	readonly inFlight: number;
+export type SilenceChange =
+	| {
+			readonly kind: 'silent';
+			readonly id: string;
+			/**
+			Time without activity, in milliseconds.
+			*/
+			readonly silentMs: number;
+			/**
+			Time that its health probe has been without an answer, in milliseconds; undefined if it answers probes.
+			*/
+			readonly unansweredProbeMs: number | undefined;
+			readonly inFlight: number;
+			/**
+			Requests in flight whose responses have not begun.
+			*/
+			readonly pending: number;
+	  }
 	/**
-	Requests in flight whose responses have not begun.
+	The server has sent something on an open call.
 	*/
-	readonly pending: number;
-};
+	| {
+			readonly kind: 'resumed';
+			readonly id: string;
+			readonly silentMs: number;
+			readonly inFlight: number;
+	  };
 
 /**
 A backend server and this node's requests in flight at it.
@@ -221,13 +236,8 @@
 			servers.length,
 		);
 
-	const suspect = (id: string, now: number) => {
-		const state = states.get(id);
-		if (!state) {
-			return;
-		}
-
-		state.isSuspect = true;
+	const suspect = (state: ServerState, suspicion: Suspicion, now: number) => {
+		state.suspicion = suspicion;
 		state.probingSince = undefined;
 		state.probedAt = now;
 	};
@@ -297,19 +307,26 @@
 				return [];
 			}
 
-			const silent = [...states]
-				.filter(([, state]) => !state.isSuspect && isProvenSilent(state, now))
-				.map(([id, state]) => silentServerOf(id, state, now));
-			for (const {id} of silent) {
-				suspect(id, now);
+			const changes: SilenceChange[] = [];
+			for (const state of states.values()) {
+				if (state.silentSince !== undefined && state.suspicion !== 'silent') {
+					changes.push(endSilence(state));
+				}
+
+				if (state.suspicion !== undefined || !isProvenSilent(state, now)) {
+					continue;
+				}
+
+				changes.push(beginSilence(state, now));
+				suspect(state, 'silent', now);
 			}
 
-			return silent;
+			return changes;
 		},
 		dueProbes(now) {
 			const due = [...states].filter(
 				([, state]) =>
-					(state.isSuspect ||
+					(state.suspicion !== undefined ||
 						state.isPossiblyCold ||
 						state.probingSince !== undefined) &&
 					now - state.probedAt >= probeIntervalMs &&
@@ -329,7 +346,8 @@
 				return;
 			}
 
-			state.isSuspect = false;
+			state.suspicion = undefined;
+			state.silentSince = undefined;
 			state.isPossiblyCold = false;
 			state.lastActivityAt = now;
 			state.known = {
@@ -359,15 +377,22 @@
 				}
 			}
 		},
-		suspect,
+		recordConnectFailure(id, now) {
+			const state = states.get(id);
+			if (state) {
+				suspect(state, 'unreachable', now);
+			}
+		},
 		shiftClock(ms) {
 			for (const state of states.values()) {
 				shiftTimes(state, ms);
 			}
 		},
-		isSuspect: (id) => states.get(id)?.isSuspect ?? false,
+		suspicionOf: (id) => states.get(id)?.suspicion,
 		loadOf(service, now) {
-			const usable = serversOf(service).filter(({isSuspect}) => !isSuspect);
+			const usable = serversOf(service).filter(
+				({suspicion}) => suspicion === undefined,
+			);
 			const nodes = options.nodesServing();
 			const others = peerRequestsAtEach(service, usable, now);
 			let load = 0;
@@ -399,7 +424,7 @@
 		ids: () => states.keys().toArray(),
 		requestsAt: (service) =>
 			serversOf(service)
-				.filter(({isSuspect}) => !isSuspect)
+				.filter(({suspicion}) => suspicion === undefined)
 				.map(({known: {server}, inFlight}) => ({
 					id: server.id,
 					slots: server.slots,
@@ -421,18 +446,30 @@
 const isSameIncarnation = (left: KnownServer, right: KnownServer): boolean =>
 	incarnationIdOf(left.server) === incarnationIdOf(right.server);
 
-const silentServerOf = (
-	id: string,
-	state: ServerState,
-	now: number,
-): SilentServer => ({
-	id,
-	silentMs: silentFor(state, now),
-	unansweredProbeMs:
-		state.probingSince === undefined ? undefined : now - state.probingSince,
-	inFlight: state.inFlight,
-	pending: state.pending.size,
-});
+const beginSilence = (state: ServerState, now: number): SilenceChange => {
+	const silentMs = silentFor(state, now);
+	state.silentSince = now - silentMs;
+	return {
+		kind: 'silent',
+		id: state.known.server.id,
+		silentMs,
+		unansweredProbeMs:
+			state.probingSince === undefined ? undefined : now - state.probingSince,
+		inFlight: state.inFlight,
+		pending: state.pending.size,
+	};
+};
+
+const endSilence = (state: ServerState): SilenceChange => {
+	const silentMs = state.lastActivityAt - (state.silentSince ?? 0);
+	state.silentSince = undefined;
+	return {
+		kind: 'resumed',
+		id: state.known.server.id,
+		silentMs,
+		inFlight: state.inFlight,
+	};
+};
 
 // A silent server is probed first, and becomes suspect only if it does not answer in time.
 const isProvenSilent = (state: ServerState, now: number): boolean => {
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -190,10 +190,10 @@
 };
 
 const isEligible = (
-	{known: {server}, isSuspect}: ServerState,
+	{known: {server}, suspicion}: ServerState,
 	{service, softwareVersion, excluded}: Placement,
 ): boolean =>
-	!isSuspect &&
+	suspicion === undefined &&
 	server.service === service &&
 	(softwareVersion === undefined ||
 		softwareVersionOf(server) === softwareVersion) &&
--- a/src/backends/server-state.ts
+++ b/src/backends/server-state.ts
@@ -13,6 +13,25 @@
 import {createServerSpeed, type ServerSpeed} from './server-speed.ts';
 import {createSmoothedCount, type SmoothedCount} from './smoothed-count.ts';
 
+/**
+Why a backend server receives no new requests. It steers new requests only: those in flight remain.
+*/
+export const suspicions = [
+	/**
+	It sends nothing although requests wait for it, and does not answer health checks. It may go on at any moment.
+	*/
+	'silent',
+	/**
+	No connection to it can be opened.
+	*/
+	'unreachable',
+] as const;
+
+/**
+One reason to suspect a backend server.
+*/
+export type Suspicion = (typeof suspicions)[number];
+
 /**
 State of one backend server as known to this node.
 */
@@ -80,7 +99,11 @@
 	Moving average of failed attempts, from 0 to 1.
 	*/
 	failureRate: number;
-	isSuspect: boolean;
+	suspicion: Suspicion | undefined;
+	/**
+	When the silence began that made the server suspect; undefined once its end was reported.
+	*/
+	silentSince: number | undefined;
 	/**
 	Start of the health probe of a silent server; the server stays in use during the probe.
 	*/
@@ -111,10 +134,14 @@
 
 /**
 Time without bytes on an open response after which a server is ejected, in milliseconds, regardless of its health checks.
-Callers give up on a stream after about two seconds of silence.
 */
 export const maximumSilenceMs = 2500;
 
+/**
+Time without a byte after which the most impatient callers give up on a stream, in milliseconds.
+*/
+export const callerPatienceMs = 2000;
+
 /**
 Creates the state of a server to which no request has been sent.
 */
@@ -148,7 +175,8 @@
 	pending: new Set(),
 	lastActivityAt: now,
 	failureRate: 0,
-	isSuspect: false,
+	suspicion: undefined,
+	silentSince: undefined,
 	probingSince: undefined,
 	lastProbeAnswerAt: -Infinity,
 	isPossiblyCold: false,
@@ -173,6 +201,16 @@
 		? statedSlowdown.factor
 		: 1;
 
+/**
+Records that a server has sent something, which ends a silence. It proves nothing about whether connections can be opened.
+*/
+export const recordLifeSign = (state: ServerState, now: number): void => {
+	state.lastActivityAt = now;
+	if (state.suspicion === 'silent') {
+		state.suspicion = undefined;
+	}
+};
+
 /**
 Whether a server is cold or possibly cold.
 */
@@ -202,6 +240,10 @@
 */
 export const shiftTimes = (state: ServerState, ms: number): void => {
 	state.lastActivityAt += ms;
+	if (state.silentSince !== undefined) {
+		state.silentSince += ms;
+	}
+
 	for (const request of state.pending) {
 		request.since += ms;
 	}
--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -1,4 +1,5 @@
 import type {
+	BackendAttemptEnd,
 	BackendFleet,
 	UpstreamClient,
 	UpstreamFailure,
@@ -34,6 +35,28 @@
 	readonly sentAt: number;
 };
 
+/**
+A change of a second call of a request whose first one is silent.
+*/
+export type HedgeChange =
+	| {
+			readonly kind: 'sent';
+			/**
+			The silent backend server.
+			*/
+			readonly server: string;
+			readonly silentMs: number;
+			/**
+			The backend server or node that received the second call.
+			*/
+			readonly target: string;
+	  }
+	/**
+	It answered first.
+	*/
+	| {readonly kind: 'adopted'}
+	| {readonly kind: 'dropped'; readonly end: BackendAttemptEnd};
+
 /**
 Options of `createDeliveries`.
 */
@@ -137,6 +160,10 @@
 	*/
 	readonly onQueued: () => void;
 	readonly onRecord: (record: DeliveryRecord) => void;
+	/**
+	Called with each change of a second call of a request.
+	*/
+	readonly onHedge: (exchange: Exchange, change: HedgeChange) => void;
 };
 
 /**
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -13,6 +13,17 @@
 import type {EventRelay} from './event-relay.ts';
 import type {QueuedRequest} from './request-queue.ts';
 
+/**
+What was known when an attempt began.
+*/
+export type AttemptStart = {
+	/**
+	Requests of all nodes in flight at the backend server, including this one; undefined for a call to another node.
+	*/
+	readonly load: number | undefined;
+	readonly remainingMs: number;
+};
+
 /**
 The open call of a request, to a backend server or to another node.
 */
@@ -40,17 +51,22 @@
 	The region of that node.
 	*/
 	readonly region: string | undefined;
+	/**
+	Version of the software of the server, for a call to a backend server.
+	*/
+	readonly softwareVersion: string | undefined;
+	readonly start: AttemptStart;
 };
 
 /**
-What was known when an attempt began.
+A second call of a request whose current call is silent. The first of the two that really answers becomes the only one.
 */
-export type AttemptStart = {
+export type Hedge = {
+	readonly call: CurrentCall;
 	/**
-	Requests of all nodes in flight at the backend server, including this one; undefined for a call to another node.
+	Makes it the current call and handles what it has received so far.
 	*/
-	readonly load: number | undefined;
-	readonly remainingMs: number;
+	readonly adopt: () => void;
 };
 
 /**
@@ -91,6 +107,7 @@
 	*/
 	waitedMs: number;
 	current: CurrentCall | undefined;
+	hedge: Hedge | undefined;
 	/**
 	The current call or, after its end, the one before.
 	*/
@@ -247,6 +264,7 @@
 		queued: undefined,
 		waitedMs: 0,
 		current: undefined,
+		hedge: undefined,
 		latestCall: undefined,
 		endedBy: undefined,
 		receivedRoutesVersion,
@@ -277,6 +295,17 @@
 	};
 };
 
+/**
+Makes a call the current one of a request.
+*/
+export const setCurrentCall = (run: DeliveryRun, call: CurrentCall): void => {
+	run.current = call;
+	run.latestCall = call;
+	run.endedBy = undefined;
+	run.start = call.start;
+	run.currentVersion = call.softwareVersion;
+};
+
 /**
 Whether a request may be sent to another backend server. A forwarded request may not, because its origin node decides
 about retries.
--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -5,11 +5,7 @@
 import {isPartFingerprint} from '../../quarantine/index.ts';
 import {fingerprintOfExchange} from '../fingerprint-of-exchange.ts';
 import type {DeliveryContext, DeliveryOptions} from './delivery-context.ts';
-import {
-	createDeliveryRun,
-	hasAttemptLeft,
-	type DeliveryRun,
-} from './delivery-run.ts';
+import {createDeliveryRun, type DeliveryRun} from './delivery-run.ts';
 import {
 	abortRun,
 	closeRun,
@@ -18,8 +14,8 @@
 	refuseQuarantined,
 	refuseRun,
 } from './end-run.ts';
-import {failCall, reportBrokenCall} from './fail-call.ts';
 import {createCapacityForecast} from './capacity-forecast.ts';
+import {hedgeSilentRuns} from './hedge.ts';
 import {queueRefused, sendOrQueue} from './send-run.ts';
 import {createRequestQueue} from './request-queue.ts';
 import {boundOriginOf, findContinuation, isTakenUp} from './take-up.ts';
@@ -42,14 +38,11 @@
 export type Deliveries = {
 	deliver(exchange: Exchange, sink: ResponseSink): Delivery;
 	/**
-	Sends queued requests for which there is capacity, and refuses those that have waited too long. Called on each tick.
+	Sends queued requests for which there is capacity, refuses those that have waited too long, and hedges those whose backend
+	server is silent. Called on each tick.
 	*/
 	tick(now: number): void;
 	/**
-	Retries the repeatable requests at a backend server that has stopped responding.
-	*/
-	serverStoppedResponding(server: string): void;
-	/**
 	Aborts a request that was put in quarantine, or removes it from the queue: it may not have started to run yet. Of a part of prompts, aborts
 	the requests that have received no event.
 	*/
@@ -110,12 +103,8 @@
 			queue.expire(now, ({capacityWaitMs, expiresAt}, ahead) =>
 				isHopeless(capacityWaitMs(ahead), expiresAt - now),
 			);
-		},
-		serverStoppedResponding(server) {
-			for (const run of runs) {
-				if (run.current?.server === server) {
-					leaveUnresponsiveServer(context, run);
-				}
+			if (!context.without.has('hedging')) {
+				hedgeSilentRuns(context, now);
 			}
 		},
 		cancelQuarantined(fingerprint) {
@@ -248,29 +237,6 @@
 	refuseQuarantined(context, run);
 };
 
-const leaveUnresponsiveServer = (
-	context: DeliveryContext,
-	run: DeliveryRun,
-): void => {
-	if (run.current) {
-		reportBrokenCall(context, run, run.current);
-	}
-
-	if (run.isRepeatable && hasAttemptLeft(run, context.clock())) {
-		failCall(
-			context,
-			run,
-			{
-				outcome: 'unknown',
-				reason: 'The backend server fell silent',
-				reachedServer: true,
-				end: 'failed',
-			},
-			'this-node',
-		);
-	}
-};
-
 const callerLeft = (context: DeliveryContext, run: DeliveryRun): void => {
 	if (run.isOver || run.hasCallerLeft) {
 		return;
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -5,7 +5,7 @@
 import type {DeliveryRecord, IncompleteEnd} from '../exchange.ts';
 import type {StreamEnd, StreamRecord} from '../stream-record.ts';
 import type {DeliveryContext} from './delivery-context.ts';
-import type {DeliveryRun} from './delivery-run.ts';
+import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
 import {retryWaitMs} from './capacity-wait.ts';
 
 /**
@@ -145,13 +145,33 @@
 	clearTimeout(run.timer);
 	leaveQueue(context, run);
 	context.runs.delete(run);
+	dropHedge(context, run, 'abandoned');
+};
+
+/**
+Ends the second call of a request, if there is one.
+*/
+export const dropHedge = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	end: BackendAttemptEnd,
+): void => {
+	const {hedge} = run;
+	if (!hedge) {
+		return;
+	}
+
+	run.hedge = undefined;
+	run.steps.push(`second call ended: ${end}`);
+	endCall(context, run, hedge.call, {end, shouldAbort: true});
+	context.onHedge(run.exchange, {kind: 'dropped', end});
 };
 
 /**
 Ends the current call, if there is one, and gives its capacity to queued requests.
 */
 export const endCurrentCall = (
-	{clock, queue, forecast}: DeliveryContext,
+	context: DeliveryContext,
 	run: DeliveryRun,
 	end: BackendAttemptEnd,
 	shouldAbort: boolean,
@@ -159,18 +179,28 @@
 	const {current} = run;
 	// Clears the call first, because sending queued requests below may come back to this request.
 	run.current = undefined;
-	if (!current) {
-		return;
+	if (current) {
+		endCall(context, run, current, {end, shouldAbort});
 	}
+};
 
-	current.attempt?.end(end, clock());
+const endCall = (
+	{clock, queue, forecast}: DeliveryContext,
+	{exchange}: DeliveryRun,
+	call: CurrentCall,
+	{
+		end,
+		shouldAbort,
+	}: {readonly end: BackendAttemptEnd; readonly shouldAbort: boolean},
+): void => {
+	const now = clock();
+	call.attempt?.end(end, now);
 	if (shouldAbort) {
-		current.open().abort();
+		call.open().abort();
 	}
 
-	const now = clock();
-	if (current.attempt) {
-		forecast.recordRelease(run.exchange.service, now);
+	if (call.attempt) {
+		forecast.recordRelease(exchange.service, now);
 	}
 
 	queue.dispatch(now);
--- a/src/gateway/delivery/fail-call.ts
+++ b/src/gateway/delivery/fail-call.ts
@@ -29,14 +29,17 @@
 ): void => {
 	run.steps.push(`${fault.outcome}: ${fault.reason}`);
 	run.endedBy = endedBy;
-	const wasLocal = run.current?.server !== undefined;
+	const server = run.current?.server;
+	const wasLocal = server !== undefined;
 	endCurrentCall(context, run, fault.end, true);
-	if (severity[fault.outcome] > severity[run.outcome]) {
-		run.outcome = fault.outcome;
+	raiseOutcome(run, fault.outcome);
+	if (wasLocal && !fault.reachedServer) {
+		forgetTry(run, server);
 	}
 
-	if (wasLocal && !fault.reachedServer) {
-		run.triedServers.pop();
+	if (run.hedge) {
+		run.hedge.adopt();
+		return;
 	}
 
 	if (run.hasCallerLeft) {
@@ -69,6 +72,28 @@
 	}
 };
 
+/**
+Raises the outcome of a request to that of a call if it is more severe.
+*/
+export const raiseOutcome = (run: DeliveryRun, outcome: Outcome): void => {
+	if (severity[outcome] > severity[run.outcome]) {
+		run.outcome = outcome;
+	}
+};
+
+/**
+Removes the latest try of a server that the request did not reach.
+*/
+export const forgetTry = (
+	{triedServers}: DeliveryRun,
+	server: string,
+): void => {
+	const index = triedServers.lastIndexOf(server);
+	if (index !== -1) {
+		triedServers.splice(index, 1);
+	}
+};
+
 /**
 Handles a call that failed before its response was complete, or that could not be made.
 */
@@ -78,8 +103,27 @@
 	current: CurrentCall,
 	failure: UpstreamFailure,
 ): void => {
-	const {member, server} = current;
-	const {wasSent, isWithdrawn, reason} = failure;
+	const {wasSent, reason} = failure;
+	reportCallFailure(context, run, current, failure);
+	failCall(context, run, {
+		outcome: wasSent ? 'unknown' : 'not-run',
+		reason,
+		reachedServer: wasSent,
+		end: 'failed',
+	});
+};
+
+/**
+Reports what a failed call says about its backend server or node.
+*/
+export const reportCallFailure = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	call: CurrentCall,
+	failure: UpstreamFailure,
+): void => {
+	const {member, server} = call;
+	const {wasSent, isWithdrawn} = failure;
 	if (!wasSent && member) {
 		context.onPeerFailure(member);
 	}
@@ -89,15 +133,8 @@
 	}
 
 	if (wasSent) {
-		reportBrokenCall(context, run, current);
+		reportBrokenCall(context, run, call);
 	}
-
-	failCall(context, run, {
-		outcome: wasSent ? 'unknown' : 'not-run',
-		reason,
-		reachedServer: wasSent,
-		end: 'failed',
-	});
 };
 
 /**
@@ -167,12 +204,20 @@
 	run: DeliveryRun,
 	{outcome}: CallFault,
 ): boolean =>
-	run.hasBegun
-		? run.isRepeatable &&
-			run.exchange.route.isResumable &&
+	canRunAgain(context, run) || (!run.hasBegun && outcome === 'not-run');
+
+/**
+Whether a request that may have run may run a second time, from its start or from where its stream has got to.
+*/
+export const canRunAgain = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+): boolean =>
+	run.isRepeatable &&
+	(!run.hasBegun ||
+		(run.exchange.route.isResumable &&
 			!context.without.has('resumption') &&
-			canContinue(context, run)
-		: run.isRepeatable || outcome === 'not-run';
+			canContinue(context, run)));
 
 // A node of an earlier release does not state which version began a stream that it relays.
 const canContinue = ({origins}: DeliveryContext, run: DeliveryRun): boolean => {
@@ -186,8 +231,15 @@
 };
 
 const hasRetryBudget = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	{reachedServer}: CallFault,
+): boolean => !reachedServer || hasTakenRetry(context, run);
+
+/**
+Charges a repeated send of a request to the retry budget. Returns false if the budget is used up.
+*/
+export const hasTakenRetry = (
 	{budget, clock, budgetNodes}: DeliveryContext,
 	{exchange}: DeliveryRun,
-	{reachedServer}: CallFault,
-): boolean =>
-	!reachedServer || budget.tryTake(exchange.service, budgetNodes(), clock());
+): boolean => budget.tryTake(exchange.service, budgetNodes(), clock());
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -15,7 +15,7 @@
 	type CurrentCall,
 	type DeliveryRun,
 } from './delivery-run.ts';
-import {closeRun, endCurrentCall, recordRun} from './end-run.ts';
+import {closeRun, dropHedge, endCurrentCall, recordRun} from './end-run.ts';
 import {createEventRelay} from './event-relay.ts';
 import {
 	handleCallFailure,
@@ -41,11 +41,17 @@
 /**
 Creates the listener that passes on the response of a call. Once the request has another call, the listener ignores
 the rest of the response.
+
+@param context
+@param run
+@param current
+@param hasRecordedStatements Whether the statements in the head have been processed before.
 */
 export const createAnswerListener = (
 	context: DeliveryContext,
 	run: DeliveryRun,
 	current: CurrentCall,
+	hasRecordedStatements = false,
 ): UpstreamListener => {
 	const chunks: Buffer[] = [];
 	let size = 0;
@@ -57,7 +63,10 @@
 	return {
 		onHead(received) {
 			// The statements of the server are valid regardless of the state of the request.
-			recordStatements(context, run, current, received);
+			if (!hasRecordedStatements) {
+				recordStatements(context, run, current, received);
+			}
+
 			if (!isCurrent()) {
 				return;
 			}
@@ -85,6 +94,7 @@
 				return true;
 			}
 
+			dropHedge(context, run, 'abandoned');
 			current.lastByteAt = context.clock();
 			scanner?.scan(chunk);
 			if (isStream) {
@@ -159,12 +169,14 @@
 	});
 	switch (verdict.kind) {
 		case 'whole': {
+			dropHedge(context, run, 'abandoned');
 			recordRetryResult(context, run, head.status);
 			current.attempt?.recordFirstEvent(context.clock());
 			return 'whole';
 		}
 
 		case 'stream': {
+			dropHedge(context, run, 'abandoned');
 			beginStream(context, run, head);
 			return 'stream';
 		}
--- a/src/gateway/delivery/send-run.ts
+++ b/src/gateway/delivery/send-run.ts
@@ -3,13 +3,18 @@
 	backendConnectTimeoutMs,
 	type Placement,
 	type UpstreamCall,
+	type UpstreamListener,
 } from '../../backends/index.ts';
-import type {Member} from '../../membership/index.ts';
 import {incarnationIdOf, softwareVersionOf} from '../../registry/index.ts';
 import type {StreamOrigin} from '../../stream-origins/index.ts';
+import type {UpstreamChoice} from '../choosing/choose-upstream.ts';
 import {lastEventIdHeader, leastUrgent} from '../wire-headers.ts';
 import type {DeliveryContext} from './delivery-context.ts';
-import type {CurrentCall, DeliveryRun} from './delivery-run.ts';
+import {
+	setCurrentCall,
+	type CurrentCall,
+	type DeliveryRun,
+} from './delivery-run.ts';
 import {failRun, leaveQueue, refuseQuarantined, refuseRun} from './end-run.ts';
 import {encodeHopCall} from './hop.ts';
 import {
@@ -187,15 +192,13 @@
 	}
 
 	switch (choice.kind) {
-		case 'server': {
-			leaveQueue(context, run);
-			callServer(context, run, choice.id, placement);
-			return 'sent';
-		}
-
+		case 'server':
 		case 'peer': {
 			leaveQueue(context, run);
-			callNode(context, run, choice.member, choice.region);
+			callTarget(context, run, choice, placement, (call) => {
+				setCurrentCall(run, call);
+				return createAnswerListener(context, run, call);
+			});
 			return 'sent';
 		}
 
@@ -206,8 +209,10 @@
 	}
 };
 
-// Regions that refused the request, and those without a server of the version to which it is bound.
-const unsuitableRegions = (
+/**
+Returns the regions that refused a request, and those without a server of the version to which it is bound.
+*/
+export const unsuitableRegions = (
 	{regionsWithout}: DeliveryContext,
 	{fullRegions, origin}: DeliveryRun,
 ): ReadonlySet<string> =>
@@ -242,12 +247,48 @@
 	outcome === 'not-run' &&
 	!isClientKnown(client);
 
+/**
+A target that accepts a request now.
+*/
+export type CallTarget = Extract<
+	UpstreamChoice,
+	{readonly kind: 'server' | 'peer'}
+>;
+
+/**
+Receives a call that is about to begin, and returns the listener of its response.
+*/
+export type BeginCall = (call: CurrentCall) => UpstreamListener;
+
+/**
+Sends a request to a target.
+*/
+export const callTarget = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	target: CallTarget,
+	placement: Placement,
+	begin: BeginCall,
+): void => {
+	switch (target.kind) {
+		case 'server': {
+			callServer(context, run, target.id, placement, begin);
+			return;
+		}
+
+		case 'peer': {
+			callNode(context, run, target, begin);
+		}
+	}
+};
+
 // Sends the urgency with the request. Without it, engines treat all requests alike, and short ones queue behind long ones.
 const callServer = (
 	context: DeliveryContext,
 	run: DeliveryRun,
 	id: string,
 	placement: Placement,
+	begin: BeginCall,
 ): void => {
 	const {
 		clock,
@@ -261,7 +302,7 @@
 	const sentAt = clock();
 	const server = fleet.server(id)!;
 	const attempt = fleet.begin(id, placement, sentAt);
-	run.start = {
+	const start = {
 		load: fleet.loadAt(id, sentAt),
 		remainingMs: run.exchange.expiresAt - sentAt,
 	};
@@ -269,8 +310,8 @@
 	announcements.recordSend(incarnationId, sentAt);
 	run.excluded.add(id);
 	run.triedServers.push(id);
-	run.currentVersion = softwareVersionOf(server);
-	run.steps.push(`server ${id} (software ${run.currentVersion})`);
+	const softwareVersion = softwareVersionOf(server);
+	run.steps.push(`server ${id} (software ${softwareVersion})`);
 	const {client, service} = run.exchange;
 	const connections = connectionShare(service, id);
 	const urgency = Math.min(leastUrgent, run.exchange.route.priority);
@@ -284,6 +325,8 @@
 			sentAt,
 			member: undefined,
 			region: undefined,
+			softwareVersion,
+			start,
 		},
 		{
 			key: `server ${id}`,
@@ -299,20 +342,19 @@
 				...(client ? [headers.client, client.name] : []),
 			]),
 		},
+		begin,
 	);
 };
 
 const callNode = (
 	context: DeliveryContext,
 	run: DeliveryRun,
-	member: Member,
-	region: string,
+	{member, region}: Extract<CallTarget, {readonly kind: 'peer'}>,
+	begin: BeginCall,
 ): void => {
 	const {exchange} = run;
 	const remainingMs = exchange.expiresAt - context.clock();
-	run.start = {load: undefined, remainingMs};
 	run.triedNodes.add(member.id);
-	run.currentVersion = undefined;
 	run.steps.push(`node ${member.id} in ${region}`);
 	const hopCall = encodeHopCall({
 		origin: context.self,
@@ -341,6 +383,8 @@
 			sentAt: context.clock(),
 			member,
 			region,
+			softwareVersion: undefined,
+			start: {load: undefined, remainingMs},
 		},
 		{
 			key: peerConnectionKey(member),
@@ -349,6 +393,7 @@
 			connectTimeoutMs: peerConnectTimeoutMs,
 			headers: nextHopHeaders(context, run, hopCall),
 		},
+		begin,
 	);
 };
 
@@ -357,6 +402,7 @@
 	run: DeliveryRun,
 	to: Omit<CurrentCall, 'open' | 'lastByteAt'>,
 	call: Omit<UpstreamCall, 'method' | 'target' | 'body'>,
+	begin: BeginCall,
 ): void => {
 	const {method, target, body} = run.exchange;
 	// `open` is assigned below, so the client must not notify the listener before `call` has returned.
@@ -365,12 +411,9 @@
 		lastByteAt: undefined,
 		open: () => open,
 	};
-	run.current = current;
-	run.latestCall = current;
-	run.endedBy = undefined;
 	const open = context.client.call(
 		{...call, method, target, body},
-		createAnswerListener(context, run, current),
+		begin(current),
 	);
 };
 
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -147,7 +147,7 @@
 					}
 
 					// Connections opened before the fault may be dead without a TCP reset.
-					if (isHealthy && fleet.isSuspect(id)) {
+					if (isHealthy && fleet.suspicionOf(id) !== undefined) {
 						logger.info({server: id, coldMs}, 'backend server healthy');
 						client.forget(`server ${id}`);
 					}
--- a/src/gateway/gateway-observer.ts
+++ b/src/gateway/gateway-observer.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '../logging/index.ts';
 import {softwareVersionOf, type RegisteredServer} from '../registry/index.ts';
 import type {StatementFault} from '../server-statements/index.ts';
+import type {HedgeChange} from './delivery/index.ts';
 import {createClientLimitLog} from './client-limit-log.ts';
 import type {DeliveryRecord, Exchange} from './exchange.ts';
 import {
@@ -25,6 +26,10 @@
 	*/
 	admission(account: string, verdict: SharedVerdict, now: number): void;
 	/**
+	Records a change of a second call of a request whose backend server is silent.
+	*/
+	hedge(exchange: Exchange, change: HedgeChange): void;
+	/**
 	Records a statement of a backend server that cannot be parsed.
 	*/
 	badStatement(server: string, fault: StatementFault): void;
@@ -129,6 +134,12 @@
 		labelNames: ['route', 'ender'],
 		registers: [registry],
 	});
+	const hedges = new Counter({
+		name: 'quillford_hedges_total',
+		help: 'Second calls of requests whose backend server was silent, by route and change',
+		labelNames: ['route', 'change'],
+		registers: [registry],
+	});
 	const silenceAtEnd = new Histogram({
 		name: 'quillford_silence_at_end_milliseconds',
 		help: 'Time since the last byte of the backend server when such a request ended',
@@ -293,7 +304,7 @@
 
 	// A server may repeat the same fault in each response, so half of the lines is reserved for requests.
 	const warnWithinBudget = (
-		fields: Readonly<Record<string, string>>,
+		fields: Readonly<Record<string, string | number>>,
 		message: string,
 	) => {
 		if (linesLeft <= linesPerSecond / 2) {
@@ -388,6 +399,24 @@
 			admissions.inc({client: account, verdict: verdict.kind});
 			limitLog.record(account, verdict, now);
 		},
+		hedge({requestId, route}, change) {
+			hedges.inc({route: route.name, change: change.kind});
+			if (change.kind !== 'sent') {
+				return;
+			}
+
+			const {server, silentMs, target} = change;
+			warnWithinBudget(
+				{
+					requestId,
+					route: route.name,
+					server,
+					silentMs: Math.round(silentMs),
+					target,
+				},
+				'second call for a request at a silent backend server',
+			);
+		},
 		badStatement(server, {kind, reason}) {
 			badStatements.inc({kind});
 			warnWithinBudget(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,6 @@
+import type {SilenceChange} from '../backends/index.ts';
 import {capacityOfNode} from '../demand/index.ts';
+import type {Logger} from '../logging/index.ts';
 import type {Address} from '../shared/index.ts';
 import {createConnectionWarmer, createServerProbes} from './delivery/index.ts';
 import {
@@ -152,20 +154,8 @@
 		overload?.tick();
 		mesh.tick(now);
 		registry.tick(now);
-		for (const {id, silentMs, unansweredProbeMs, ...counts} of fleet.tick(
-			now,
-		)) {
-			const fields = {
-				server: id,
-				silentMs: Math.round(silentMs),
-				unansweredProbeMs:
-					unansweredProbeMs === undefined
-						? undefined
-						: Math.round(unansweredProbeMs),
-				...counts,
-			};
-			logger.warn(fields, 'backend server stopped responding');
-			deliveries.serverStoppedResponding(id);
+		for (const change of fleet.tick(now)) {
+			logSilence(logger, change);
 		}
 
 		probes.tick(now);
@@ -289,6 +279,34 @@
 	};
 };
 
+const logSilence = (logger: Logger, change: SilenceChange): void => {
+	switch (change.kind) {
+		case 'silent': {
+			const {id, silentMs, unansweredProbeMs, inFlight, pending} = change;
+			const fields = {
+				server: id,
+				silentMs: Math.round(silentMs),
+				unansweredProbeMs:
+					unansweredProbeMs === undefined
+						? undefined
+						: Math.round(unansweredProbeMs),
+				inFlight,
+				pending,
+			};
+			logger.warn(fields, 'backend server stopped responding');
+			return;
+		}
+
+		case 'resumed': {
+			const {id, silentMs, inFlight} = change;
+			logger.info(
+				{server: id, silentMs: Math.round(silentMs), inFlight},
+				'backend server responds again',
+			);
+		}
+	}
+};
+
 // How long a leaving node continues to accept connections, in milliseconds: callers use a response of the directory
 // for some seconds.
 const leavingAcceptMs = 4300;
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -150,12 +150,13 @@
 				quarantine.connectionRefused(incarnationIdOf(entry), clock());
 			}
 
-			if (fleet.isSuspect(server)) {
+			const before = fleet.suspicionOf(server);
+			if (before === 'unreachable') {
 				return;
 			}
 
-			fleet.suspect(server, clock());
-			logger.warn({server, reason}, 'backend server suspected');
+			fleet.recordConnectFailure(server, clock());
+			logger.warn({server, reason, before}, 'backend server suspected');
 		},
 		onCallBroken(exchange, call) {
 			const run = {
@@ -205,6 +206,9 @@
 
 			observer.record(record);
 		},
+		onHedge(exchange, change) {
+			observer.hedge(exchange, change);
+		},
 	});
 	const observer = createGatewayObserver({
 		logger,
--- a/src/mechanisms/mechanisms.ts
+++ b/src/mechanisms/mechanisms.ts
@@ -57,6 +57,10 @@
 	*/
 	'silence',
 	/**
+	Sends a second call for a request whose server has been silent for as long as callers wait.
+	*/
+	'hedging',
+	/**
 	Sends the priority of a request to the server.
 	*/
 	'urgency',
--- a/tests/gateway/delivery/delivery-scene.ts
+++ b/tests/gateway/delivery/delivery-scene.ts
@@ -123,6 +123,7 @@
 		onRecord(record) {
 			records.push(record);
 		},
+		onHedge: () => undefined,
 		...change,
 	});
 	return {
--- a/tests/gateway/delivery/record-statements.test.ts
+++ b/tests/gateway/delivery/record-statements.test.ts
@@ -47,6 +47,8 @@
 		lastByteAt: undefined,
 		member: undefined,
 		region: undefined,
+		softwareVersion: undefined,
+		start: {load: undefined, remainingMs: 0},
 		...call,
 	};
 	recordStatements(
--- a/tests/gateway/streams/stream-cluster.ts
+++ b/tests/gateway/streams/stream-cluster.ts
@@ -379,6 +379,7 @@
 			regionsWithout: () => new Set(),
 			backendLimits,
 			onQueued: () => undefined,
+			onHedge: () => undefined,
 			onRecord(record) {
 				if (record.result === 'answered') {
 					durations.record(record.exchange.route.name, record.totalMs);
