Report suspect servers of a region as full, not as absent

Nodes of regions without servers of a service refused requests at once ("No backend server that may serve it is in use") while all servers of another region were silent: a suspect server counted neither for the load nor for the slots of its region, so the region seemed empty to those that overflow, and without servers to those that have none.

Suspect servers now count as full, and where only silent ones are left they stay in the counts that regions exchange.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -112,7 +112,7 @@
 	loadAt(id: string, now: number): number | undefined;
 	ids(): readonly string[];
 	/**
-	Returns the usable servers of a service, with this node's requests in flight at each.
+	Returns the usable servers of a service, or the silent ones if there are no others, with this node's requests in flight at each.
 	*/
 	requestsAt(service: string): readonly ServerInUse[];
 	/**
@@ -390,17 +390,16 @@
 		},
 		suspicionOf: (id) => states.get(id)?.suspicion,
 		loadOf(service, now) {
-			const usable = serversOf(service).filter(
-				({suspicion}) => suspicion === undefined,
-			);
+			const servers = serversOf(service);
 			const nodes = options.nodesServing();
-			const others = peerRequestsAtEach(service, usable, now);
+			const others = peerRequestsAtEach(service, servers, now);
 			let load = 0;
 			let slots = 0;
-			for (const state of usable) {
+			for (const state of servers) {
 				const serverSlots = state.known.server.slots;
-				// A rate-limited server, or one in backoff, offers no capacity to other regions.
+				// A suspect or rate-limited server, or one in backoff, offers no capacity to other regions.
 				const hasNoCapacity =
+					state.suspicion !== undefined ||
 					options.backendLimits.rateOf(state.incarnationId) !== undefined ||
 					options.backoffs.remainingMs(state.incarnationId, now) > 0;
 				const estimated = estimatedLoad(state, nodes, now, {others});
@@ -422,14 +421,18 @@
 			return estimatedLoad(state, nodes, now, {others});
 		},
 		ids: () => states.keys().toArray(),
-		requestsAt: (service) =>
-			serversOf(service)
-				.filter(({suspicion}) => suspicion === undefined)
-				.map(({known: {server}, inFlight}) => ({
+		requestsAt(service) {
+			const servers = serversOf(service);
+			const usable = servers.filter(({suspicion}) => suspicion === undefined);
+			const silent = servers.filter(({suspicion}) => suspicion === 'silent');
+			return (usable.length > 0 ? usable : silent).map(
+				({known: {server}, inFlight}) => ({
 					id: server.id,
 					slots: server.slots,
 					inFlight,
-				})),
+				}),
+			);
+		},
 		leasedServers: (service) =>
 			serversOf(service).map((state) => leasedServerOf(state)),
 		leasedServer(id) {
