Keep silent attempts of the product's own interface until another one answers

On the product's own interface an attempt without a response head was canceled at half of its remaining time, and a stream without an event for 5 s was broken off, also at servers that were at work; both were blamed for a crash. Callers saw answers that began again, or streams that ended with an error where no other server was left.

Attempts now have all of the remaining time. At half of it a second attempt begins beside the first, and the first to answer stays. A silent stream is resumed beside the silent attempt, which is given up for the first event of the other; without another server it stays until its deadline. The tests of both fail on the code before.

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -36,6 +36,10 @@
 	readonly target: AttemptTarget;
 	readonly attemptId: string;
 	readonly resumeFrom: number;
+	/**
+	Cancels the attempt for a reason that is unrelated to its target.
+	*/
+	readonly cancellation?: AbortSignal;
 };
 
 /**
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -32,6 +32,8 @@
 	type Progress,
 } from './attempt.ts';
 import type {CapacityQueue} from './capacity-queue.ts';
+import {openHedged, type PendingAttempt} from './hedged-attempt.ts';
+import {withFirstChunk} from './first-chunk.ts';
 import type {TargetChooser} from './target-choice.ts';
 import type {GatewayRequest} from './gateway-request.ts';
 import type {RequestLimits} from './request-limits.ts';
@@ -81,6 +83,14 @@
 		resumeFrom: number,
 	): Promise<Result<OpenAttempt, GatewayError>>;
 	/**
+	Resumes a stream beside an attempt that is silent. Returns undefined if that is not allowed, or if no attempt sends an event.
+	*/
+	openBeside(
+		request: GatewayRequest,
+		progress: Progress,
+		stream: {readonly silent: AttemptTarget; readonly resumeFrom: number},
+	): Promise<OpenAttempt | undefined>;
+	/**
 	Chooses a target; waits in the capacity queue if no slot is free.
 	*/
 	acquire(
@@ -112,11 +122,12 @@
 export const maximumAttempts = 4;
 
 /**
-Milliseconds without an event after which a stream counts as broken.
+Milliseconds without an event after which a stream is resumed beside the silent attempt, and the time for that.
 */
 export const stallTimeoutMs = 5000;
 
-const smallestAttemptMs = 500;
+// Minimum time without an answer after which a second attempt begins, in milliseconds.
+const smallestHedgeDelayMs = 500;
 
 // A server may state no version; then only another that states none continues the stream.
 const canContinue = (
@@ -143,14 +154,12 @@
 				return Result.err(withOutcome(target.error, progress.outcome));
 			}
 
-			progress.attempts += 1;
-			const attempt = await begin({
+			const attempt = await beginHedged(
 				request,
 				progress,
-				target: target.value,
-				attemptId: options.issueAttemptId(),
+				target.value,
 				resumeFrom,
-			});
+			);
 			if (attempt.isOk && canContinue(progress, attempt.value, resumeFrom)) {
 				return Result.ok(attempt.value);
 			}
@@ -158,6 +167,7 @@
 			if (attempt.isOk) {
 				attempt.value.abort.abort();
 				attempt.value.finish('canceled');
+				progress.excluded.add(targetId(attempt.value.target));
 			}
 
 			const failure = attempt.isOk ? otherVersionFailure() : attempt.error;
@@ -166,7 +176,6 @@
 				continue;
 			}
 
-			progress.excluded.add(targetId(target.value));
 			const verdict = handleFailure(request, progress, failure, resumeFrom > 0);
 			if (verdict.isErr) {
 				return Result.err(verdict.error);
@@ -174,6 +183,137 @@
 		}
 	};
 
+	const beginHedged = async (
+		request: GatewayRequest,
+		progress: Progress,
+		target: AttemptTarget,
+		resumeFrom: number,
+	): Promise<Result<OpenAttempt, AttemptFailure>> => {
+		const beginAt = (chosen: AttemptTarget): PendingAttempt => {
+			progress.attempts += 1;
+			const cancellation = new AbortController();
+			const opened = begin({
+				request,
+				progress,
+				target: chosen,
+				attemptId: options.issueAttemptId(),
+				resumeFrom,
+				cancellation: cancellation.signal,
+			});
+			return {
+				opened: opened.then((result) => {
+					if (result.isErr && !result.error.isWithdrawn) {
+						progress.excluded.add(targetId(chosen));
+					}
+
+					return result;
+				}),
+				cancel() {
+					cancellation.abort();
+					void opened.then((result) => {
+						if (!result.isOk) {
+							return;
+						}
+
+						result.value.abort.abort();
+						result.value.finish('canceled');
+					});
+				},
+			};
+		};
+
+		const hedgeDelayMs = Math.max(
+			smallestHedgeDelayMs,
+			(request.deadline - clock()) / 2,
+		);
+		const result = await openHedged(beginAt(target), hedgeDelayMs, () => {
+			const second = hedgeTarget(request, progress, target);
+			if (!second) {
+				return undefined;
+			}
+
+			options.budget.spend();
+			options.logger.info(
+				{
+					requestId: request.requestId,
+					silentTarget: targetId(target),
+					target: targetId(second),
+					afterMs: Math.round(hedgeDelayMs),
+				},
+				'second attempt beside a silent one',
+			);
+			return beginAt(second);
+		});
+		return result.mapErr((failures) => {
+			for (const {outcome} of failures) {
+				progress.outcome = worstOutcome(progress.outcome, outcome);
+			}
+
+			return failures.at(-1)!;
+		});
+	};
+
+	// A receiving node makes one attempt; the origin of a request decides about further ones.
+	const canHedge = (request: GatewayRequest, progress: Progress): boolean =>
+		request.isRepeatable &&
+		!progress.isForwarded &&
+		progress.attempts < maximumAttempts &&
+		options.budget.hasRetry() &&
+		options.quarantine.statusOf(request).kind === 'clear';
+
+	const hedgeTarget = (
+		request: GatewayRequest,
+		progress: Progress,
+		silent: AttemptTarget,
+	): AttemptTarget | undefined => {
+		if (!canHedge(request, progress)) {
+			return undefined;
+		}
+
+		const excluded = new Set([...progress.excluded, targetId(silent)]);
+		const tried = {excluded, isForwarded: progress.isForwarded};
+		const choice = options.chooser.choose(request, tried, clock());
+		return choice.kind === 'backend-server' || choice.kind === 'peer'
+			? choice
+			: undefined;
+	};
+
+	const openBeside = async (
+		request: GatewayRequest,
+		progress: Progress,
+		{
+			silent,
+			resumeFrom,
+		}: {readonly silent: AttemptTarget; readonly resumeFrom: number},
+	): Promise<OpenAttempt | undefined> => {
+		if (!canHedge(request, progress)) {
+			return undefined;
+		}
+
+		options.budget.spend();
+		progress.excluded.add(targetId(silent));
+		options.logger.info(
+			{requestId: request.requestId, silentTarget: targetId(silent)},
+			'stream is resumed beside a silent attempt',
+		);
+		const opened = await open(
+			{...request, deadline: clock() + stallTimeoutMs},
+			progress,
+			resumeFrom,
+		);
+		if (opened.isErr) {
+			return undefined;
+		}
+
+		if (opened.value.upstream.status !== 200) {
+			opened.value.abort.abort();
+			opened.value.finish('failed');
+			return undefined;
+		}
+
+		return withFirstChunk(opened.value, request.signal);
+	};
+
 	const acquire = async (
 		request: GatewayRequest,
 		progress: Progress,
@@ -245,7 +385,7 @@
 	const begin = async (
 		plan: AttemptPlan,
 	): Promise<Result<OpenAttempt, AttemptFailure>> => {
-		const {request, progress, target, attemptId} = plan;
+		const {request, target, attemptId} = plan;
 		const startedAt = clock();
 		const abort = new AbortController();
 		const cancel = () => {
@@ -253,10 +393,8 @@
 		};
 
 		request.signal.addEventListener('abort', cancel, {once: true});
-		const timer = setTimeout(
-			cancel,
-			attemptTimeout(request, progress, startedAt),
-		);
+		plan.cancellation?.addEventListener('abort', cancel, {once: true});
+		const timer = setTimeout(cancel, Math.max(1, request.deadline - startedAt));
 		const id = target.kind === 'backend-server' ? target.server.id : undefined;
 		const incarnation =
 			target.kind === 'backend-server'
@@ -273,7 +411,9 @@
 		const sent = await sendCounted(plan, abort.signal, startedAt);
 		clearTimeout(timer);
 		if (sent.isErr) {
-			finish(attemptEndOf(sent.error, request.signal.aborted));
+			const isCanceled =
+				request.signal.aborted || plan.cancellation?.aborted === true;
+			finish(attemptEndOf(sent.error, isCanceled));
 			options.logger.debug(
 				{
 					requestId: request.requestId,
@@ -296,18 +436,6 @@
 		});
 	};
 
-	const attemptTimeout = (
-		request: GatewayRequest,
-		progress: Progress,
-		now: number,
-	): number => {
-		const remaining = Math.max(1, request.deadline - now);
-		const isLast =
-			!request.isRepeatable || progress.attempts >= maximumAttempts;
-		// An attempt gets half of the remaining time, so that a target that does not answer leaves time for another.
-		return isLast ? remaining : Math.max(smallestAttemptMs, remaining / 2);
-	};
-
 	const createFinish = (
 		backendServer: string | undefined,
 		release: (end: AttemptEnd) => void,
@@ -443,6 +571,7 @@
 
 	return {
 		open,
+		openBeside,
 		acquire,
 		begin,
 		handleFailure,
--- a/src/requests/relay-stream.ts
+++ b/src/requests/relay-stream.ts
@@ -1,3 +1,4 @@
+import type {Buffer} from 'node:buffer';
 import {Result} from 'true-myth';
 import {createGatewayError, type GatewayError} from '../errors/index.ts';
 import type {AttemptFailure} from '../retries/index.ts';
@@ -10,6 +11,7 @@
 	type EventStreamReader,
 } from './event-stream.ts';
 import type {GatewayRequest} from './gateway-request.ts';
+import {createSilenceWatch, type SilenceWatch} from './silence-watch.ts';
 
 /**
 Relays the attempts of a streamed request into one response stream.
@@ -22,9 +24,16 @@
 
 type AttemptResult =
 	| {readonly kind: 'complete'}
-	| {readonly kind: 'failed'; readonly failure: AttemptFailure};
+	| {readonly kind: 'failed'; readonly failure: AttemptFailure}
+	/**
+	Another attempt has sent the next events.
+	*/
+	| {readonly kind: 'replaced'; readonly attempt: OpenAttempt};
 
-const stallCheckMs = 1000;
+type Next =
+	| {readonly kind: 'chunk'; readonly chunk: Buffer}
+	| {readonly kind: 'failed'; readonly error: Error}
+	| {readonly kind: 'resumed'; readonly attempt: OpenAttempt};
 
 /**
 Creates a stream relay.
@@ -34,7 +43,7 @@
 	clock: () => number,
 ): StreamRelay => {
 	// Relays one attempt after another. Each attempt is finished and its remaining bytes are
-	// discarded before the next one is opened.
+	// discarded before the next one is relayed.
 	async function* relay(
 		request: GatewayRequest,
 		progress: Progress,
@@ -44,7 +53,7 @@
 		let delivered = 0;
 		for (;;) {
 			const reader = createEventStreamReader(attempt.attemptId, delivered);
-			const end = yield* relayAttempt(request, attempt, reader);
+			const end = yield* relayAttempt(request, progress, attempt, reader);
 			delivered = reader.delivered();
 			if (end.kind === 'complete') {
 				return {kind: 'complete', tokens: delivered};
@@ -55,6 +64,11 @@
 			}
 
 			progress.excluded.add(targetId(attempt.target));
+			if (end.kind === 'replaced') {
+				attempt = end.attempt;
+				continue;
+			}
+
 			const verdict = attempts.handleFailure(
 				request,
 				progress,
@@ -90,28 +104,35 @@
 
 	async function* relayAttempt(
 		request: GatewayRequest,
+		progress: Progress,
 		attempt: OpenAttempt,
 		reader: EventStreamReader,
 	): AsyncGenerator<string, AttemptResult, void> {
 		let isFirst = true;
-		let lastEventAt = clock();
-		let lastCheckAt = lastEventAt;
-		const stallTimer = setInterval(() => {
-			const now = clock();
-			// After a pause of this process, the time without events says nothing about the other side.
-			if (now - lastCheckAt > 2 * stallCheckMs) {
-				lastEventAt = now;
-			}
-
-			lastCheckAt = now;
-			if (now - lastEventAt > stallTimeoutMs) {
-				attempt.abort.abort(new Error('stalled'));
-			}
-		}, stallCheckMs);
 		let hasEnded = false;
+		const chunks = attempt.upstream.body[Symbol.asyncIterator]();
+		const watch = createSilenceWatch(clock, stallTimeoutMs);
+		const resume = async (signal: AbortSignal) =>
+			attempts.openBeside({...request, signal}, progress, {
+				silent: attempt.target,
+				resumeFrom: reader.delivered(),
+			});
 		try {
-			for await (const chunk of attempt.upstream.body) {
-				const piece = reader.push(chunk);
+			for (;;) {
+				const next = await nextOrResumed(nextOf(chunks), watch, {
+					request,
+					resume,
+				});
+				if (next.kind === 'resumed') {
+					attempt.finish('canceled');
+					return {kind: 'replaced', attempt: next.attempt};
+				}
+
+				if (next.kind === 'failed') {
+					return {kind: 'failed', failure: brokenAnswerFailure(next.error)};
+				}
+
+				const piece = reader.push(next.chunk);
 				if (piece.kind === 'fault') {
 					return {
 						kind: 'failed',
@@ -119,7 +140,6 @@
 					};
 				}
 
-				lastEventAt = clock();
 				if (isFirst && piece.tokens > 0) {
 					isFirst = false;
 					attempts.observeFirstToken(attempt);
@@ -138,17 +158,8 @@
 					return {kind: 'complete'};
 				}
 			}
-
-			return {
-				kind: 'failed',
-				failure: brokenAnswerFailure(
-					new Error('the stream ended before its final event'),
-				),
-			};
-		} catch (error) {
-			return {kind: 'failed', failure: brokenAnswerFailure(error as Error)};
 		} finally {
-			clearInterval(stallTimer);
+			watch.stop();
 			attempt.finish(request.signal.aborted ? 'canceled' : 'failed');
 			if (!hasEnded) {
 				attempt.abort.abort();
@@ -156,5 +167,72 @@
 		}
 	}
 
+	// A silent attempt stays open until it sends something, breaks off, or another one has sent the next events.
+	const nextOrResumed = async (
+		pending: Promise<Next>,
+		watch: SilenceWatch,
+		{
+			request,
+			resume,
+		}: {
+			readonly request: GatewayRequest;
+			readonly resume: (
+				signal: AbortSignal,
+			) => Promise<OpenAttempt | undefined>;
+		},
+	): Promise<Next> => {
+		for (;;) {
+			const early = await watch.within(pending);
+			if (early) {
+				return early;
+			}
+
+			if (clock() >= request.deadline) {
+				const error = new Error('it was silent until its deadline');
+				return {kind: 'failed', error};
+			}
+
+			const cancellation = new AbortController();
+			const signal = AbortSignal.any([request.signal, cancellation.signal]);
+			const resumed = resume(signal).then((attempt): Next | undefined =>
+				attempt ? {kind: 'resumed', attempt} : undefined,
+			);
+			const result = await Promise.race([pending, resumed]);
+			if (result?.kind === 'chunk') {
+				cancellation.abort();
+				void resumed.then(discard);
+				return result;
+			}
+
+			const next = result?.kind === 'failed' ? await resumed : result;
+			if (next ?? result) {
+				return (next ?? result)!;
+			}
+		}
+	};
+
 	return relay;
 };
+
+const nextOf = async (chunks: AsyncIterator<Buffer>): Promise<Next> => {
+	try {
+		const next = await chunks.next();
+		return next.done === true
+			? {
+					kind: 'failed',
+					error: new Error('the stream ended before its final event'),
+				}
+			: {kind: 'chunk', chunk: next.value};
+	} catch (error) {
+		return {kind: 'failed', error: error as Error};
+	}
+};
+
+const discard = (next: Next | undefined): void => {
+	if (next?.kind !== 'resumed') {
+		return;
+	}
+
+	next.attempt.abort.abort();
+	next.attempt.finish('canceled');
+};
