Play servers that fall silent in the soak, beside changes of routes, time-outs and idle time

One server, six in ten or all send nothing for 0.3 to 1.8 s and go on, while a new version of the routes, with other time-outs and another idle time, comes into force. A run that a node cuts meanwhile, although its caller waits, is a violation from one in a hundred runs on.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -1,6 +1,7 @@
 /**
 Checks the guarantees of the gateway against the records of callers and servers.
 */
+import {callerPatienceMs} from '../src/backends/index.ts';
 import {maximumInWindow} from '../tests/most-in-span.ts';
 import {
 	eventsIn,
@@ -9,7 +10,7 @@
 	nodeOfRequest,
 	type CallerRecord,
 } from './soak-callers.ts';
-import {applyMs, maximumAttempts} from './soak-routes.ts';
+import {applyMs, maximumAttempts, shortestTimeoutMs} from './soak-routes.ts';
 import type {Disturbance} from './soak-nodes.ts';
 import {
 	eventsPerStream,
@@ -36,6 +37,7 @@
 		| 'configuration'
 		| 'fatal part'
 		| 'refusals'
+		| 'silence'
 		| 'recovery';
 	readonly detail: string;
 };
@@ -95,6 +97,7 @@
 		...checkContinuations(withoutFatalPart(history)),
 		...checkFatalPart(history),
 		...checkFalls(history),
+		...checkSilence(withoutFatalPart(history)),
 	];
 };
 
@@ -103,6 +106,48 @@
 	records: history.records.filter(({hasFatalPart}) => !hasFatalPart),
 });
 
+const cutFractionInVain = 0.01;
+
+// Nodes leave the requests at a silent server where they are while callers wait, except for those whose caller has left, whose deadline
+// has passed, or whose node was disturbed.
+const checkSilence = ({
+	records,
+	events,
+	disturbances,
+}: SoakHistory): readonly Violation[] => {
+	const byId = new Map(records.map((record) => [record.requestId, record]));
+	const isExempt = ({requestId, at, endedAt}: ServerEvent): boolean => {
+		const record = byId.get(requestId);
+		return (
+			!record ||
+			record.leftAt < endedAt ||
+			endedAt - record.sentAt >= shortestTimeoutMs ||
+			disturbances.some(
+				({node, from, until}) =>
+					node === nodeOfRequest(requestId) &&
+					from <= endedAt &&
+					until + settleMs >= at,
+			)
+		);
+	};
+
+	const cut = events.filter(
+		(event) =>
+			event.cutAfterMs !== undefined &&
+			event.cutAfterMs < callerPatienceMs &&
+			!isExempt(event),
+	);
+	const runs = events.filter(({isRun}) => isRun).length;
+	return cut.length <= cutFractionInVain * runs
+		? []
+		: [
+				{
+					promise: 'silence',
+					detail: `${cut.length} of ${runs} runs were cut at servers that were silent, first ${cut[0]!.requestId} at ${cut[0]!.server}`,
+				},
+			];
+};
+
 const toleratedFatalCrashes = 5;
 const toleratedFatalSends = 3;
 
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -33,6 +33,15 @@
 			readonly server: number;
 			readonly forMs: number;
 	  }
+	/**
+	Some servers, or all of them, send nothing for a time within the patience of callers and go on. The routes, time-outs and idle time
+	change meanwhile.
+	*/
+	| {
+			readonly kind: 'silence';
+			readonly servers: number;
+			readonly forMs: number;
+	  }
 	| {readonly kind: 'registry-away'; readonly forMs: number}
 	| {
 			readonly kind: 'registry-restored';
@@ -80,6 +89,8 @@
 	'unframed',
 ] as const;
 
+const minimumSilenceMs = 300;
+const silenceRangeMs = 1500;
 const maximumLostWrites = 8;
 const minimumDurationMs = 500;
 const maximumDurationMs = 4000;
@@ -104,7 +115,7 @@
 const drawFault = (random: Random, {nodes, servers}: PlanOptions): Fault => {
 	const forMs =
 		minimumDurationMs + random.below(maximumDurationMs - minimumDurationMs);
-	const draw = random.below(14);
+	const draw = random.below(15);
 	switch (draw) {
 		case 0: {
 			return {kind: 'registry-away', forMs};
@@ -130,12 +141,27 @@
 			return {kind: 'fatal-part', forMs};
 		}
 
+		case 5: {
+			return {
+				kind: 'silence',
+				servers: silentServers(servers)[random.below(3)]!,
+				forMs: minimumSilenceMs + random.below(silenceRangeMs),
+			};
+		}
+
 		default: {
 			return drawNodeOrServerFault(random, {nodes, servers}, forMs);
 		}
 	}
 };
 
+// One server, six in ten, or all.
+const silentServers = (servers: number): readonly number[] => [
+	1,
+	Math.ceil(0.6 * servers),
+	servers,
+];
+
 const drawNodeOrServerFault = (
 	random: Random,
 	{nodes, servers}: Pick<PlanOptions, 'nodes' | 'servers'>,
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -228,6 +228,10 @@
 			return;
 		}
 
+		case 'silence': {
+			return playSilence(servers.slice(0, fault.servers), fault.forMs, routes);
+		}
+
 		case 'registry-away': {
 			return routes.takeRegistryDown(fault.forMs);
 		}
@@ -242,16 +246,7 @@
 		}
 
 		case 'brittle': {
-			for (const server of servers) {
-				server.setBrittle(true);
-			}
-
-			await sleep(fault.forMs + extraBrittleMs);
-			for (const server of servers) {
-				server.setBrittle(false);
-			}
-
-			return;
+			return playBrittle(servers, fault.forMs);
 		}
 
 		case 'fatal-part': {
@@ -261,3 +256,35 @@
 		}
 	}
 };
+
+// The routes change in the middle of the silence.
+const playSilence = async (
+	servers: readonly SoakServer[],
+	forMs: number,
+	routes: SoakRoutes,
+): Promise<void> => {
+	for (const server of servers) {
+		server.setSilent(true);
+	}
+
+	await sleep(forMs / 2);
+	routes.change();
+	await sleep(forMs / 2);
+	for (const server of servers) {
+		server.setSilent(false);
+	}
+};
+
+const playBrittle = async (
+	servers: readonly SoakServer[],
+	forMs: number,
+): Promise<void> => {
+	for (const server of servers) {
+		server.setBrittle(true);
+	}
+
+	await sleep(forMs + extraBrittleMs);
+	for (const server of servers) {
+		server.setBrittle(false);
+	}
+};
--- a/soak/soak-routes.ts
+++ b/soak/soak-routes.ts
@@ -39,9 +39,25 @@
 export const applyMs = 3000;
 
 const lostWriteDelayMs = 300;
+const timeoutSteps = 3;
+const timeoutStepMs = 100;
+const longestTimeoutMs = 3000;
+
+const shortIdleMs = 5000;
+const {limits} = documentOf();
+
+/**
+The shortest time limit that a route has during the test, in milliseconds.
+*/
+export const shortestTimeoutMs =
+	longestTimeoutMs - (timeoutSteps - 1) * timeoutStepMs;
 
 const documentWith = (version: number) => {
-	const common = {maximumAttempts, timeoutMs: 3000, targetLatencyMs: 400};
+	const common = {
+		maximumAttempts,
+		timeoutMs: longestTimeoutMs - (version % timeoutSteps) * timeoutStepMs,
+		targetLatencyMs: 400,
+	};
 	const added = Array.from({length: version}, (_, index) =>
 		routeOf({
 			...common,
@@ -75,6 +91,10 @@
 			...added,
 		],
 		services: [serviceOf()],
+		limits: {
+			...limits,
+			idleTimeoutMs: version % 2 === 0 ? limits.idleTimeoutMs : shortIdleMs,
+		},
 	});
 };
 
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -50,6 +50,11 @@
 	Time when the answer was complete or the connection closed.
 	*/
 	endedAt: number;
+	/**
+	How long the server had been silent when a node closed the connection before the answer was complete, in milliseconds; undefined
+	for any other end.
+	*/
+	cutAfterMs: number | undefined;
 };
 
 /**
@@ -103,6 +108,10 @@
 	setFatal(isFatal: boolean): void;
 	setBehaviour(behaviour: Behaviour): void;
 	/**
+	Sets whether the server sends nothing. What became due meanwhile is sent afterwards.
+	*/
+	setSilent(isSilent: boolean): void;
+	/**
 	Makes the server announce its shutdown until it restarts.
 	*/
 	announceShutdown(): void;
@@ -188,6 +197,26 @@
 	let isLeaving = false;
 	let limit: number | undefined;
 	let startedAt = 1;
+	let silentSince: number | undefined;
+	let held: Array<() => void> = [];
+
+	// Does something now, or when the server goes on.
+	const act = (action: () => void) => {
+		if (silentSince === undefined) {
+			action();
+		} else {
+			held.push(action);
+		}
+	};
+
+	const setSilent = (isSilent: boolean) => {
+		silentSince = isSilent ? (silentSince ?? performance.now()) : undefined;
+		const due = isSilent ? [] : held;
+		held = isSilent ? held : [];
+		for (const action of due) {
+			action();
+		}
+	};
 
 	const register = () => {
 		registry.write(`server ${id}`, {
@@ -253,7 +282,9 @@
 			if (index >= eventsPerStream) {
 				response.end();
 			} else {
-				setTimeout(sendNext, pauseMs);
+				setTimeout(() => {
+					act(sendNext);
+				}, pauseMs);
 			}
 		};
 
@@ -375,62 +406,74 @@
 		}
 	};
 
-	const server = createServer((request, response) => {
-		request.resume();
-		request.once('end', () => {
-			if (request.headers[productHeaders.expectedServer] !== id) {
-				response.writeHead(421).end();
-				return;
-			}
+	const respond = (request: IncomingMessage, response: ServerResponse) => {
+		if (request.headers[productHeaders.expectedServer] !== id) {
+			response.writeHead(421).end();
+			return;
+		}
 
-			if (request.url === '/health') {
-				const status = behaviour === 'sound' && !isLeaving ? 200 : 503;
-				response.writeHead(status, {[productHeaders.serverId]: id}).end();
-				return;
-			}
+		if (request.url === '/health') {
+			const status = behaviour === 'sound' && !isLeaving ? 200 : 503;
+			response.writeHead(status, {[productHeaders.serverId]: id}).end();
+			return;
+		}
 
-			const requestId = String(request.headers[productHeaders.requestId]);
-			const hasNoRoom = isFull();
-			const isRefused =
-				hasNoRoom || behaviour === 'refuse' || behaviour === 'rest';
-			const backoffMs =
-				behaviour === 'rest' ? backoffSeconds * 1000 : undefined;
-			const event: ServerEvent = {
-				at: performance.now(),
-				server: id,
-				requestId,
-				resumedAfter: Number(request.headers['last-event-id'] ?? 0),
-				isRun: !isRefused,
-				hasFatalPart: hasFatalPart(request),
-				softwareVersion: `v${version}`,
-				isLeaving,
-				backoffMs,
-				limit,
-				endedAt: Infinity,
-			};
-			events.push(event);
-			open.add(response);
+		const requestId = String(request.headers[productHeaders.requestId]);
+		const hasNoRoom = isFull();
+		const isRefused =
+			hasNoRoom || behaviour === 'refuse' || behaviour === 'rest';
+		const backoffMs = behaviour === 'rest' ? backoffSeconds * 1000 : undefined;
+		const event: ServerEvent = {
+			at: performance.now(),
+			server: id,
+			requestId,
+			resumedAfter: Number(request.headers['last-event-id'] ?? 0),
+			isRun: !isRefused,
+			hasFatalPart: hasFatalPart(request),
+			softwareVersion: `v${version}`,
+			isLeaving,
+			backoffMs,
+			limit,
+			endedAt: Infinity,
+			cutAfterMs: undefined,
+		};
+		events.push(event);
+		open.add(response);
+		response.once('close', () => {
+			open.delete(response);
+			event.endedAt = performance.now();
+			event.cutAfterMs =
+				silentSince === undefined || response.writableFinished
+					? undefined
+					: event.endedAt - Math.max(silentSince, event.at);
+		});
+		if (hasNoRoom) {
+			refuse(response, requestId, undefined);
+			recordRefusal(requestId);
+		} else if (isRefused) {
+			refuse(response, requestId, backoffMs);
+		} else {
+			accepted += 1;
 			response.once('close', () => {
-				open.delete(response);
-				event.endedAt = performance.now();
+				accepted -= 1;
 			});
-			if (hasNoRoom) {
-				refuse(response, requestId, undefined);
-				recordRefusal(requestId);
-			} else if (isRefused) {
-				refuse(response, requestId, backoffMs);
-			} else {
-				accepted += 1;
-				response.once('close', () => {
-					accepted -= 1;
-				});
-				setTimeout(
-					() => {
+			setTimeout(
+				() => {
+					act(() => {
 						run(request, response, requestId);
-					},
-					brittleSince === undefined ? workMs : brittleWorkMs,
-				);
-			}
+					});
+				},
+				brittleSince === undefined ? workMs : brittleWorkMs,
+			);
+		}
+	};
+
+	const server = createServer((request, response) => {
+		request.resume();
+		request.once('end', () => {
+			act(() => {
+				respond(request, response);
+			});
 		});
 	});
 	await listenAt(server, address);
@@ -451,6 +494,7 @@
 		setBehaviour(next) {
 			behaviour = next;
 		},
+		setSilent,
 		announceShutdown() {
 			isLeaving = true;
 		},
@@ -458,6 +502,7 @@
 			limit = perSecond;
 		},
 		restart() {
+			setSilent(false);
 			isLeaving = false;
 			limit = undefined;
 			behaviour = 'sound';
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -38,6 +38,7 @@
 	backoffMs: undefined,
 	limit: undefined,
 	endedAt: 30,
+	cutAfterMs: undefined,
 	...change,
 });
 
@@ -55,6 +56,27 @@
 		...history,
 	}).map(({promise}) => promise);
 
+test('runs that nodes cut at silent servers while callers wait violate it, unless the caller left, time was over or the node was disturbed', (t: TestContext) => {
+	const cut = {at: 1000, endedAt: 2200, cutAfterMs: 1200};
+	const play = (
+		event: Partial<ServerEvent>,
+		record: Partial<CallerRecord> = {},
+		history: Partial<SoakHistory> = {},
+	) =>
+		violatedBy({
+			records: [recordOf({kind: 'repeatable', sentAt: 990, ...record})],
+			events: [eventFor(event)],
+			...history,
+		});
+	t.assert.deepStrictEqual(play(cut), ['silence']);
+	t.assert.deepStrictEqual(play({...cut, cutAfterMs: undefined}), []);
+	t.assert.deepStrictEqual(play({...cut, cutAfterMs: 2500}), []);
+	t.assert.deepStrictEqual(play(cut, {leftAt: 2000}), []);
+	t.assert.deepStrictEqual(play({...cut, endedAt: 3990}), []);
+	const disturbances = [{node: 0, from: 1500, until: 1600}];
+	t.assert.deepStrictEqual(play(cut, {}, {disturbances}), []);
+});
+
 const completeStream = Array.from({length: eventsPerStream}, (_, index) =>
 	soakEventOf(index + 1, 'v1'),
 ).join('');
