Count second calls without capacity as no pressure; hedge replaced servers only

A second call that found no capacity counted as a request that waits for it, and took capacity from less urgent requests. A server that only left the registry may be draining, so its requests are hedged no more; one that was replaced under its id has lost them. A health check that was withdrawn before it was sent no longer makes a server unreachable, and the change of that belief is logged.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -290,6 +290,7 @@
 			if (
 				choice.kind === 'full' &&
 				!choice.isAwaitingSlot &&
+				!placement.isSecondCall &&
 				placement.priority !== undefined
 			) {
 				urgencyPressure.recordFull(placement.service, placement.priority, now);
--- a/src/backends/placement.ts
+++ b/src/backends/placement.ts
@@ -30,6 +30,10 @@
 	*/
 	readonly isIsolated?: boolean;
 	/**
+	Whether the request is in flight at another server, so it does not wait if there is no capacity.
+	*/
+	readonly isSecondCall?: boolean;
+	/**
 	Whether a more urgent request waits for capacity. Rate-limited servers are then reserved for that request.
 	*/
 	readonly hasMoreUrgentWaiter?: boolean;
--- a/src/gateway/delivery/hedge.ts
+++ b/src/gateway/delivery/hedge.ts
@@ -31,8 +31,8 @@
 import {callTarget, unsuitableRegions, type CallTarget} from './send-run.ts';
 
 /**
-Sends a second call for each request whose backend server has been silent for as long as callers wait, if another server takes it
-at once. The first call stays open until the second one really answers.
+Sends a second call for each request that has been without a byte for as long as callers wait, if its backend server is suspect or
+was replaced, and another server takes the request at once. The first call stays open until the second one really answers.
 */
 export const hedgeSilentRuns = (
 	context: DeliveryContext,
@@ -45,23 +45,25 @@
 	}
 };
 
-// A server that is believed to respond may take long for one response. One whose entry is gone will not be believed anything.
+// A server that is believed to respond may take long for one response.
 const isSilent = (
 	{fleet}: DeliveryContext,
 	{current, hedge}: DeliveryRun,
 	now: number,
 ): boolean => {
 	const server = current?.server;
-	if (hedge !== undefined || server === undefined) {
+	if (
+		server === undefined ||
+		hedge !== undefined ||
+		silentMsOf(current!, now) < callerPatienceMs
+	) {
 		return false;
 	}
 
 	const entry = fleet.server(server);
-	const isGone = !entry || incarnationIdOf(entry) !== current!.incarnationId;
-	return (
-		silentMsOf(current!, now) >= callerPatienceMs &&
-		(isGone || fleet.suspicionOf(server) !== undefined)
-	);
+	const isReplaced =
+		entry !== undefined && incarnationIdOf(entry) !== current!.incarnationId;
+	return isReplaced || fleet.suspicionOf(server) !== undefined;
 };
 
 const silentMsOf = ({lastByteAt, sentAt}: CurrentCall, now: number): number =>
@@ -83,6 +85,7 @@
 ): void => {
 	const placement = {
 		...run.placement,
+		isSecondCall: true,
 		...(run.origin && {softwareVersion: run.origin.softwareVersion}),
 	};
 	const choice = context.choose(
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -70,6 +70,27 @@
 */
 export const probeTimeoutMs = 900;
 
+/**
+Marks a backend server as unreachable, and logs it if that is news.
+*/
+export const recordConnectFailure = (
+	{
+		fleet,
+		logger,
+		clock,
+	}: Pick<ServerProbesOptions, 'fleet' | 'logger' | 'clock'>,
+	server: string,
+	reason: string,
+): void => {
+	const before = fleet.suspicionOf(server);
+	if (before === 'unreachable') {
+		return;
+	}
+
+	fleet.recordConnectFailure(server, clock());
+	logger.warn({server, reason, before}, 'backend server suspected');
+};
+
 /**
 Creates the probes of a node.
 */
@@ -162,10 +183,10 @@
 				onEnd() {
 					finish();
 				},
-				onFailure({isRefused, wasSent}) {
+				onFailure({isRefused, isWithdrawn, reason, wasSent}) {
 					finish();
-					if (!wasSent) {
-						fleet.recordConnectFailure(id, clock());
+					if (!wasSent && !isWithdrawn) {
+						recordConnectFailure(options, id, reason);
 					}
 
 					if (isRefused) {
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -5,6 +5,7 @@
 	createDeliveries,
 	type Deliveries,
 	createRouteDurations,
+	recordConnectFailure,
 } from './delivery/index.ts';
 import {createGatewayChooser} from './choosing/index.ts';
 import {
@@ -157,13 +158,7 @@
 				quarantine.connectionRefused(incarnationIdOf(entry), clock());
 			}
 
-			const before = fleet.suspicionOf(server);
-			if (before === 'unreachable') {
-				return;
-			}
-
-			fleet.recordConnectFailure(server, clock());
-			logger.warn({server, reason, before}, 'backend server suspected');
+			recordConnectFailure({fleet, logger, clock}, server, reason);
 		},
 		onCallBroken(exchange, call) {
 			const run = {
