--- a/tests/gateway/delivery/silent-servers.test.ts
+++ b/tests/gateway/delivery/silent-servers.test.ts
@@ -175,10 +175,10 @@
 	t.assert.ok(seen.isEnded);
 });
 
-test('the second call of a stream continues it after its last whole event', (t: TestContext) => {
-	const {deliveries, fleet, first, sent, seen, wait} = setUpSilent(t, {
-		servers: ['a'],
-	});
+// A stream in its third event at a silent server, and the second call that continues it.
+const setUpBegunStream = (t: TestContext) => {
+	const scene = setUpSilent(t, {servers: ['a']});
+	const {deliveries, fleet, first, sent, wait} = scene;
 	// A request without a first event shows the silence of the server.
 	const other = deliveries.deliver(exchangeFor(resumable), createSink().sink);
 	t.after(other.callerLeft);
@@ -198,6 +198,11 @@
 		({call: {headers}}) =>
 			headers[headers.indexOf('last-event-id') + 1] === '2',
 	)!;
+	return {...scene, second};
+};
+
+test('the second call of a stream continues it after its last whole event', (t: TestContext) => {
+	const {first, second, seen} = setUpBegunStream(t);
 	answer(second, 200, streamHead);
 	t.assert.ok(!first.isAborted);
 	sendEvents(second, 3, 4);
@@ -208,6 +213,49 @@
 	t.assert.ok(seen.isEnded);
 });
 
+test('a stream that has begun goes on at its server if that sends anything first', (t: TestContext) => {
+	const {first, second, seen} = setUpBegunStream(t);
+	answer(second, 200, streamHead);
+	first.listener.onData(Buffer.from('ta: x'));
+	t.assert.ok(second.isAborted);
+	sendEvents(second, 3, 4);
+	first.listener.onData(Buffer.from('\n\n'));
+	first.listener.onEnd();
+	t.assert.ok(!first.isAborted);
+	t.assert.strictEqual(seen.text, textOf(3));
+	t.assert.ok(seen.isEnded);
+});
+
+test('a stream that has begun has no second call at a server with another version of the software', (t: TestContext) => {
+	const {deliveries, fleet, first, sent, wait, seen} = setUpSilent(t, {
+		servers: ['a'],
+	});
+	const other = deliveries.deliver(exchangeFor(resumable), createSink().sink);
+	t.after(other.callerLeft);
+	const serverOf = (id: string, softwareVersion: string) =>
+		[
+			id,
+			{coldUntil: 0, server: {...fleet.server('a')!, id, softwareVersion}},
+		] as const;
+	answer(first, 200, streamHead);
+	sendEvents(first, 1, 1);
+	fleet.sync(
+		new Map([
+			['a', {server: fleet.server('a')!, coldUntil: 0}],
+			serverOf('b', 'v2'),
+		]),
+		0,
+	);
+	wait(hedgedMs);
+	// The only other server has another version than the one that began the stream.
+	t.assert.ok(
+		sent.every(({call: {headers}}) => !headers.includes('last-event-id')),
+	);
+	sendEvents(first, 2, 2);
+	first.listener.onEnd();
+	t.assert.strictEqual(seen.text, textOf(2));
+});
+
 test('a failure or refusal of the second call leaves the first one alone', (t: TestContext) => {
 	for (const fail of [
 		({listener}: Sent) => {
