Split calls to targets and hedging of attempts into files; test what planted faults passed

call-target.ts holds how a request is sent to a server or node, send-run.ts when and where; attempt-hedging.ts holds when an attempt has a second one. No behavior changes.

--- a/src/gateway/delivery/hedge.ts
+++ b/src/gateway/delivery/hedge.ts
@@ -8,6 +8,7 @@
 import type {Outcome} from '../../errors/index.ts';
 import {incarnationIdOf} from '../../registry/index.ts';
 import {bodyFramingOf, judgeBodyEnd} from '../../response-bodies/index.ts';
+import {callTarget, type CallTarget} from './call-target.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import {
 	hasAttemptLeft,
@@ -28,7 +29,7 @@
 import {judgeHead} from './judge-head.ts';
 import {createAnswerListener} from './pass-answer.ts';
 import {recordStatements} from './record-statements.ts';
-import {callTarget, unsuitableRegions, type CallTarget} from './send-run.ts';
+import {unsuitableRegions} from './send-run.ts';
 
 /**
 Sends a second call for each request that has been without a byte for as long as callers wait, if its backend server is suspect or
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -4,6 +4,11 @@
 import type {TargetChoice} from './target-choice.ts';
 import type {GatewayRequest} from './gateway-request.ts';
 
+/**
+Maximum attempts for one request, the first one included.
+*/
+export const maximumAttempts = 4;
+
 /**
 A backend server or node that an attempt can be sent to.
 */
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -25,6 +25,7 @@
 	withOutcome,
 } from './attempt-outcomes.ts';
 import {
+	maximumAttempts,
 	targetId,
 	type AttemptPlan,
 	type AttemptTarget,
@@ -32,7 +33,7 @@
 	type Progress,
 } from './attempt.ts';
 import type {CapacityQueue} from './capacity-queue.ts';
-import {openHedged, type PendingAttempt} from './hedged-attempt.ts';
+import {createAttemptHedging} from './attempt-hedging.ts';
 import {withFirstChunk} from './first-chunk.ts';
 import type {TargetChooser} from './target-choice.ts';
 import type {GatewayRequest} from './gateway-request.ts';
@@ -116,19 +117,11 @@
 	observeFirstToken(attempt: OpenAttempt): void;
 };
 
-/**
-Maximum attempts for one request, the first one included.
-*/
-export const maximumAttempts = 4;
-
 /**
 Milliseconds without an event after which a stream is resumed beside the silent attempt, and the time for that.
 */
 export const stallTimeoutMs = 5000;
 
-// Minimum time without an answer after which a second attempt begins, in milliseconds.
-const smallestHedgeDelayMs = 500;
-
 // A server may state no version; then only another that states none continues the stream.
 const canContinue = (
 	{softwareVersion}: Progress,
@@ -154,12 +147,10 @@
 				return Result.err(withOutcome(target.error, progress.outcome));
 			}
 
-			const attempt = await beginHedged(
-				request,
-				progress,
-				target.value,
+			const attempt = await hedging.begin(request, progress, {
+				target: target.value,
 				resumeFrom,
-			);
+			});
 			if (attempt.isOk && canContinue(progress, attempt.value, resumeFrom)) {
 				return Result.ok(attempt.value);
 			}
@@ -183,101 +174,6 @@
 		}
 	};
 
-	const beginHedged = async (
-		request: GatewayRequest,
-		progress: Progress,
-		target: AttemptTarget,
-		resumeFrom: number,
-	): Promise<Result<OpenAttempt, AttemptFailure>> => {
-		const beginAt = (chosen: AttemptTarget): PendingAttempt => {
-			progress.attempts += 1;
-			const cancellation = new AbortController();
-			const opened = begin({
-				request,
-				progress,
-				target: chosen,
-				attemptId: options.issueAttemptId(),
-				resumeFrom,
-				cancellation: cancellation.signal,
-			});
-			return {
-				opened: opened.then((result) => {
-					if (result.isErr && !result.error.isWithdrawn) {
-						progress.excluded.add(targetId(chosen));
-					}
-
-					return result;
-				}),
-				cancel() {
-					cancellation.abort();
-					void opened.then((result) => {
-						if (!result.isOk) {
-							return;
-						}
-
-						result.value.abort.abort();
-						result.value.finish('canceled');
-					});
-				},
-			};
-		};
-
-		const hedgeDelayMs = Math.max(
-			smallestHedgeDelayMs,
-			(request.deadline - clock()) / 2,
-		);
-		const result = await openHedged(beginAt(target), hedgeDelayMs, () => {
-			const second = hedgeTarget(request, progress, target);
-			if (!second) {
-				return undefined;
-			}
-
-			options.budget.spend();
-			options.logger.info(
-				{
-					requestId: request.requestId,
-					silentTarget: targetId(target),
-					target: targetId(second),
-					afterMs: Math.round(hedgeDelayMs),
-				},
-				'second attempt beside a silent one',
-			);
-			return beginAt(second);
-		});
-		return result.mapErr((failures) => {
-			for (const {outcome} of failures) {
-				progress.outcome = worstOutcome(progress.outcome, outcome);
-			}
-
-			return failures.at(-1)!;
-		});
-	};
-
-	// A receiving node makes one attempt; the origin of a request decides about further ones.
-	const canHedge = (request: GatewayRequest, progress: Progress): boolean =>
-		request.isRepeatable &&
-		!progress.isForwarded &&
-		progress.attempts < maximumAttempts &&
-		options.budget.hasRetry() &&
-		options.quarantine.statusOf(request).kind === 'clear';
-
-	const hedgeTarget = (
-		request: GatewayRequest,
-		progress: Progress,
-		silent: AttemptTarget,
-	): AttemptTarget | undefined => {
-		if (!canHedge(request, progress)) {
-			return undefined;
-		}
-
-		const excluded = new Set([...progress.excluded, targetId(silent)]);
-		const tried = {excluded, isForwarded: progress.isForwarded};
-		const choice = options.chooser.choose(request, tried, clock());
-		return choice.kind === 'backend-server' || choice.kind === 'peer'
-			? choice
-			: undefined;
-	};
-
 	const openBeside = async (
 		request: GatewayRequest,
 		progress: Progress,
@@ -286,7 +182,7 @@
 			resumeFrom,
 		}: {readonly silent: AttemptTarget; readonly resumeFrom: number},
 	): Promise<OpenAttempt | undefined> => {
-		if (!canHedge(request, progress)) {
+		if (!hedging.isAllowed(request, progress)) {
 			return undefined;
 		}
 
@@ -569,6 +465,8 @@
 		);
 	};
 
+	const hedging = createAttemptHedging(options, begin);
+
 	return {
 		open,
 		openBeside,
--- a/stand-ins/pausable-server.ts
+++ b/stand-ins/pausable-server.ts
@@ -84,18 +84,24 @@
 		});
 	};
 
-	const run = (response: ServerResponse, id: string, after: number) => {
+	const recordRun = (response: ServerResponse, id: string) => {
 		ran.push(id);
 		response.on('close', () => {
 			if (!response.writableFinished) {
 				cut.push(id);
 			}
 		});
+	};
+
+	const headOf = (id: string) => ({
+		[standInHeaders.requestId]: id,
+		[standInHeaders.signature]: `${entry.id}/${id}`,
+	});
+
+	const runStream = (response: ServerResponse, id: string, after: number) => {
+		recordRun(response, id);
 		later(() => {
-			response.writeHead(200, {
-				[standInHeaders.requestId]: id,
-				[standInHeaders.signature]: `${entry.id}/${id}`,
-			});
+			response.writeHead(200, headOf(id));
 			response.flushHeaders();
 			later(() => {
 				stream(response, after + 1);
@@ -104,21 +110,11 @@
 	};
 
 	const runWhole = (response: ServerResponse, id: string) => {
-		ran.push(id);
-		response.on('close', () => {
-			if (!response.writableFinished) {
-				cut.push(id);
-			}
-		});
+		recordRun(response, id);
 		setTimeout(
 			() => {
 				act(() => {
-					response
-						.writeHead(200, {
-							[standInHeaders.requestId]: id,
-							[standInHeaders.signature]: `${entry.id}/${id}`,
-						})
-						.end('done');
+					response.writeHead(200, headOf(id)).end('done');
 				});
 			},
 			stepMs * (events + 1),
@@ -134,7 +130,7 @@
 				if (request.method === 'GET') {
 					response.writeHead(200, {[standInHeaders.serverId]: entry.id}).end();
 				} else if (request.url?.startsWith(streamPrefix)) {
-					run(response, id, Number(header('last-event-id')));
+					runStream(response, id, Number(header('last-event-id')));
 				} else {
 					runWhole(response, id);
 				}
--- a/tests/gateway/delivery/silent-servers.test.ts
+++ b/tests/gateway/delivery/silent-servers.test.ts
@@ -6,12 +6,15 @@
 	probeAnswerDeadlineMs,
 	silenceThresholdMs,
 } from '../../../src/backends/index.ts';
+import type {UpstreamChooser} from '../../../src/gateway/choosing/choose-upstream.ts';
 import type {DeliveryOptions} from '../../../src/gateway/delivery/delivery-context.ts';
 import {assumedReleasesPerSecond} from '../../../src/gateway/delivery/capacity-forecast.ts';
 import {minimumRetryAfterSeconds} from '../../../src/gateway/delivery/end-run.ts';
+import {hopHeaders} from '../../../src/gateway/delivery/hop.ts';
 import type {Exchange} from '../../../src/gateway/exchange.ts';
 import {gatewayTickMs} from '../../../src/gateway/tick-schedule.ts';
 import type {Route} from '../../../src/routes/index.ts';
+import {memberOf} from '../../fixtures.ts';
 import {knownServerOf} from '../fixtures.ts';
 import {
 	answer,
@@ -256,6 +259,39 @@
 	t.assert.strictEqual(seen.text, textOf(2));
 });
 
+test('a second call to another node that another version of the software answers is dropped', (t: TestContext) => {
+	const member = memberOf('node-2', 'far');
+	const choose: UpstreamChooser = (_exchange, _tried, {isSecondCall}) =>
+		isSecondCall
+			? {kind: 'peer', member, region: 'far'}
+			: {kind: 'server', id: 'a'};
+	const {deliveries, first, sent, seen, wait} = setUpSilent(t, {
+		servers: ['a'],
+		change: {choose},
+	});
+	// A request without a first event shows the silence of the server.
+	const other = deliveries.deliver(
+		exchangeFor({...resumable, maximumAttempts: 1}),
+		createSink().sink,
+	);
+	t.after(other.callerLeft);
+	answer(first, 200, streamHead);
+	sendEvents(first, 1, 1);
+	wait(hedgedMs);
+	const second = sent[2]!;
+	answer(second, 200, {
+		...streamHead,
+		[hopHeaders.result]: 'answered',
+		[hopHeaders.softwareVersion]: 'v9',
+	});
+	t.assert.ok(second.isAborted);
+	sendEvents(second, 2, 2);
+	t.assert.ok(!first.isAborted);
+	sendEvents(first, 2, 2);
+	first.listener.onEnd();
+	t.assert.strictEqual(seen.text, textOf(2));
+});
+
 test('a failure or refusal of the second call leaves the first one alone', (t: TestContext) => {
 	for (const fail of [
 		({listener}: Sent) => {
