--- a/tests/backends/graded-servers.test.ts
+++ b/tests/backends/graded-servers.test.ts
@@ -1,6 +1,7 @@
 // Guards against less urgent requests that fill engines: engines preempt them for more urgent ones and process their prompts again.
 import {test, type TestContext} from 'node:test';
 import {createBackendFleet} from '../../src/backends/index.ts';
+import {pressureIntervalMs} from '../../src/demand/index.ts';
 import {fleetOptionsOf, knownServerOf, serviceOf} from '../gateway/fixtures.ts';
 
 const slots = 16;
@@ -54,3 +55,20 @@
 test('an idle server takes more of one node than an equal share', (t: TestContext) => {
 	t.assert.ok(filledBy(0, 0) > 10);
 });
+
+test('an urgent request that finds no capacity takes some from less urgent ones, a second call of one does not', (t: TestContext) => {
+	const lowestAfter = (isSecondCall: boolean) => {
+		const fleet = fleetWith(levels);
+		const choose = (priority: number, now: number, isSecond = false) =>
+			fleet.choose({...placementOf(priority), isSecondCall: isSecond}, now);
+		choose(2, 0);
+		fleet.recordPeerRequests('engine', new Map([['s', slots * 1.5]]), 1);
+		t.assert.strictEqual(choose(0, 1, isSecondCall).kind, 'full');
+		fleet.recordPeerRequests('engine', new Map([['s', 0]]), pressureIntervalMs);
+		choose(2, pressureIntervalMs);
+		return fleet.lowestUrgencyFactor();
+	};
+
+	t.assert.ok(lowestAfter(false) < 1);
+	t.assert.strictEqual(lowestAfter(true), 1);
+});
--- a/tests/gateway/delivery/silent-servers.test.ts
+++ b/tests/gateway/delivery/silent-servers.test.ts
@@ -443,21 +443,6 @@
 	}
 });
 
-test('a second call that finds no capacity does not take capacity from less urgent requests', (t: TestContext) => {
-	const {deliveries, fleet, sent, wait} = setUpSilent(t);
-	for (let index = 0; index < 3; index += 1) {
-		const {callerLeft} = deliveries.deliver(
-			exchangeFor(resumable),
-			createSink().sink,
-		);
-		t.after(callerLeft);
-	}
-
-	wait(hedgedMs);
-	t.assert.strictEqual(sent.length, 4);
-	t.assert.strictEqual(fleet.lowestUrgencyFactor(), 1);
-});
-
 test('new requests wait while all servers are silent, and are sent when one goes on', (t: TestContext) => {
 	const {deliveries, first, sent, wait} = setUpSilent(t, {servers: ['a']});
 	wait(beliefMs + 2 * gatewayTickMs);
