Send new requests of a silent region to one with free slots, however loaded

It goes to each region with a free slot now, and waits otherwise. A silence raises no pressure on less urgent requests, the servers that another node has tried for a second call count as attempts, and a second call keeps no more of a response than a first one may have.

--- a/src/backends/backend-fleet.ts
+++ b/src/backends/backend-fleet.ts
@@ -290,6 +290,7 @@
 			if (
 				choice.kind === 'full' &&
 				!choice.isAwaitingSlot &&
+				!choice.isSilent &&
 				!placement.isSecondCall &&
 				placement.priority !== undefined
 			) {
--- a/src/backends/choose-server.ts
+++ b/src/backends/choose-server.ts
@@ -46,6 +46,10 @@
 			Set if a lease of a slot was requested, whose issuer has not answered yet.
 			*/
 			readonly isAwaitingSlot?: true;
+			/**
+			Set if all servers are silent.
+			*/
+			readonly isSilent?: true;
 	  }
 	| {readonly kind: 'none'};
 
@@ -66,8 +70,9 @@
 	const eligible = matching.filter(({suspicion}) => suspicion === undefined);
 	if (eligible.length === 0) {
 		// A silent server may go on at any moment.
-		const canWait = matching.some(({suspicion}) => suspicion === 'silent');
-		return {kind: canWait ? 'full' : 'none'};
+		return matching.some(({suspicion}) => suspicion === 'silent')
+			? {kind: 'full', isSilent: true}
+			: {kind: 'none'};
 	}
 
 	// Servers in backoff are excluded before costs are computed, because a cached part on them cannot be used.
--- a/src/gateway/choosing/choose-upstream.ts
+++ b/src/gateway/choosing/choose-upstream.ts
@@ -91,6 +91,8 @@
 const maximumRemoteCost = 0.9;
 // Difference to the load from which a region refuses a request. Its load may have risen since it was reported.
 const urgencyMargin = 0.1;
+// A region with this load per slot has no free slot, or only suspect servers.
+const fullRegionCost = 1;
 // Up to this cost, the local region serves the request regardless of the load of other regions.
 const acceptableLocalCost = 1;
 
@@ -149,6 +151,7 @@
 
 		const isRemoteBetter =
 			local.kind === 'none' ||
+			(isSilent(local) && remote.cost < fullRegionCost) ||
 			(!without.has('overflow') &&
 				remote.cost < maximumCostOf(options, exchange) &&
 				(local.kind === 'full' || remote.cost + distanceCost < local.cost));
@@ -156,6 +159,9 @@
 	};
 };
 
+const isSilent = (local: LocalChoice): boolean =>
+	local.kind === 'full' && local.isSilent === true;
+
 // If all nodes of a full region chose the one with the lowest reported load, they would fill it before the next report.
 const overflowNodes = (
 	options: UpstreamChooserOptions,
@@ -163,7 +169,7 @@
 	tried: TriedTargets,
 	local: LocalChoice,
 ): RegionNodes | undefined => {
-	const overflow: OverflowRegion = (local.kind === 'full'
+	const overflow: OverflowRegion = (local.kind === 'full' && !isSilent(local)
 		? options.regionWithFreeSlots?.(exchange, tried)
 		: undefined) ?? {kind: 'unknown'};
 	switch (overflow.kind) {
--- a/src/gateway/delivery/hedge.ts
+++ b/src/gateway/delivery/hedge.ts
@@ -27,7 +27,7 @@
 } from './fail-call.ts';
 import {decodeHopResult, decodeSoftwareVersion} from './hop.ts';
 import {judgeHead} from './judge-head.ts';
-import {createAnswerListener} from './pass-answer.ts';
+import {createAnswerListener, maximumAnswerBytes} from './pass-answer.ts';
 import {recordStatements} from './record-statements.ts';
 import {unsuitableRegions} from './send-run.ts';
 
@@ -126,6 +126,7 @@
 	call: CurrentCall,
 ): UpstreamListener => {
 	const chunks: Buffer[] = [];
+	let size = 0;
 	let head: UpstreamHead | undefined;
 	let verdict: HedgeVerdict | undefined;
 	let adopted: UpstreamListener | undefined;
@@ -170,6 +171,7 @@
 				return;
 			}
 
+			recordTries(run, call, received);
 			raiseOutcome(run, verdict.outcome);
 			allowNodeAgain(run, call);
 			dropHedge(context, run, verdict.end);
@@ -180,6 +182,11 @@
 			}
 
 			chunks.push(chunk);
+			size += chunk.length;
+			if (size > maximumAnswerBytes) {
+				dropHedge(context, run, 'abandoned');
+			}
+
 			if (verdict?.kind === 'stream' && isOpen()) {
 				adopt();
 			}
@@ -229,6 +236,18 @@
 	dropHedge(context, run, 'failed');
 };
 
+// Counts the servers to which another node has sent the second call.
+const recordTries = (
+	run: DeliveryRun,
+	{member}: CurrentCall,
+	{header}: UpstreamHead,
+): void => {
+	for (const server of member ? decodeHopResult(header).tried : []) {
+		run.excluded.add(server);
+		run.triedServers.push(server);
+	}
+};
+
 type HedgeVerdict =
 	| {readonly kind: 'stream' | 'whole'}
 	| {
@@ -245,10 +264,6 @@
 	head: UpstreamHead,
 ): HedgeVerdict => {
 	const hop = call.member ? decodeHopResult(head.header) : undefined;
-	for (const server of hop?.tried ?? []) {
-		run.excluded.add(server);
-	}
-
 	if (hop?.kind === 'refused') {
 		return {kind: 'fault', outcome: hop.outcome, end: 'abandoned'};
 	}
--- a/tests/backends/silent-servers.test.ts
+++ b/tests/backends/silent-servers.test.ts
@@ -42,7 +42,10 @@
 test('new requests wait where all servers are silent, and find no server where none can be connected to', (t: TestContext) => {
 	const fleet = setUp(['a', 'b']);
 	silence(fleet, ['a', 'b']);
-	t.assert.strictEqual(fleet.choose(placement, beliefMs).kind, 'full');
+	t.assert.deepStrictEqual(fleet.choose(placement, beliefMs), {
+		kind: 'full',
+		isSilent: true,
+	});
 	t.assert.ok(fleet.isAwaitingSilentServers('engine', beliefMs));
 	for (const id of ['a', 'b']) {
 		fleet.recordConnectFailure(id, beliefMs);
--- a/tests/gateway/choosing/choose-upstream.test.ts
+++ b/tests/gateway/choosing/choose-upstream.test.ts
@@ -2,6 +2,8 @@
 import {test} from 'node:test';
 import {
 	createBackendFleet,
+	probeAnswerDeadlineMs,
+	silenceThresholdMs,
 	type Placement,
 	type ServiceLoad,
 } from '../../../src/backends/index.ts';
@@ -172,6 +174,27 @@
 	assert.equal(regionOf(choose(exchange, tried, placementOf(), 0)), 'full');
 });
 
+test('a region whose servers are all silent sends new requests to one with free slots, however loaded, and lets them wait if there is none', () => {
+	const chosenAt = (load: number) => {
+		const loads = {
+			near: {load: 8, slots: 8},
+			far: {load, slots: 8},
+		};
+		const {choose, fleet} = setUp({loads, maximumRegionCost: 0.5});
+		fleet.begin('local-0', placementOf(), 0);
+		fleet.tick(silenceThresholdMs + 1);
+		const now = silenceThresholdMs + 1 + probeAnswerDeadlineMs;
+		fleet.tick(now);
+		const urgent = placementOf({priority: 0});
+		const region = regionOf(choose(exchangeOf(), nothingTried, urgent, now));
+		assert.equal(fleet.lowestUrgencyFactor(), 1);
+		return region;
+	};
+
+	assert.equal(chosenAt(7.8), 'far');
+	assert.equal(chosenAt(8), 'full');
+});
+
 test('requests spread over the nodes with an idle connection, or over all nodes if there is none', () => {
 	const chosen = (connected: readonly string[]) => {
 		const {choose} = setUp({localServers: 0, nodesPerRegion: 6, connected});
