--- a/src/requests/hedged-attempt.ts
+++ b/src/requests/hedged-attempt.ts
@@ -1,4 +1,3 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import type {AttemptFailure} from '../retries/index.ts';
 import type {OpenAttempt} from './attempt.ts';
@@ -25,12 +24,12 @@
 	delayMs: number,
 	beginSecond: () => PendingAttempt | undefined,
 ): Promise<Result<OpenAttempt, readonly AttemptFailure[]>> => {
-	const timer = new AbortController();
-	const early = await Promise.race([
-		first.opened,
-		sleep(delayMs, undefined, {signal: timer.signal}).catch(() => undefined),
-	]);
-	timer.abort();
+	const silence = Promise.withResolvers<undefined>();
+	const timer = setTimeout(() => {
+		silence.resolve(undefined);
+	}, delayMs);
+	const early = await Promise.race([first.opened, silence.promise]);
+	clearTimeout(timer);
 	const second = early ? undefined : beginSecond();
 	return firstToAnswer(second ? [first, second] : [first]);
 };
--- a/tests/requests/attempt-hedging.test.ts
+++ b/tests/requests/attempt-hedging.test.ts
@@ -1,4 +1,5 @@
 import {test, type TestContext} from 'node:test';
+import {setImmediate} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import type {EngineClient, UpstreamAnswer} from '../../src/engines/index.ts';
 import {createGatewayError} from '../../src/errors/index.ts';
@@ -71,6 +72,7 @@
 	const first = {target: targetOf('first'), resumeFrom: 0};
 	const result = hedging.begin(requestOf(), progress, first);
 	t.mock.timers.tick(halfMs - 1);
+	await setImmediate();
 	t.assert.deepStrictEqual(begun, ['first']);
 	t.mock.timers.tick(1);
 	t.assert.ok((await result).isOk);
