--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -55,8 +55,8 @@
 	*/
 	metSilence: boolean;
 	/**
-	How long the server had been silent when a node closed the connection before the answer was complete, in milliseconds; undefined
-	for any other end.
+	How long the request had been without a byte when a node closed the connection before the answer was complete, while the server was
+	silent, in milliseconds; undefined for any other end.
 	*/
 	cutAfterMs: number | undefined;
 };
@@ -190,6 +190,8 @@
 	let version = firstVersion;
 	const open = new Set<ServerResponse>();
 	const running = new Set<ServerEvent>();
+	const lastByteAt = new WeakMap<ServerResponse, number>();
+	const closedHere = new WeakSet<ServerResponse>();
 	const events: ServerEvent[] = [];
 	const crashes: number[] = [];
 	const falls: ServerFall[] = [];
@@ -288,6 +290,7 @@
 			}
 
 			response.write(soakEventOf(index, writtenBy));
+			lastByteAt.set(response, performance.now());
 			if (index >= eventsPerStream) {
 				response.end();
 			} else {
@@ -352,12 +355,20 @@
 		shutDown();
 	};
 
+	const closeOpen = () => {
+		for (const response of open) {
+			closedHere.add(response);
+			response.destroy();
+		}
+	};
+
 	const shutDown = () => {
 		if (!server.listening) {
 			return;
 		}
 
 		server.close();
+		closeOpen();
 		server.closeAllConnections();
 		setTimeout(() => {
 			startedAt += 1;
@@ -462,10 +473,13 @@
 			open.delete(response);
 			running.delete(event);
 			event.endedAt = performance.now();
-			event.cutAfterMs =
-				silentSince === undefined || response.writableFinished
-					? undefined
-					: event.endedAt - Math.max(silentSince, event.at);
+			const isCut =
+				silentSince !== undefined &&
+				!response.writableFinished &&
+				!closedHere.has(response);
+			event.cutAfterMs = isCut
+				? event.endedAt - (lastByteAt.get(response) ?? event.at)
+				: undefined;
 		});
 		if (hasNoRoom) {
 			refuse(response, requestId, undefined);
@@ -532,9 +546,7 @@
 		},
 		upgrade() {
 			registry.write(`server ${id}`, undefined);
-			for (const response of open) {
-				response.destroy();
-			}
+			closeOpen();
 
 			version = (version % versions) + 1;
 			id = `${firstId}-${startedAt}`;
