--- a/review/stand-ins/deployment.js
+++ b/review/stand-ins/deployment.js
@@ -5,6 +5,7 @@
 	createWriteStream,
 	mkdtempSync,
 	readFileSync,
+	rmSync,
 	writeFileSync,
 } from 'node:fs';
 import {request} from 'node:http';
@@ -198,6 +199,7 @@
 			}
 
 			await Promise.all(nodes.map(({exited}) => exited));
+			rmSync(folder, {recursive: true, force: true});
 		},
 	};
 };
