--- a/review/3/run.js
+++ b/review/3/run.js
@@ -2,12 +2,12 @@
 // The operator adds a route whose path begins with /quillford/.
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {call} from '../stand-ins/caller.js';
-import {createAddresses, startNodes} from '../stand-ins/deployment.js';
-import {createRecord} from '../stand-ins/record.js';
-import {startStore} from '../stand-ins/store.js';
-import {streamEvents} from '../stand-ins/streams.js';
-import {startWorker} from '../stand-ins/worker.js';
+import {call} from '../caller.js';
+import {createAddresses, startNodes} from '../deployment.js';
+import {createRecord} from '../record.js';
+import {startStore} from '../store.js';
+import {streamEvents} from '../streams.js';
+import {startWorker} from '../worker.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const host = 'ajoke.example';
--- a/review/stand-ins/deployment.js
+++ b/review/deployment.js
@@ -14,7 +14,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-const root = path.resolve(import.meta.dirname, '../..');
+const root = path.resolve(import.meta.dirname, '..');
 
 /**
 The command of the deploy file.
