Refuse or hand back what a leaving node has read and will not send

Hypotheses: (1) nothing looks at the queue once the node leaves; refuted if a refusal or a step is logged between the signal and the end; (2) the queue is judged, but its predictions never reach the end of the process; refuted if requests are kept whatever the forecast says; (3) refusals are written, but lost when connections are closed; refuted if no refusal is recorded. `expire` compares the deadline of the request alone, never the end of the process, with a forecast that assumes five releases a second when it saw none: (1) and (2) are the same cause.

Change: the decision about a queued request is code of its own, `judge-queued.ts`. Where the end of the node comes before the latest start of a request, it stays only if slots that were released show that it will be sent and answered in time; otherwise it is refused with 503 (`leaving`), or handed back to the node that forwarded it. That node then tries other nodes of the region, because a leaving node says nothing about its region (`quillford-hop-leaving`; nodes of earlier versions read the refusal as a full region). A request that a leaving node forwarded and that still waits elsewhere is handed back as well: its response would find nobody to pass it on.

Why it works: each queued request is judged on every tick against the end of the process, so none can be left when the connections close.

--- a/src/gateway/delivery/capacity-forecast.ts
+++ b/src/gateway/delivery/capacity-forecast.ts
@@ -15,6 +15,10 @@
 	*/
 	expectedRetries(service: string, now: number): number;
 	/**
+	Whether a request of the service has released its slot recently, so that the rate is not an assumption.
+	*/
+	hasRecentRelease(service: string, now: number): boolean;
+	/**
 	Returns the predicted milliseconds until a request gets capacity, given the number of requests ahead of it in the
 	queue.
 	*/
@@ -90,6 +94,8 @@
 			addTime(refusedAt, service, now);
 		},
 		expectedRetries,
+		hasRecentRelease: (service, now) =>
+			recent(releasedAt, service, now).length > 0,
 		waitMs: (service, ahead, now) =>
 			(ahead + expectedRetries(service, now) + 1) / perMs(service, now),
 	};
--- a/src/gateway/delivery/capacity-wait.ts
+++ b/src/gateway/delivery/capacity-wait.ts
@@ -22,6 +22,18 @@
 		: ((ahead + 1) * 1000) / allowedPerSecond;
 };
 
+/**
+Whether the wait of a request can be predicted: from a stated rate, from the known end of a backoff, or because slots of its
+service were released recently.
+*/
+export const isWaitPredictable = (
+	{clock, forecast}: DeliveryContext,
+	{exchange: {service}, allowedPerSecond, backoffUntil}: DeliveryRun,
+): boolean =>
+	backoffUntil !== undefined ||
+	allowedPerSecond !== undefined ||
+	forecast.hasRecentRelease(service, clock());
+
 /**
 Returns the milliseconds until a request that is refused now gets capacity on its retry.
 */
--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -78,6 +78,14 @@
 	readonly budgetNodes: () => number;
 	readonly durations: RouteDurations;
 	/**
+	Returns when this node exits, by its clock in milliseconds; infinite unless it is leaving.
+	*/
+	readonly exitsAt: () => number;
+	/**
+	Returns the ids of the nodes that are known to be leaving.
+	*/
+	readonly leavingNodes: () => ReadonlySet<string>;
+	/**
 	Whether this node has run long enough to know the other nodes.
 	*/
 	readonly hasSettled: () => boolean;
--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -17,7 +17,8 @@
 import {createCapacityForecast} from './capacity-forecast.ts';
 import {hedgeSilentRuns} from './hedge.ts';
 import {queueRefused, sendOrQueue} from './send-run.ts';
-import {createRequestQueue, type QueuedRequest} from './request-queue.ts';
+import {judgeQueued, type QueueConditions} from './judge-queued.ts';
+import {createRequestQueue} from './request-queue.ts';
 import {boundOriginOf, findContinuation, isTakenUp} from './take-up.ts';
 
 export type {DeliveryOptions} from './delivery-context.ts';
@@ -100,7 +101,10 @@
 		},
 		tick(now) {
 			queue.dispatch(now);
-			queue.expire(now, hopelessAt(context, now));
+			const conditions = conditionsAt(context, now);
+			queue.expire(now, (request, ahead) =>
+				judgeQueued(request, ahead, conditions),
+			);
 			if (!context.without.has('hedging')) {
 				hedgeSilentRuns(context, now);
 			}
@@ -125,28 +129,29 @@
 	};
 };
 
-// Silent servers are looked up once for a service, because the queue may be long.
-const hopelessAt = ({fleet}: DeliveryContext, now: number) => {
+// Silent servers and leaving nodes are looked up once, because the queue may be long.
+const conditionsAt = (
+	{fleet, exitsAt, leavingNodes}: DeliveryContext,
+	now: number,
+): QueueConditions => {
 	const awaiting = new Map<string, boolean>();
-	const isAwaitingSilent = (service: string): boolean => {
-		const known = awaiting.get(service);
-		const isAwaiting = known ?? fleet.isAwaitingSilentServers(service, now);
-		awaiting.set(service, isAwaiting);
-		return isAwaiting;
+	let leaving: ReadonlySet<string> | undefined;
+	return {
+		now,
+		exitsAt: exitsAt(),
+		isNodeLeaving(node) {
+			leaving ??= leavingNodes();
+			return leaving.has(node);
+		},
+		isAwaitingSilentServers(service) {
+			const known = awaiting.get(service);
+			const isAwaiting = known ?? fleet.isAwaitingSilentServers(service, now);
+			awaiting.set(service, isAwaiting);
+			return isAwaiting;
+		},
 	};
-
-	return (
-		{capacityWaitMs, expiresAt, service}: QueuedRequest,
-		ahead: number,
-	): boolean =>
-		!isAwaitingSilent(service) &&
-		isHopeless(capacityWaitMs(ahead), expiresAt - now);
 };
 
-// Predictions fluctuate, so a queued request is refused only if its predicted wait exceeds twice its remaining time.
-const isHopeless = (waitMs: number, remainingMs: number): boolean =>
-	waitMs > remainingMs * 2;
-
 const continueStream = (
 	context: DeliveryContext,
 	exchange: Exchange,
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -218,9 +218,11 @@
 	refuseWith(context, run, {
 		kind,
 		reason,
-		// A retry does not help a stream that cannot be continued.
+		// A retry does not help a stream that cannot be continued, and another node need not be waited for.
 		computeRetryAfterSeconds: () =>
-			kind === 'not-resumable' ? undefined : retryAfterSeconds(context, run),
+			kind === 'not-resumable' || kind === 'leaving'
+				? undefined
+				: retryAfterSeconds(context, run),
 	});
 };
 
--- a/src/gateway/delivery/fail-call.ts
+++ b/src/gateway/delivery/fail-call.ts
@@ -175,12 +175,14 @@
 		reason,
 		tried,
 		availableInMs,
+		isLeaving,
 	}: Extract<HopResult, {kind: 'refused'}>,
 ): void => {
-	// If the node tried no server, the region has no capacity, so its other nodes have none either.
+	// If the node tried no server, the region has no capacity, so its other nodes have none either. A leaving node says nothing
+	// about its region.
 	if (tried.length > 0) {
 		allowNodeAgain(run, current);
-	} else if (current.region !== undefined) {
+	} else if (!isLeaving && current.region !== undefined) {
 		run.fullRegions.add(current.region);
 		if (availableInMs !== undefined) {
 			const availableAt = context.clock() + availableInMs;
--- a/src/gateway/delivery/hop.ts
+++ b/src/gateway/delivery/hop.ts
@@ -36,6 +36,10 @@
 	*/
 	roomInMs: 'quillford-hop-room-in-ms',
 	/**
+	In refusals by a node that exits before the request would end: `true`. Other nodes of its region may serve the request.
+	*/
+	leaving: 'quillford-hop-leaving',
+	/**
 	In responses of backend servers: the incarnation of the server.
 	*/
 	life: 'quillford-hop-life',
@@ -67,6 +71,10 @@
 			Set if all servers of the node are in backoff: the time until the first backoff ends, in milliseconds.
 			*/
 			readonly availableInMs: number | undefined;
+			/**
+			Whether the node refused because it is leaving. Nodes of earlier versions never state so.
+			*/
+			readonly isLeaving: boolean;
 	  };
 
 /**
@@ -174,6 +182,7 @@
 				...(result.availableInMs === undefined
 					? []
 					: [hopHeaders.roomInMs, String(Math.round(result.availableInMs))]),
+				...(result.isLeaving ? [hopHeaders.leaving, 'true'] : []),
 			]
 		: []),
 ];
@@ -195,6 +204,7 @@
 		reason: header(hopHeaders.reason) ?? 'the node gave no result',
 		tried,
 		availableInMs: parseDecimal(header(hopHeaders.roomInMs) ?? ''),
+		isLeaving: header(hopHeaders.leaving) === 'true',
 	};
 };
 
--- a/src/gateway/delivery/request-queue.ts
+++ b/src/gateway/delivery/request-queue.ts
@@ -1,5 +1,6 @@
 import type {WaitingRequests} from '../../slot-leases/index.ts';
 import {leastUrgent} from '../wire-headers.ts';
+import type {QueueRefusal} from './judge-queued.ts';
 
 /**
 A request that waits until a backend server has capacity.
@@ -18,6 +19,14 @@
 	When the request is refused if it is still queued.
 	*/
 	readonly expiresAt: number;
+	/**
+	Time within which the request is expected to be answered once it is sent, in milliseconds.
+	*/
+	readonly expectedMs: number;
+	/**
+	The node that forwarded the request; undefined if it came from a caller.
+	*/
+	readonly origin: string | undefined;
 	readonly service: string;
 	/**
 	Requests with the same key have the same candidate servers.
@@ -28,10 +37,14 @@
 	*/
 	readonly capacityWaitMs: (ahead: number) => number;
 	/**
+	Whether that prediction rests on what was observed or stated, not on an assumed rate.
+	*/
+	readonly isWaitPredictable: () => boolean;
+	/**
 	Tries to send the request. Returns false if there is still no capacity.
 	*/
 	readonly trySend: () => boolean;
-	readonly refuse: () => void;
+	readonly refuse: (refusal: QueueRefusal) => void;
 };
 
 /**
@@ -46,13 +59,13 @@
 	*/
 	dispatch(now: number): void;
 	/**
-	Refuses the requests that have reached their maximum wait or will not get capacity in time.
+	Refuses the requests that should not wait any longer.
 
-	@param isHopeless Whether a request will not get capacity in time, given the number of requests of its service ahead of it.
+	@param judge Returns why a request is refused, if it is, given the number of requests of its service ahead of it.
 	*/
 	expire(
 		now: number,
-		isHopeless: (request: QueuedRequest, ahead: number) => boolean,
+		judge: (request: QueuedRequest, ahead: number) => QueueRefusal | undefined,
 	): void;
 	/**
 	Returns the number of requests of a service that are ahead of a new one with this priority.
@@ -108,15 +121,16 @@
 				isDispatching = false;
 			}
 		},
-		expire(now, isHopeless) {
+		expire(now, judge) {
 			const aheadByService = new Map<string, number>();
 			for (const request of inOrder(queue, now)) {
 				const count = aheadByService.get(request.service) ?? 0;
-				if (request.expiresAt <= now || isHopeless(request, count)) {
-					remove(request);
-					request.refuse();
-				} else {
+				const refusal = judge(request, count);
+				if (refusal === undefined) {
 					aheadByService.set(request.service, count + 1);
+				} else {
+					remove(request);
+					request.refuse(refusal);
 				}
 			}
 		},
--- a/src/gateway/delivery/wait-for-capacity.ts
+++ b/src/gateway/delivery/wait-for-capacity.ts
@@ -1,13 +1,14 @@
 import type {DeliveryContext} from './delivery-context.ts';
 import type {DeliveryRun} from './delivery-run.ts';
-import {failRun} from './end-run.ts';
-import {capacityWaitMs} from './capacity-wait.ts';
+import {failRun, refuseRun} from './end-run.ts';
+import {capacityWaitMs, isWaitPredictable} from './capacity-wait.ts';
+import {queueRefusals, reasonOf, type QueueRefusal} from './judge-queued.ts';
 import type {QueuedRequest} from './request-queue.ts';
 
 /**
 The reason of a refusal for lack of capacity.
 */
-export const noCapacityReason = 'No backend server has room';
+export const noCapacityReason = reasonOf(queueRefusals.noCapacity);
 
 /**
 Queues a request until there is capacity for it.
@@ -88,23 +89,44 @@
 	isSentNow: () => boolean,
 ): QueuedRequest => {
 	const now = context.clock();
-	const {route, service, receivedAt} = run.exchange;
+	const {route, service, receivedAt, hop} = run.exchange;
+	const expiresAt = latestStart(context, run);
 	return {
 		priority: route.priority,
 		queuedAt: now,
 		targetAt: receivedAt + route.targetLatencyMs,
-		expiresAt: latestStart(context, run),
+		expiresAt,
+		// A stream that has begun is cut where it is when this node exits, whether it waits or not.
+		expectedMs: run.hasBegun ? 0 : expectedMs(context, run),
+		origin: hop?.origin,
 		service,
 		placementKey: placementKeyOf(context, run),
 		capacityWaitMs: (ahead) => capacityWaitMs(context, run, ahead),
+		isWaitPredictable: () => isWaitPredictable(context, run),
 		trySend: isSentNow,
-		refuse() {
-			run.steps.push('gave-up-waiting');
-			failRun(context, run, noCapacityReason);
+		refuse(refusal) {
+			refuseQueued(context, run, refusal);
 		},
 	};
 };
 
+const refuseQueued = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	refusal: QueueRefusal,
+): void => {
+	run.steps.push(`gave-up-waiting: ${refusal}`);
+	const canBeHandedBack =
+		refusal === queueRefusals.nodeLeaves &&
+		!run.hasBegun &&
+		run.outcome === 'not-run';
+	if (canBeHandedBack) {
+		refuseRun(context, run, 'leaving', reasonOf(refusal));
+	} else {
+		failRun(context, run, reasonOf(refusal));
+	}
+};
+
 // Crash suspects have other candidate servers than other requests, so each one has a key of its own.
 const placementKeyOf = (
 	{quarantineStatus}: DeliveryContext,
@@ -126,20 +148,19 @@
 // end in time.
 // For a route without samples, half of the time is reserved for the response. A stream that has started may pause for
 // the target latency, because its callers do not accept a longer pause than before its first event.
-const latestStart = (
-	{durations, clock}: DeliveryContext,
-	{exchange, hasBegun}: DeliveryRun,
-): number => {
-	const {route, prompt, receivedAt, expiresAt} = exchange;
-	if (hasBegun) {
-		return clock() + route.targetLatencyMs;
-	}
-
-	const expectedMs =
-		durations.quantileMs(
-			route.name,
-			completedFraction,
-			prompt?.expectedTokensOut,
-		) ?? (expiresAt - receivedAt) / 2;
-	return expiresAt - expectedMs;
+const latestStart = (context: DeliveryContext, run: DeliveryRun): number => {
+	const {route, expiresAt} = run.exchange;
+	return run.hasBegun
+		? context.clock() + route.targetLatencyMs
+		: expiresAt - expectedMs(context, run);
 };
+
+const expectedMs = (
+	{durations}: DeliveryContext,
+	{exchange: {route, prompt, receivedAt, expiresAt}}: DeliveryRun,
+): number =>
+	durations.quantileMs(
+		route.name,
+		completedFraction,
+		prompt?.expectedTokensOut,
+	) ?? (expiresAt - receivedAt) / 2;
--- a/src/gateway/intake/hop-sink.ts
+++ b/src/gateway/intake/hop-sink.ts
@@ -18,7 +18,7 @@
 			} as const;
 			sink.begin(status, [...headers, ...encodeHopResult(result)], server);
 		},
-		refuse({outcome, message}, tried, availableInMs) {
+		refuse({kind, outcome, message}, tried, availableInMs) {
 			if (response.headersSent || response.destroyed) {
 				sink.abort();
 				return;
@@ -31,6 +31,7 @@
 					reason: message,
 					tried,
 					availableInMs,
+					isLeaving: kind === 'leaving',
 				}),
 				'content-length',
 				'0',
--- a/src/gateway/intake/leaving-admission.ts
+++ b/src/gateway/intake/leaving-admission.ts
@@ -10,6 +10,10 @@
 	*/
 	leave(now: number, endsAt: number): void;
 	/**
+	Returns when the node exits; infinite unless it is leaving.
+	*/
+	endsAt(): number;
+	/**
 	Whether a request is expected to be answered before the node exits; always true before `leave` was called.
 	*/
 	admits(exchange: Exchange): boolean;
@@ -44,6 +48,7 @@
 		leave(now, endsAt) {
 			leaving = {since: now, endsAt};
 		},
+		endsAt: () => leaving?.endsAt ?? Infinity,
 		admits(exchange) {
 			const {receivedAt, expiresAt} = exchange;
 			if (!leaving || expiresAt <= leaving.endsAt) {
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -136,6 +136,15 @@
 		budgetNodes: shares.retrySharingNodes,
 		hasSettled: shares.hasSettled,
 		durations,
+		exitsAt: () =>
+			options.without.has('leaving-admission') ? Infinity : admission.endsAt(),
+		leavingNodes: () =>
+			new Set(
+				mesh
+					.others()
+					.filter(({status}) => status === 'leaving')
+					.map(({id}) => id),
+			),
 		connectionShare: (service, server) =>
 			shares.connectionShare(mirror.routes()?.service(service), server),
 		routesVersion,
--- a/tests/gateway/delivery/delivery-scene.ts
+++ b/tests/gateway/delivery/delivery-scene.ts
@@ -96,6 +96,8 @@
 		budgetNodes: () => 1,
 		hasSettled: () => hasSettled,
 		durations: createRouteDurations(),
+		exitsAt: () => Infinity,
+		leavingNodes: () => new Set(),
 		connectionShare: () => ({maximum: 10, isPersistent: true}),
 		routesVersion: () => 1,
 		isOnlyRegion: () => false,
--- a/tests/gateway/delivery/hop.test.ts
+++ b/tests/gateway/delivery/hop.test.ts
@@ -59,6 +59,7 @@
 			const headers = encodeHopResult({
 				kind: 'refused',
 				availableInMs: 1500,
+				isLeaving: true,
 				outcome: 'not-run',
 				reason,
 				tried: ['x'],
@@ -68,6 +69,7 @@
 			assert.equal(result.outcome, 'not-run');
 			assert.ok(isPrintable(result.reason));
 			assert.equal(result.availableInMs, 1500);
+			assert.ok(result.isLeaving);
 		}),
 	);
 });
--- a/tests/gateway/delivery/request-queue.test.ts
+++ b/tests/gateway/delivery/request-queue.test.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {
+	judgeQueued,
+	queueRefusals,
+} from '../../../src/gateway/delivery/judge-queued.ts';
 import {
 	createRequestQueue,
 	type QueuedRequest,
@@ -12,9 +16,12 @@
 	queuedAt: 0,
 	targetAt: 1000,
 	expiresAt: 100,
+	expectedMs: 10,
+	origin: undefined,
 	service: 'engine',
 	placementKey: 'engine',
 	capacityWaitMs: () => 0,
+	isWaitPredictable: () => true,
 	trySend: () => true,
 	refuse: () => undefined,
 	...change,
@@ -84,7 +91,14 @@
 
 	add('first', 10);
 	add('second', 20);
-	queue.expire(10, () => false);
+	queue.expire(10, (request, ahead) =>
+		judgeQueued(request, ahead, {
+			now: 10,
+			exitsAt: Infinity,
+			isNodeLeaving: () => false,
+			isAwaitingSilentServers: () => false,
+		}),
+	);
 	assert.deepEqual(refused, ['first']);
 	assert.equal(queue.length(), 1);
 });
@@ -121,7 +135,7 @@
 
 	queue.expire(0, ({placementKey}, ahead) => {
 		evaluated.push([placementKey, ahead]);
-		return placementKey === 'b';
+		return placementKey === 'b' ? queueRefusals.noCapacity : undefined;
 	});
 	assert.deepEqual(evaluated, [
 		['a', 0],
--- a/tests/gateway/intake/request-intake.test.ts
+++ b/tests/gateway/intake/request-intake.test.ts
@@ -53,7 +53,11 @@
 			tick: () => undefined,
 			metrics: async () => '',
 		},
-		admission: {leave: () => undefined, admits: () => true},
+		admission: {
+			leave: () => undefined,
+			endsAt: () => Infinity,
+			admits: () => true,
+		},
 		requestDeferral: {
 			schedule(run) {
 				run();
--- a/tests/gateway/streams/stream-cluster.ts
+++ b/tests/gateway/streams/stream-cluster.ts
@@ -228,13 +228,14 @@
 					listener.onFailure({wasSent: true, reason: 'other side closed'});
 				});
 			},
-			refuse({outcome, message}, tried, availableInMs) {
+			refuse({kind, outcome, message}, tried, availableInMs) {
 				const result = {
 					kind: 'refused',
 					outcome,
 					reason: message,
 					tried,
 					availableInMs,
+					isLeaving: kind === 'leaving',
 				} as const;
 				respond(headOf(encodeHopResult(result), 503));
 			},
@@ -355,6 +356,8 @@
 			budgetNodes: () => 1,
 			hasSettled: () => true,
 			durations,
+			exitsAt: () => Infinity,
+			leavingNodes: () => new Set(),
 			connectionShare: () => ({maximum: 1000, isPersistent: true}),
 			routesVersion: () => 1,
 			isOnlyRegion: () => false,
