End waits for a slot when a leaving node may exit before them

With a drain time-out up to the maximum wait for a slot, requests that wait at the end were cut off without a response. With the defaults (1 s of wait, 600 s of drain) each wait ends long before.

`CapacityQueue.close` ends present and later waits; the requests are refused with `leaving`, not run. The node closes its queue when it drains, only where a wait may outlast the drain: otherwise waiting requests are served as before.

Evidence: the test of the queue, which could not pass before because nothing ended a wait but a slot, the deadline or the caller. Not shown with processes.

--- a/src/node/create-node.ts
+++ b/src/node/create-node.ts
@@ -111,6 +111,10 @@
 		async drain() {
 			isLeaving = true;
 			controllers.membership.handle({kind: 'leave'});
+			if (settings.maximumWaitMs >= settings.drainTimeoutMs) {
+				path.capacity.close();
+			}
+
 			logger.info(
 				{inFlight: inFlight.count()},
 				'draining; new requests are refused',
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -16,6 +16,7 @@
 	type AttemptFailure,
 	type RetryBudget,
 } from '../retries/index.ts';
+import {assertNever} from '../shared/index.ts';
 import {backendCall, forwardCall} from './attempt-calls.ts';
 import {
 	overloadedError,
@@ -32,7 +33,7 @@
 	type OpenAttempt,
 	type Progress,
 } from './attempt.ts';
-import type {CapacityQueue} from './capacity-queue.ts';
+import type {CapacityQueue, QueueResult} from './capacity-queue.ts';
 import {createAttemptHedging} from './attempt-hedging.ts';
 import {withFirstChunk} from './first-chunk.ts';
 import type {TargetChooser} from './target-choice.ts';
@@ -130,6 +131,33 @@
 ): boolean =>
 	resumeFrom === 0 || softwareVersionOf(upstream) === softwareVersion;
 
+const waitErrorOf = (
+	result: QueueResult,
+	retryAfterSeconds: () => number,
+): GatewayError | undefined => {
+	switch (result) {
+		case 'ready': {
+			return undefined;
+		}
+
+		case 'full':
+		case 'expired': {
+			return overloadedError(retryAfterSeconds());
+		}
+
+		case 'closed': {
+			return createGatewayError(
+				'leaving',
+				'This entry VM may end before a slot is free; use one of the others',
+			);
+		}
+
+		default: {
+			return assertNever(result);
+		}
+	}
+};
+
 /**
 Creates the functions that make attempts.
 */
@@ -268,10 +296,12 @@
 					const result = isNotQueued
 						? 'full'
 						: await options.capacity.wait(request);
-					if (result !== 'ready') {
-						return Result.err(
-							overloadedError(options.capacity.retryAfterSeconds()),
-						);
+					const refusal = waitErrorOf(
+						result,
+						options.capacity.retryAfterSeconds,
+					);
+					if (refusal) {
+						return Result.err(refusal);
 					}
 				}
 			}
--- a/src/requests/capacity-queue.ts
+++ b/src/requests/capacity-queue.ts
@@ -4,7 +4,7 @@
 /**
 Result of waiting for a free slot.
 */
-export type QueueResult = 'ready' | 'expired' | 'full';
+export type QueueResult = 'ready' | 'expired' | 'full' | 'closed';
 
 /**
 Bounded queue of requests that wait for a free slot.
@@ -20,6 +20,10 @@
 	*/
 	expire(now: number): void;
 	/**
+	Ends all waits, those of later requests at once. Called when the node leaves and might exit before a wait ends.
+	*/
+	close(): void;
+	/**
 	Seconds after which a rejected request should retry.
 	*/
 	retryAfterSeconds(): number;
@@ -44,9 +48,14 @@
 	options: CapacityQueueOptions,
 ): CapacityQueue => {
 	const queue = createWaitQueue<Waiter>(options.maximumWaiting);
+	let isClosed = false;
 
 	return {
 		async wait(request) {
+			if (isClosed) {
+				return 'closed';
+			}
+
 			return new Promise((resolve) => {
 				const onAbort = () => {
 					queue.remove(waiter);
@@ -84,6 +93,12 @@
 				item.settle('expired');
 			}
 		},
+		close() {
+			isClosed = true;
+			for (const {item} of queue.takeExpired(Infinity)) {
+				item.settle('closed');
+			}
+		},
 		// The wait of a new request grows with the length of the queue: 1 s if empty, 3 s if full.
 		retryAfterSeconds: () =>
 			1 + Math.ceil((queue.length() / Math.max(1, options.maximumWaiting)) * 2),
--- a/tests/requests/capacity-queue.test.ts
+++ b/tests/requests/capacity-queue.test.ts
@@ -27,6 +27,16 @@
 	assert.equal(getEventListeners(caller.signal, 'abort').length, 0);
 });
 
+// Guards against requests that a leaving node cuts off while they wait for a slot.
+test('a closed queue ends the waits of present and later requests', async () => {
+	const {queue, request} = setUp();
+	const waiting = queue.wait(request);
+	queue.close();
+	assert.equal(await waiting, 'closed');
+	assert.equal(await queue.wait(request), 'closed');
+	assert.equal(queue.length(), 0);
+});
+
 test('a request whose caller leaves stops waiting', async () => {
 	const {queue, request, caller} = setUp();
 	const waiting = queue.wait(request);
