Tell forwarded requests from calls between nodes by their mark, not their path

Hypotheses: (1) the receiving node takes the path of the caller for that of a call between nodes; refuted if a route whose prefix only resembles such a path fails as well, or if these are served; (2) the route is not known in the other region yet; refuted if the same route under another prefix is served at the same time; (3) the forwarding node refuses the path. The listener compared the target with its own paths before it looked at anything else.

Change: a request with the headers of a hop is a forwarded one, whatever its path; nodes remove these headers from the requests of callers. Any other request is a call between nodes, or not found.

Why it works: what tells the two apart is written by nodes alone.

--- a/src/gateway/delivery/hop.ts
+++ b/src/gateway/delivery/hop.ts
@@ -132,6 +132,13 @@
 		: []),
 ];
 
+/**
+Whether a request was forwarded by a node. Nodes remove the headers that tell so from the requests of callers.
+*/
+export const isForwarded = (header: HeaderReader): boolean =>
+	header(hopHeaders.origin) !== undefined &&
+	header(hopHeaders.service) !== undefined;
+
 /**
 Decodes the headers of a forwarded request. Returns undefined for any other request.
 */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,8 +1,12 @@
 import type {SilenceChange} from '../backends/index.ts';
 import {capacityOfNode} from '../demand/index.ts';
 import type {Logger} from '../logging/index.ts';
-import type {Address} from '../shared/index.ts';
-import {createConnectionWarmer, createServerProbes} from './delivery/index.ts';
+import {createHeaderReader, type Address} from '../shared/index.ts';
+import {
+	createConnectionWarmer,
+	createServerProbes,
+	isForwarded,
+} from './delivery/index.ts';
 import {
 	selectByCapacity,
 	selectEntryMembers,
@@ -188,6 +192,8 @@
 			registryAfter: registry.answer,
 			relayedAfter: registry.relayedAnswer,
 			promptsAfter: prompts.answer,
+			isForwarded: ({headers: values}) =>
+				isForwarded(createHeaderReader(values)),
 			onForwarded: intake.handleForwarded,
 		},
 		callers: {
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -56,7 +56,11 @@
 	readonly relayedAfter: (after: RegistryCursor) => Promise<RelayedAnswer>;
 	readonly promptsAfter: (query: FeedQuery) => Promise<FeedAnswer>;
 	/**
-	Handles all other requests, which are the requests that nodes forward.
+	Whether a node forwards this request. Its path is that of the caller, so it must be told by something that no caller can send.
+	*/
+	readonly isForwarded: (request: IncomingMessage) => boolean;
+	/**
+	Handles the requests that nodes forward.
 	*/
 	readonly onForwarded: (
 		request: IncomingMessage,
@@ -74,6 +78,11 @@
 	options: PeerListenerOptions,
 ): Promise<PeerListener> => {
 	const answer = (request: IncomingMessage, response: ServerResponse) => {
+		if (options.isForwarded(request)) {
+			options.onForwarded(request, response);
+			return;
+		}
+
 		const target = request.url ?? '';
 		if (target === peerPaths.members) {
 			const known = request.headers[knownViewHeader];
@@ -101,12 +110,7 @@
 			return;
 		}
 
-		if (target.startsWith('/quillford/')) {
-			response.writeHead(notFoundStatus).end();
-			return;
-		}
-
-		options.onForwarded(request, response);
+		response.writeHead(notFoundStatus).end();
 	};
 
 	const servers = await Promise.all(
--- a/tests/mesh/peer-listener.test.ts
+++ b/tests/mesh/peer-listener.test.ts
@@ -10,6 +10,9 @@
 } from '../../src/mesh/index.ts';
 import {memberOf} from '../fixtures.ts';
 
+const forwardedMark = 'forwarded-by';
+const forwardedStatus = 299;
+
 const members = [memberOf('a1', 'a'), memberOf('b1', 'b')];
 
 const start = async (t: TestContext) => {
@@ -28,8 +31,9 @@
 			isWhole: true,
 			changes: [],
 		}),
+		isForwarded: ({headers}) => headers[forwardedMark] !== undefined,
 		onForwarded(_request, response) {
-			response.writeHead(500).end();
+			response.writeHead(forwardedStatus).end();
 		},
 	});
 	t.after(listener.close);
@@ -69,3 +73,25 @@
 	const {status, bytes} = await fetchFrom(peerPaths.rest);
 	t.assert.deepStrictEqual([status, bytes.length], [204, 0]);
 });
+
+// Guards against forwarded requests that are taken for calls between nodes because of a path that callers or operators choose.
+test('a forwarded request is told by its mark, whatever its path', async (t: TestContext) => {
+	const fetchFrom = await start(t);
+	const targets = [
+		...Object.values(peerPaths).flatMap((path) => [path, `${path}?after=0`]),
+		'/quillford/',
+		'/other',
+	];
+	for (const target of targets) {
+		const {status} = await fetchFrom(target, {[forwardedMark]: 'node-1'});
+		t.assert.strictEqual(status, forwardedStatus, target);
+	}
+});
+
+test('a request that is neither marked nor a call between nodes is not found', async (t: TestContext) => {
+	const fetchFrom = await start(t);
+	for (const target of ['/quillford/', '/other']) {
+		const {status} = await fetchFrom(target);
+		t.assert.strictEqual(status, 404, target);
+	}
+});
