Blame no receiver for a call that this node could not send

What callers saw: a request with two Host headers makes a sound server or node count as unreachable, and with a name that no header can hold each request to it does (seen in the log of the test of such names: "backend server suspected", reason "invalid x-test-expected header").

Cause: every failure before the first byte was taken for one to connect. Before the first byte, only the connector speaks of the receiver; the rest (an invalid header, path or method, a closed client) is this node's own, and so is a connect that fails because the machine has no descriptors, buffers or ports left. Ruled out: that the server answers 400 and is ejected for it; nothing is sent.

Change: the client marks failures of its connector; any other failure before the first byte is `isUnsendable`. It is not reported as a failure of the server or node, in deliveries, second calls and health checks alike, and the request is refused at once, because it would fail at the next server as well. Several Host headers are refused with 400 at the door (RFC 9112, 3.2).

Evidence: nine tests fail before and pass after, among them one for each kind of call that the client refuses.

--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -72,9 +72,23 @@
 	Whether the call was withdrawn before its first byte was sent.
 	*/
 	readonly isWithdrawn?: boolean;
+	/**
+	Whether this node could not send the call to any receiver, so that the failure says nothing about the one it was meant for.
+	*/
+	readonly isUnsendable?: boolean;
 	readonly reason: string;
 };
 
+/**
+Whether a call failed because its receiver could not be connected to.
+*/
+export const isConnectFailure = ({
+	wasSent,
+	isWithdrawn,
+	isUnsendable,
+}: UpstreamFailure): boolean =>
+	!wasSent && isWithdrawn !== true && isUnsendable !== true;
+
 /**
 Receives the events of a call: at most one head, then data, then either an end or a failure.
 */
@@ -141,6 +155,14 @@
 
 const refusedCode = 'ECONNREFUSED';
 
+// Failures to connect that are due to the limits of this machine.
+const exhaustedCodes: ReadonlySet<string> = new Set([
+	'EMFILE',
+	'ENFILE',
+	'ENOBUFS',
+	'EADDRNOTAVAIL',
+]);
+
 /**
 Creates a client without connections.
 */
@@ -148,6 +170,7 @@
 	const pools = new Map<string, Pool>();
 	let opened = 0;
 	const connectors = new Map<number, buildConnector.connector>();
+	const connectFailures = new WeakSet<Error>();
 
 	const connectorFor = (timeout: number): buildConnector.connector => {
 		const known = connectors.get(timeout);
@@ -158,7 +181,18 @@
 		const connect = createHttpConnector(timeout);
 		const connector: buildConnector.connector = (connectOptions, callback) => {
 			opened += 1;
-			connect(connectOptions, callback);
+			connect(connectOptions, (error, socket) => {
+				if (error) {
+					const {code = ''} = error as NodeJS.ErrnoException;
+					if (!exhaustedCodes.has(code)) {
+						connectFailures.add(error);
+					}
+
+					callback(error, null);
+				} else {
+					callback(null, socket);
+				}
+			});
 		};
 
 		connectors.set(timeout, connector);
@@ -191,7 +225,7 @@
 
 	return {
 		call(call, listener) {
-			const state = createCallState(call, listener);
+			const state = createCallState(call, listener, connectFailures);
 			try {
 				poolFor(call).dispatch(
 					{
@@ -231,6 +265,7 @@
 const createCallState = (
 	{canBegin}: UpstreamCall,
 	listener: UpstreamListener,
+	connectFailures: Pick<WeakSet<Error>, 'has'>,
 ) => {
 	let controller: Dispatcher.DispatchController | undefined;
 	let wasSent = false;
@@ -249,6 +284,9 @@
 			wasSent,
 			isRefused,
 			isWithdrawn: error === withdrawn,
+			// Before the first byte, only a failure to connect concerns the receiver.
+			isUnsendable:
+				!wasSent && error !== withdrawn && !connectFailures.has(error),
 			reason: error.message,
 		});
 	};
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -225,6 +225,10 @@
 	*/
 	readonly reachedServer: boolean;
 	readonly end: BackendAttemptEnd;
+	/**
+	Whether no other server or node could receive the request either.
+	*/
+	readonly isFinal?: boolean;
 };
 
 /**
--- a/src/gateway/delivery/fail-call.ts
+++ b/src/gateway/delivery/fail-call.ts
@@ -1,4 +1,4 @@
-import type {UpstreamFailure} from '../../backends/index.ts';
+import {isConnectFailure, type UpstreamFailure} from '../../backends/index.ts';
 import type {Outcome} from '../../errors/index.ts';
 import type {RequestEnder} from '../exchange.ts';
 import type {DeliveryContext} from './delivery-context.ts';
@@ -54,6 +54,7 @@
 
 	// Checks the retry budget last, so that only retries that are sent are charged to it.
 	const shouldRetry =
+		fault.isFinal !== true &&
 		isRetryable(context, run, fault) &&
 		hasAttemptLeft(run, context.clock()) &&
 		hasRetryBudget(context, run, fault);
@@ -103,13 +104,14 @@
 	current: CurrentCall,
 	failure: UpstreamFailure,
 ): void => {
-	const {wasSent, reason} = failure;
+	const {wasSent, reason, isUnsendable} = failure;
 	reportCallFailure(context, run, current, failure);
 	failCall(context, run, {
 		outcome: wasSent ? 'unknown' : 'not-run',
 		reason,
 		reachedServer: wasSent,
 		end: 'failed',
+		isFinal: isUnsendable,
 	});
 };
 
@@ -123,16 +125,16 @@
 	failure: UpstreamFailure,
 ): void => {
 	const {member, server} = call;
-	const {wasSent, isWithdrawn} = failure;
-	if (!wasSent && member) {
+	const isUnreachable = isConnectFailure(failure);
+	if (isUnreachable && member) {
 		context.onPeerFailure(member);
 	}
 
-	if (!wasSent && !isWithdrawn && server !== undefined) {
+	if (isUnreachable && server !== undefined) {
 		context.onServerFailure(server, failure);
 	}
 
-	if (wasSent) {
+	if (failure.wasSent) {
 		reportBrokenCall(context, run, call);
 	}
 };
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -1,5 +1,6 @@
 import {
 	backendConnectTimeoutMs,
+	isConnectFailure,
 	type BackendFleet,
 	type UpstreamClient,
 } from '../../backends/index.ts';
@@ -190,9 +191,10 @@
 				onEnd() {
 					finish();
 				},
-				onFailure({isRefused, isWithdrawn, reason, wasSent}) {
+				onFailure(failure) {
+					const {isRefused, reason} = failure;
 					finish();
-					if (!wasSent && !isWithdrawn) {
+					if (isConnectFailure(failure)) {
 						recordConnectFailure(options, id, reason);
 					}
 
--- a/src/gateway/intake/read-exchange.ts
+++ b/src/gateway/intake/read-exchange.ts
@@ -42,6 +42,11 @@
 	context: ReadContext,
 ): Result<Exchange, GatewayError> => {
 	const {names, routes} = context;
+	// A request with several hosts is refused (RFC 9112, 3.2), because the next hop may take it for one to another host.
+	if (hasSeveralHosts(request)) {
+		return refuse('bad-request', 'The request has several Host headers');
+	}
+
 	const requestId = request.header(names.requestId);
 	if (requestId === undefined || requestId === '') {
 		return refuse(
@@ -150,6 +155,11 @@
 	});
 };
 
+const hasSeveralHosts = ({rawHeaders}: ReceivedRequest): boolean =>
+	rawHeaders.filter(
+		(text, index) => index % 2 === 0 && text.toLowerCase() === 'host',
+	).length > 1;
+
 const forwardedTimes = ({remainingMs}: HopCall, now: number) => ({
 	expiresAt: now + remainingMs,
 });
--- a/tests/backends/upstream-client.test.ts
+++ b/tests/backends/upstream-client.test.ts
@@ -15,6 +15,7 @@
 	readonly body: string;
 	readonly end: 'ended' | 'failed';
 	readonly wasSent: boolean;
+	readonly isUnsendable?: boolean;
 };
 
 // Starts a server that answers each request with the bytes that the test provides.
@@ -59,25 +60,29 @@
 const ask = async (
 	client: ReturnType<typeof createUpstreamClient>,
 	address: string,
+	change: Partial<UpstreamCall> = {},
 ): Promise<CallResult> =>
 	new Promise((resolve) => {
 		let head: UpstreamHead | undefined;
 		let body = '';
-		client.call(callOf(address), {
-			onHead(given) {
-				head = given;
-			},
-			onData(chunk) {
-				body += chunk.toString();
-				return true;
-			},
-			onEnd() {
-				resolve({head, body, end: 'ended', wasSent: true});
-			},
-			onFailure({wasSent}) {
-				resolve({head, body, end: 'failed', wasSent});
+		client.call(
+			{...callOf(address), ...change},
+			{
+				onHead(given) {
+					head = given;
+				},
+				onData(chunk) {
+					body += chunk.toString();
+					return true;
+				},
+				onEnd() {
+					resolve({head, body, end: 'ended', wasSent: true});
+				},
+				onFailure({wasSent, isUnsendable}) {
+					resolve({head, body, end: 'failed', wasSent, isUnsendable});
+				},
 			},
-		});
+		);
 	});
 
 const setUp = (context: TestContext) => {
@@ -138,9 +143,35 @@
 	const address = await startServer(t, () => undefined);
 	const [host] = address.split(':', 1);
 	const seen = await ask(client, `${host}:1`);
-	t.assert.deepStrictEqual([seen.end, seen.wasSent], ['failed', false]);
+	t.assert.deepStrictEqual(
+		[seen.end, seen.wasSent, seen.isUnsendable],
+		['failed', false, false],
+	);
 });
 
+const unsendable: ReadonlyArray<
+	readonly [name: string, change: Partial<UpstreamCall>]
+> = [
+	['two hosts', {headers: ['host', 'x', 'host', 'y']}],
+	['a header that is not Latin-1', {headers: ['host', 'x', 'a', 'ιστορικό']}],
+	['a path with a space', {target: '/a b'}],
+	['a path without a slash', {target: 'health'}],
+	['a method that is no token', {method: 'GET /'}],
+];
+
+// Guards against sound servers and nodes that seem unreachable because of what a caller or an operator chose.
+for (const [name, change] of unsendable) {
+	test(`a call with ${name} fails as one that no receiver could be sent`, async (t: TestContext) => {
+		const client = setUp(t);
+		const address = await startServer(t, () => undefined);
+		const seen = await ask(client, address, change);
+		t.assert.deepStrictEqual(
+			[seen.end, seen.wasSent, seen.isUnsendable],
+			['failed', false, true],
+		);
+	});
+}
+
 test('an aborted call closes its connection and emits no further events', async (t: TestContext) => {
 	const client = setUp(t);
 	const closed = Promise.withResolvers<undefined>();
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -126,6 +126,36 @@
 	assert.equal(seen.error.kind, 'attempt-failed');
 });
 
+// Guards against a request that fails at one server after the other and makes each of them seem unreachable.
+test('a request that no server could be sent is refused at once as not run, and no server is blamed', () => {
+	const blamed: string[] = [];
+	const {deliveries, sent, records} = setUp(
+		['a', 'b', 'c'],
+		undefined,
+		undefined,
+		undefined,
+		undefined,
+		undefined,
+		{
+			onServerFailure(server) {
+				blamed.push(server);
+			},
+		},
+	);
+	const {sink, seen} = createSink();
+	deliveries.deliver(exchangeFor({}), sink);
+	sent[0]!.listener.onFailure({
+		wasSent: false,
+		isUnsendable: true,
+		reason: 'invalid header',
+	});
+	assert.deepEqual([sent.length, blamed], [1, []]);
+	assert.deepEqual(
+		[seen.error?.outcome, records[0]?.result],
+		['not-run', 'refused'],
+	);
+});
+
 test('a request is queued until there is capacity, and then sent', () => {
 	const {deliveries, sent} = setUp(['a']);
 	const seen = [createSink(), createSink(), createSink()];
--- a/tests/gateway/delivery/server-probes.test.ts
+++ b/tests/gateway/delivery/server-probes.test.ts
@@ -48,11 +48,15 @@
 	return fleet.suspicionOf('a');
 };
 
-test('a health check that cannot connect makes a server unreachable; one that was withdrawn or broke off does not', (t: TestContext) => {
+test('a health check that cannot connect makes a server unreachable; one that was withdrawn, that this node cannot send or that broke off does not', (t: TestContext) => {
 	t.assert.strictEqual(suspicionAfter({wasSent: false}), 'unreachable');
 	t.assert.strictEqual(
 		suspicionAfter({wasSent: false, isWithdrawn: true}),
 		undefined,
 	);
+	t.assert.strictEqual(
+		suspicionAfter({wasSent: false, isUnsendable: true}),
+		undefined,
+	);
 	t.assert.strictEqual(suspicionAfter({wasSent: true}), undefined);
 });
--- a/tests/gateway/intake/read-exchange.test.ts
+++ b/tests/gateway/intake/read-exchange.test.ts
@@ -43,6 +43,12 @@
 const errorOf = (result: ReturnType<typeof readExchange>) =>
 	result.isErr ? result.error.kind : 'ok';
 
+// Guards against requests that no server could be sent, and that made sound servers seem unreachable.
+test('a request with several Host headers is refused at once', () => {
+	const request = requestOf(['X-Test-Id', 'r', 'Host', 'a', 'host', 'b']);
+	assert.equal(errorOf(readExchange(request, contextOf())), 'bad-request');
+});
+
 test('a request without an id, routes or a matching route is refused with the error for that case', () => {
 	assert.equal(
 		errorOf(readExchange(requestOf([]), contextOf())),
