Match hosts without regard to case and prefixes in percent encoding

Hosts of requests were compared in lower case with hosts as written; a request target holds only printable ASCII characters (the HTTP parser of Node.js refuses others), so a prefix with other ones is compared in its percent encoding. The paths of health checks are encoded in the same way.

Evidence: two cases of `chosen-names.test.ts` fail before (404) and pass after. A third one, the prefix as raw UTF-8 bytes in the target, was tried and taken out: such a request is refused by the parser before any code of the node.

--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -12,7 +12,7 @@
 	StatementHandler,
 } from '../../server-statements/index.ts';
 import type {SlotLeases, SlotUse} from '../../slot-leases/index.ts';
-import {toHeaderValue} from '../../shared/index.ts';
+import {encodePath, toHeaderValue} from '../../shared/index.ts';
 import type {WireHeaders} from '../wire-headers.ts';
 import {isMisdirected} from './judge-head.ts';
 
@@ -146,7 +146,7 @@
 				maximumConnections: 1,
 				connectTimeoutMs: backendConnectTimeoutMs,
 				method: 'GET',
-				target: options.healthPath(server.service),
+				target: encodePath(options.healthPath(server.service)),
 				headers: [
 					'host',
 					server.address,
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -1,6 +1,6 @@
 import {createClientDirectory, type ClientDirectory} from '../clients/index.ts';
 import {urgencyLevelsOf} from '../demand/contended-services.ts';
-import {keyedWeight} from '../shared/index.ts';
+import {encodePath, keyedWeight} from '../shared/index.ts';
 import type {Route, RouteDocument, Service} from './route.ts';
 
 /**
@@ -34,9 +34,10 @@
 export const createRouteTable = (document: RouteDocument): RouteTable => {
 	const byHost = new Map<string, Map<string, Route>>();
 	for (const route of document.routes) {
-		const routes = byHost.get(route.host) ?? new Map<string, Route>();
-		routes.set(route.pathPrefix, route);
-		byHost.set(route.host, routes);
+		const host = route.host.toLowerCase();
+		const routes = byHost.get(host) ?? new Map<string, Route>();
+		routes.set(encodePath(route.pathPrefix), route);
+		byHost.set(host, routes);
 	}
 
 	const services = new Map(
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -16,6 +16,7 @@
 export * from './derived.ts';
 export * from './node-order.ts';
 export * from './own-value.ts';
+export * from './request-target.ts';
 export * from './elapsed-clock.ts';
 export * from './machine-clock.ts';
 export * from './idle-timeout.ts';
--- a/tests/gateway/chosen-names.test.ts
+++ b/tests/gateway/chosen-names.test.ts
@@ -47,6 +47,16 @@
 		route: {pathPrefix: '/resolve/'},
 		target: '/resolve/2f',
 	},
+	{
+		name: 'a route whose host has capital letters',
+		route: {host: 'Capital.Example'},
+		target: '/a/2f',
+	},
+	{
+		name: 'a route whose prefix is not ASCII',
+		route: {pathPrefix: '/ιστορικό/'},
+		target: encodeURI('/ιστορικό/2f'),
+	},
 	{
 		name: 'a route whose name is not ASCII',
 		route: {name: 'ιστορικό'},
@@ -118,14 +128,14 @@
 
 	// Sends the request of a case to each node.
 	const askAll = async (index: number) => {
-		const {target} = cases[index]!;
+		const {route, target} = cases[index]!;
 		const answers = deployment.callerAddresses.map(async (address) => {
 			const id = `${index} ${address}`;
 			const answer = await request(`http://${address}${target}`, {
 				method: 'POST',
 				body: 'hello',
 				headers: {
-					host: hostOf(index),
+					host: route.host ?? hostOf(index),
 					[standInHeaders.requestId]: id,
 					[standInHeaders.remainingMs]: '4000',
 				},
