Forward every head that callers may send

A request whose head nearly fills the limit of callers (16,384 bytes) exceeded the same limit of the listener for nodes once the hop headers were added: the node answered 431, which its caller's node took for a failed call (1.9 s, then 502). Of a request with more than 2,000 header lines Node.js silently keeps the first 2,000: callers' later headers were lost, and between nodes the hop headers, which come last.

Change: heads between nodes may have 128 KB in both directions, and header lines are not counted, neither at the door nor between nodes; the size of the head bounds them.

Evidence: both cases of `chosen-names.test.ts` fail before and pass after.

--- a/src/backends/upstream-client.ts
+++ b/src/backends/upstream-client.ts
@@ -27,6 +27,11 @@
 	Connect time-out in milliseconds; applied when the first call of the key creates the pool.
 	*/
 	readonly connectTimeoutMs: number;
+	/**
+	Maximum size of the head of a response in bytes, `defaultHeadBytes` if omitted; applied when the first call of the key creates the
+	pool.
+	*/
+	readonly maximumHeadBytes?: number;
 	readonly method: string;
 	readonly target: string;
 	/**
@@ -153,6 +158,11 @@
 */
 export const idleMarginMs = 900;
 
+/**
+Maximum size of the head of a response of a backend server, in bytes.
+*/
+export const defaultHeadBytes = 16_384;
+
 const refusedCode = 'ECONNREFUSED';
 
 // Failures to connect that are due to the limits of this machine.
@@ -204,6 +214,7 @@
 		address,
 		maximumConnections,
 		connectTimeoutMs,
+		maximumHeadBytes = defaultHeadBytes,
 	}: UpstreamCall): Pool => {
 		const known = pools.get(key);
 		if (known) {
@@ -214,6 +225,7 @@
 			connect: connectorFor(connectTimeoutMs),
 			connections: Math.max(1, maximumConnections),
 			pipelining: 1,
+			maxHeaderSize: maximumHeadBytes,
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			keepAliveTimeout: defaultIdleTimeoutMs,
--- a/src/gateway/delivery/call-target.ts
+++ b/src/gateway/delivery/call-target.ts
@@ -6,6 +6,7 @@
 	type UpstreamListener,
 } from '../../backends/index.ts';
 import {incarnationIdOf, softwareVersionOf} from '../../registry/index.ts';
+import {maximumForwardedHeadBytes} from '../../mesh/index.ts';
 import type {UpstreamChoice} from '../choosing/choose-upstream.ts';
 import {toHeaderValue} from '../../shared/index.ts';
 import {lastEventIdHeader, leastUrgent} from '../wire-headers.ts';
@@ -166,6 +167,7 @@
 			address: member.peerAddress,
 			maximumConnections: maximumConnectionsPerPeer,
 			connectTimeoutMs: peerConnectTimeoutMs,
+			maximumHeadBytes: maximumForwardedHeadBytes,
 			headers: nextHopHeaders(context, run, hopCall),
 			begin,
 		},
--- a/src/gateway/delivery/connection-warmer.ts
+++ b/src/gateway/delivery/connection-warmer.ts
@@ -4,7 +4,7 @@
 	type UpstreamClient,
 } from '../../backends/index.ts';
 import type {Member} from '../../membership/index.ts';
-import {peerPaths} from '../../mesh/index.ts';
+import {maximumForwardedHeadBytes, peerPaths} from '../../mesh/index.ts';
 import type {Random} from '../../shared/index.ts';
 import {
 	maximumConnectionsPerPeer,
@@ -65,6 +65,7 @@
 				address: member.peerAddress,
 				maximumConnections: maximumConnectionsPerPeer,
 				connectTimeoutMs: peerConnectTimeoutMs,
+				maximumHeadBytes: maximumForwardedHeadBytes,
 				method: 'GET',
 				target: peerPaths.rest,
 				headers: ['host', member.peerAddress],
--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -127,6 +127,8 @@
 			});
 		},
 	);
+	// The size of the head is limited, not its lines: Node.js would drop further lines without an error.
+	server.maxHeadersCount = 0;
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		options.onUnreadable(error.code ?? error.message);
 		answerUnreadable(error, socket as Socket);
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -114,7 +114,9 @@
 	};
 
 	const servers = await Promise.all(
-		options.addresses.map(async (address) => listen(address, answer)),
+		options.addresses.map(async (address) =>
+			listen(address, answer, maximumForwardedHeadBytes),
+		),
 	);
 	return {
 		async close() {
@@ -124,16 +126,23 @@
 };
 
 /**
-Starts an HTTP server at an address.
+Starts an HTTP server at an address. The number of header lines is not limited, because Node.js would drop those beyond a limit, among
+them the ones that nodes add.
 */
 export const listen = async (
 	address: Address,
 	answer: (request: IncomingMessage, response: ServerResponse) => void,
+	maximumHeadBytes = defaultHeadBytes,
 ): Promise<Server> => {
 	const server = createServer(
-		{keepAliveTimeout: idleTimeoutMs, noDelay: true},
+		{
+			keepAliveTimeout: idleTimeoutMs,
+			noDelay: true,
+			maxHeaderSize: maximumHeadBytes,
+		},
 		answer,
 	);
+	server.maxHeadersCount = 0;
 	const {host, port} = splitAddress(address);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
@@ -142,6 +151,13 @@
 	return server;
 };
 
+const defaultHeadBytes = 16_384;
+
+/**
+Maximum size of the head of a forwarded request or response, in bytes: that of a caller or backend server, and what nodes add.
+*/
+export const maximumForwardedHeadBytes = 131_072;
+
 // Time after which idle connections between nodes are closed, in milliseconds.
 const idleTimeoutMs = 30_000;
 // Maximum number of connections that wait to be accepted; a full queue delays a caller by seconds.
--- a/stand-ins/registered-server.ts
+++ b/stand-ins/registered-server.ts
@@ -33,6 +33,9 @@
 	close(): Promise<void>;
 };
 
+// Larger than the heads that gateways accept from callers.
+const maxHeaderSize = 65_536;
+
 /**
 Returns the text of one event of a simulated stream.
 */
@@ -68,7 +71,7 @@
 	headers: WireHeaders = standInHeaders,
 ): Promise<StandInServer> => {
 	const ran: string[] = [];
-	const server = createServer((request, response) => {
+	const server = createServer({maxHeaderSize}, (request, response) => {
 		const header = (name: string) => String(request.headers[name] ?? '');
 		const expectedServer = Buffer.from(
 			header(headers.expectedServer),
@@ -94,6 +97,7 @@
 			}
 		});
 	});
+	server.maxHeadersCount = 0;
 	await listenAt(server, entry.address);
 	registry.write(`server ${entry.id}`, {
 		kind: 'server',
--- a/tests/gateway/chosen-names.test.ts
+++ b/tests/gateway/chosen-names.test.ts
@@ -18,8 +18,15 @@
 	readonly name: string;
 	readonly route: Partial<Route>;
 	readonly target: string;
+	readonly headers?: Readonly<Record<string, string>>;
 };
 
+// Heads of callers of nearly 16 KB, in one line and in more lines than Node.js keeps by default.
+const longHeader = {'x-long': 'a'.repeat(16_250)};
+const manyHeaders = Object.fromEntries(
+	Array.from({length: 2100}, (_, index) => [index.toString(36), '']),
+);
+
 // Each route has a host of its own, so that its prefix does not cover another one.
 const cases: readonly Case[] = [
 	{
@@ -57,6 +64,18 @@
 		route: {pathPrefix: '/ιστορικό/'},
 		target: encodeURI('/ιστορικό/2f'),
 	},
+	{
+		name: 'a request with a long header',
+		route: {},
+		target: '/a/2f',
+		headers: longHeader,
+	},
+	{
+		name: 'a request with many headers',
+		route: {},
+		target: '/a/2f',
+		headers: manyHeaders,
+	},
 	{
 		name: 'a route whose name is not ASCII',
 		route: {name: 'ιστορικό'},
@@ -128,7 +147,7 @@
 
 	// Sends the request of a case to each node.
 	const askAll = async (index: number) => {
-		const {route, target} = cases[index]!;
+		const {route, target, headers} = cases[index]!;
 		const answers = deployment.callerAddresses.map(async (address) => {
 			const id = `${index} ${address}`;
 			const answer = await request(`http://${address}${target}`, {
@@ -138,6 +157,7 @@
 					host: route.host ?? hostOf(index),
 					[standInHeaders.requestId]: id,
 					[standInHeaders.remainingMs]: '4000',
+					...headers,
 				},
 			});
 			return {
