End answers and health checks that never end, by size and by progress

What callers saw, measured with one server beside sound ones: chunk extensions held requests until their deadline and cost 6.7 s of processor for eight, interim heads and comment lines 4.4 s, 40 plain bodies took a node to 762 MB, and a stream that completes no event was passed on without end.

Cause: one answer was limited to 16 MB, their sum not at all; the limit on one event held for resumable streams alone, and lines that belong to no event were counted nowhere.

Change: answers that are kept until they are whole share 32 MB; beyond that the longest one ends, so that short ones are not lost to it. Any event stream ends when 1 MB arrive without a complete event. A health check ends after 64 KB of a body that nobody evaluates. The call ends with its connection and counts as failed at the server; a request that may be repeated goes elsewhere as the retry budget allows.

What slow callers have not read, and bodies of requests, have no common limit yet.

--- a/src/gateway/delivery/call-target.ts
+++ b/src/gateway/delivery/call-target.ts
@@ -177,7 +177,7 @@
 const startCall = (
 	context: DeliveryContext,
 	run: DeliveryRun,
-	to: Omit<CurrentCall, 'open' | 'lastByteAt'>,
+	to: Omit<CurrentCall, 'open' | 'lastByteAt' | 'kept'>,
 	{
 		begin,
 		...call
@@ -188,6 +188,7 @@
 	const current: CurrentCall = {
 		...to,
 		lastByteAt: undefined,
+		kept: undefined,
 		open: () => open,
 	};
 	const open = context.client.call(
--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -18,6 +18,7 @@
 import type {DeliveryRecord, Exchange, RequestClient} from '../exchange.ts';
 import type {ConnectionShare, OriginSharing} from '../sharing/index.ts';
 import type {WireHeaders} from '../wire-headers.ts';
+import type {AnswerBuffer} from './answer-buffer.ts';
 import type {DeliveryRun} from './delivery-run.ts';
 import type {CapacityForecast} from './capacity-forecast.ts';
 import type {RouteDurations} from './route-durations.ts';
@@ -188,6 +189,7 @@
 	*/
 	readonly searches: Set<Exchange>;
 	readonly queue: RequestQueue;
+	readonly answerBuffer: AnswerBuffer;
 	readonly forecast: CapacityForecast;
 	readonly retryYield: RetryYield;
 	/**
--- a/src/gateway/delivery/delivery-run.ts
+++ b/src/gateway/delivery/delivery-run.ts
@@ -10,6 +10,7 @@
 import {isRepeatable, placementPart} from '../../routes/index.ts';
 import type {StreamOrigin} from '../../stream-origins/index.ts';
 import type {Exchange, RequestEnder, ResponseSink} from '../exchange.ts';
+import type {BufferedAnswer} from './answer-buffer.ts';
 import type {EventRelay} from './event-relay.ts';
 import type {QueuedRequest} from './request-queue.ts';
 
@@ -44,6 +45,10 @@
 	*/
 	lastByteAt: number | undefined;
 	/**
+	The body of its response, while it is kept until it is whole.
+	*/
+	kept: BufferedAnswer | undefined;
+	/**
 	Set, as is `region`, for a call to another node.
 	*/
 	readonly member: Member | undefined;
--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -4,6 +4,7 @@
 import type {ResponseSink, Exchange} from '../exchange.ts';
 import {isPartFingerprint} from '../../quarantine/index.ts';
 import {fingerprintOfExchange} from '../fingerprint-of-exchange.ts';
+import {createAnswerBuffer} from './answer-buffer.ts';
 import type {DeliveryContext, DeliveryOptions} from './delivery-context.ts';
 import {createDeliveryRun, type DeliveryRun} from './delivery-run.ts';
 import {
@@ -64,6 +65,10 @@
 	Returns the number of requests in the queue.
 	*/
 	queuedCount(): number;
+	/**
+	Returns the bytes of the responses that are kept until they are whole.
+	*/
+	keptBytes(): number;
 };
 
 /**
@@ -75,6 +80,7 @@
 		runs: new Set(),
 		searches: new Set(),
 		queue: createRequestQueue(),
+		answerBuffer: createAnswerBuffer(),
 		forecast: createCapacityForecast(),
 		retryYield: createRetryYield(),
 		sendOrQueue(run) {
@@ -126,6 +132,7 @@
 		waiting: queue.waiting,
 		count: () => runs.size + searches.size,
 		queuedCount: () => queue.length(),
+		keptBytes: context.answerBuffer.bytes,
 	};
 };
 
--- a/src/gateway/delivery/end-run.ts
+++ b/src/gateway/delivery/end-run.ts
@@ -195,6 +195,7 @@
 ): void => {
 	const now = clock();
 	call.attempt?.end(end, now);
+	call.kept?.release();
 	if (shouldAbort) {
 		call.open().abort();
 	}
--- a/src/gateway/delivery/event-relay.ts
+++ b/src/gateway/delivery/event-relay.ts
@@ -9,8 +9,8 @@
 */
 export type EventRelay = {
 	/**
-	Adds a chunk and returns the events that are complete now. Returns undefined if an event is missing or too long; the
-	stream must not continue then.
+	Adds a chunk and returns the events that are complete now. Returns undefined if an event is missing; the stream must not continue
+	then.
 	*/
 	push(chunk: Buffer): Buffer | undefined;
 	/**
@@ -29,8 +29,6 @@
 
 const lineFeed = 10;
 const carriageReturn = 13;
-// Engines send no events longer than this.
-const maximumEventBytes = 1_048_576;
 
 /**
 Creates a relay for one stream.
@@ -42,7 +40,6 @@
 ): EventRelay => {
 	let scanner = createEventScanner();
 	let partial: Buffer[] = [];
-	let partialBytes = 0;
 	let lastId = lastDelivered;
 
 	// Event IDs increase by one. Events that the receiver already has are skipped; a gap ends the stream.
@@ -73,7 +70,6 @@
 
 	const dropPartial = () => {
 		partial = [];
-		partialBytes = 0;
 	};
 
 	return {
@@ -100,12 +96,9 @@
 
 			if (start < chunk.length) {
 				partial.push(chunk.subarray(start));
-				partialBytes += chunk.length - start;
 			}
 
-			return partialBytes > maximumEventBytes
-				? undefined
-				: concatenate(complete);
+			return concatenate(complete);
 		},
 		restart() {
 			scanner = createEventScanner();
--- a/src/gateway/delivery/hedge.ts
+++ b/src/gateway/delivery/hedge.ts
@@ -1,4 +1,5 @@
 import type {Buffer} from 'node:buffer';
+import {createByteCollector} from '../../shared/index.ts';
 import {
 	callerPatienceMs,
 	type BackendAttemptEnd,
@@ -27,7 +28,7 @@
 } from './fail-call.ts';
 import {decodeHopResult, decodeSoftwareVersion} from './hop.ts';
 import {judgeHead} from './judge-head.ts';
-import {createAnswerListener, maximumAnswerBytes} from './pass-answer.ts';
+import {createAnswerListener} from './pass-answer.ts';
 import {recordStatements} from './record-statements.ts';
 import {unsuitableRegions} from './send-run.ts';
 
@@ -125,8 +126,7 @@
 	run: DeliveryRun,
 	call: CurrentCall,
 ): UpstreamListener => {
-	const chunks: Buffer[] = [];
-	let size = 0;
+	const collector = createByteCollector();
 	let head: UpstreamHead | undefined;
 	let verdict: HedgeVerdict | undefined;
 	let adopted: UpstreamListener | undefined;
@@ -137,13 +137,15 @@
 		endCurrentCall(context, run, 'abandoned', true);
 		context.onHedge(run.exchange, {kind: 'adopted'});
 		setCurrentCall(run, call);
+		// The answer listener keeps the chunks from here on.
+		call.kept?.release();
 		adopted = createAnswerListener(context, run, call, true);
 		if (head) {
 			adopted.onHead(head);
 		}
 
-		for (const chunk of chunks) {
-			adopted.onData(chunk);
+		if (collector.size() > 0) {
+			adopted.onData(collector.bytes());
 		}
 	};
 
@@ -168,6 +170,9 @@
 			head = received;
 			verdict = judgeHedgeHead(context, run, call, received);
 			if (verdict.kind !== 'fault') {
+				call.kept = context.answerBuffer.keep(() => {
+					dropHedge(context, run, 'abandoned');
+				});
 				return;
 			}
 
@@ -181,12 +186,8 @@
 				return adopted.onData(chunk);
 			}
 
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > maximumAnswerBytes) {
-				dropHedge(context, run, 'abandoned');
-			}
-
+			collector.add(chunk);
+			call.kept?.add(chunk.length);
 			if (verdict?.kind === 'stream' && isOpen()) {
 				adopt();
 			}
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {UpstreamHead, UpstreamListener} from '../../backends/index.ts';
 import {
 	bodyFramingOf,
@@ -7,8 +7,9 @@
 	judgeBodyEnd,
 	type EventScanner,
 } from '../../response-bodies/index.ts';
-import {encodeHeaderText} from '../../shared/index.ts';
+import {createByteCollector, encodeHeaderText} from '../../shared/index.ts';
 import {forwardableHeaders} from '../wire-headers.ts';
+import {createStreamProgress, type StreamProgress} from './stream-progress.ts';
 import {recordStatements} from './record-statements.ts';
 import type {DeliveryContext} from './delivery-context.ts';
 import {
@@ -34,11 +35,6 @@
 } from './hop.ts';
 import {judgeHead} from './judge-head.ts';
 
-/**
-Maximum size of a buffered response, in bytes.
-*/
-export const maximumAnswerBytes = 16_777_216;
-
 /**
 Creates the listener that passes on the response of a call. Once the request has another call, the listener ignores
 the rest of the response.
@@ -54,11 +50,11 @@
 	current: CurrentCall,
 	hasRecordedStatements = false,
 ): UpstreamListener => {
-	const chunks: Buffer[] = [];
-	let size = 0;
+	const collector = createByteCollector();
 	let head: UpstreamHead | undefined;
 	let isStream = false;
 	let scanner: EventScanner | undefined;
+	let progress: StreamProgress | undefined;
 	const isCurrent = () => run.current === current;
 
 	return {
@@ -77,18 +73,30 @@
 			current.attempt?.recordActivity(context.clock());
 			const framing = bodyFramingOf(run.exchange.method, received);
 			run.body = {framing, events: undefined};
-			isStream = handleHead(context, run, current, received) === 'stream';
+			const disposition = handleHead(context, run, current, received);
+			if (disposition === 'dropped') {
+				return;
+			}
+
+			isStream = disposition === 'stream';
 			if (!isStream) {
+				current.kept = context.answerBuffer.keep((reason) => {
+					collector.clear();
+					failAnswer(context, run, reason);
+				});
 				return;
 			}
 
-			// The relay of a resumable stream scans its events itself. Of other streams only this framing leaves the end open.
-			const isScanned =
-				framing === 'close' &&
-				!run.relay &&
-				isEventStream(received.header('content-type'));
-			scanner = isScanned ? createEventScanner() : undefined;
-			run.body = {framing, events: scanner ?? run.relay?.progress()};
+			// The relay of a resumable stream scans its events itself.
+			scanner =
+				!run.relay && isEventStream(received.header('content-type'))
+					? createEventScanner()
+					: undefined;
+			const events = scanner ?? run.relay?.progress();
+			progress = events && createStreamProgress(events);
+			// Of streams that are not resumable, only this framing leaves the end open.
+			const isEndOpen = framing === 'close' || run.relay !== undefined;
+			run.body = {framing, events: isEndOpen ? events : undefined};
 		},
 		onData(chunk) {
 			if (!isCurrent()) {
@@ -99,16 +107,16 @@
 			current.lastByteAt = context.clock();
 			scanner?.scan(chunk);
 			if (isStream) {
-				return isReadyForMore(context, run, current, chunk);
-			}
+				const isReady = isReadyForMore(context, run, current, chunk);
+				if (isCurrent() && progress?.recordChunk(chunk.length) === false) {
+					failAnswer(context, run, 'The stream sends bytes but no events');
+				}
 
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > maximumAnswerBytes) {
-				const reason = 'The answer is too long to be kept until it is whole';
-				failAnswer(context, run, reason);
+				return isReady;
 			}
 
+			collector.add(chunk);
+			current.kept?.add(chunk.length);
 			return true;
 		},
 		onEnd() {
@@ -123,7 +131,7 @@
 			} else if (isStream) {
 				endStream(context, run);
 			} else {
-				sendBuffered(context, run, head, Buffer.concat(chunks, size));
+				sendBuffered(context, run, head, collector.bytes());
 			}
 		},
 		onFailure(failure) {
--- a/src/gateway/delivery/server-probes.ts
+++ b/src/gateway/delivery/server-probes.ts
@@ -72,6 +72,9 @@
 */
 export const probeTimeoutMs = 900;
 
+// The body of a response to a health check is not evaluated.
+const maximumProbeBytes = 65_536;
+
 /**
 Marks a backend server as unreachable, and logs it if that is news.
 */
@@ -137,6 +140,7 @@
 		backendLimits.recordSend(incarnationId, sentAt);
 		let use: SlotUse = 'left';
 		let isOver = false;
+		let bodyBytes = 0;
 		// Uses a connection pool of its own, because the pooled connections of requests may be dead.
 		const key = `probe ${id}`;
 		const call = client.call(
@@ -187,7 +191,15 @@
 
 					fleet.recordProbeResult(id, isHealthy ? coldMs : undefined, clock());
 				},
-				onData: () => true,
+				onData(chunk) {
+					bodyBytes += chunk.length;
+					if (bodyBytes > maximumProbeBytes) {
+						call.abort();
+						finish();
+					}
+
+					return true;
+				},
 				onEnd() {
 					finish();
 				},
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -238,6 +238,7 @@
 		gauges: {
 			requestsUnderWay: deliveries.count,
 			requestsWaiting: deliveries.queuedCount,
+			answerBytesKept: deliveries.keptBytes,
 			loopLagMilliseconds: hooks.lagMs,
 			loopUtilization: hooks.utilization,
 			overloadRefusedFraction: () => overload?.refusedFraction() ?? 0,
--- a/src/response-bodies/event-scanner.ts
+++ b/src/response-bodies/event-scanner.ts
@@ -12,6 +12,10 @@
 	Whether an event is complete.
 	*/
 	hasEvent(): boolean;
+	/**
+	Returns the number of complete events.
+	*/
+	eventCount(): number;
 };
 
 /**
@@ -40,7 +44,7 @@
 	let line: 'empty' | 'comment' | 'field' = 'empty';
 	let isEventOpen = false;
 	let isAfterCarriageReturn = false;
-	let hasEvent = false;
+	let eventCount = 0;
 
 	const beginLine = (byte: number) => {
 		line = byte === colon ? 'comment' : 'field';
@@ -50,7 +54,7 @@
 	const endLine = () => {
 		if (line === 'empty' && isEventOpen) {
 			isEventOpen = false;
-			hasEvent = true;
+			eventCount += 1;
 		}
 
 		line = 'empty';
@@ -92,7 +96,8 @@
 			}
 		},
 		isInsideEvent: () => isEventOpen || line !== 'empty',
-		hasEvent: () => hasEvent,
+		hasEvent: () => eventCount > 0,
+		eventCount: () => eventCount,
 	};
 };
 
--- a/tests/gateway/delivery/record-statements.test.ts
+++ b/tests/gateway/delivery/record-statements.test.ts
@@ -45,6 +45,7 @@
 		incarnationId: undefined,
 		sentAt: 10,
 		lastByteAt: undefined,
+		kept: undefined,
 		member: undefined,
 		region: undefined,
 		softwareVersion: undefined,
--- a/tests/gateway/intake/request-intake.test.ts
+++ b/tests/gateway/intake/request-intake.test.ts
@@ -41,6 +41,7 @@
 			cancelQuarantined: () => undefined,
 			count: () => 0,
 			queuedCount: () => 0,
+			keptBytes: () => 0,
 			dispatchQueue: () => undefined,
 			waiting: () => ({count: 0, urgency: 9}),
 		},
--- a/tests/response-bodies/body-end.test.ts
+++ b/tests/response-bodies/body-end.test.ts
@@ -10,6 +10,7 @@
 
 const eventsOf = (hasEvent: boolean, isInsideEvent: boolean) => ({
 	hasEvent: () => hasEvent,
+	eventCount: () => Number(hasEvent),
 	isInsideEvent: () => isInsideEvent,
 });
 
