Judge the runs of a silent server by its own answers, not by second calls

tests/gateway/silent-servers.test.ts was red in 7 of 10 runs on sound code. Its server works on a whole answer for 0.5 s and falls silent for 1.6 s, so a request that was sent just before has been without a byte for up to 2.1 s when the answer comes: over the 2.0 s after which a request has a second call by design. The first answer came, the second call was dropped, and the test counted its run as cut. Ruled out: a second call before the patience; the decision has a test of its own with a mocked clock.

--- a/stand-ins/pausable-server.ts
+++ b/stand-ins/pausable-server.ts
@@ -19,6 +19,10 @@
 	Ids of the requests whose connection was closed before the answer was complete.
 	*/
 	readonly cut: readonly string[];
+	/**
+	Ids of the requests whose answer was sent completely.
+	*/
+	readonly completed: readonly string[];
 	pause(): void;
 	/**
 	Sends what became due during the silence.
@@ -56,6 +60,7 @@
 ): Promise<PausableServer> => {
 	const ran: string[] = [];
 	const cut: string[] = [];
+	const completed: string[] = [];
 	const held: Array<() => void> = [];
 	let isPaused = false;
 
@@ -87,9 +92,7 @@
 	const recordRun = (response: ServerResponse, id: string) => {
 		ran.push(id);
 		response.on('close', () => {
-			if (!response.writableFinished) {
-				cut.push(id);
-			}
+			(response.writableFinished ? completed : cut).push(id);
 		});
 	};
 
@@ -146,6 +149,7 @@
 		id: entry.id,
 		ran,
 		cut,
+		completed,
 		pause() {
 			isPaused = true;
 		},
