Let a leaving node write its answers to their end

Hypotheses: (1) the drain ends as soon as no request is in flight, and a response leaves that count when it is complete, not when it is written; (2) the listener closes the connections when it stops to accept callers, also at 4.3 s.

Change: the drain waits for open responses, to callers and to other nodes; the listener stops to accept with the method of the plain server and closes idle connections by its own count.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -102,7 +102,7 @@
 		announcements,
 		leavingBroadcast,
 	} = nodeState;
-	const {intake, deliveries, observer, admission, overload} =
+	const {intake, deliveries, observer, admission, overload, openResponses} =
 		createRequestHandling(options, nodeState, {
 			onFirstWaiting() {
 				ticks.reschedule();
@@ -200,21 +200,25 @@
 			address: options.callerAddress,
 			isLeaving: () => isLeaving,
 			onRequest: intake.handle,
+			openResponses,
 			onUnreadable(reason) {
 				observer.rejected('', `unreadable: ${reason}`, 400);
 			},
 		},
 	});
 
+	// A response may be complete and still be written, to a caller who reads slowly.
+	const isIdle = () => deliveries.count() === 0 && openResponses.count() === 0;
+
 	const isIdleWithin = async (timeoutMs: number): Promise<boolean> => {
 		const until = clock() + timeoutMs;
-		while (deliveries.count() > 0 && clock() < until) {
+		while (!isIdle() && clock() < until) {
 			await new Promise((resolve) => {
 				setTimeout(resolve, gatewayTickMs);
 			});
 		}
 
-		return deliveries.count() === 0;
+		return isIdle();
 	};
 
 	return {
@@ -239,7 +243,14 @@
 			isLeaving = true;
 			admission.leave(leftAt, leftAt + timeoutMs);
 			mesh.leave();
-			logger.info({inFlight: deliveries.count()}, 'leaving');
+			logger.info(
+				{
+					inFlight: deliveries.count(),
+					waiting: deliveries.queuedCount(),
+					openResponses: openResponses.count(),
+				},
+				'leaving',
+			);
 			await new Promise((resolve) => {
 				setTimeout(resolve, Math.min(leavingAcceptMs, timeoutMs));
 			});
--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import {
 	createServer,
 	type IncomingMessage,
@@ -20,6 +20,7 @@
 } from '../../shared/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
 import type {ResponseSink} from '../exchange.ts';
+import type {OpenResponses} from './open-responses.ts';
 
 /**
 A request received with its whole body.
@@ -77,6 +78,10 @@
 		sink: ResponseSink,
 	) => () => void;
 	readonly onUnreadable: (reason: string) => void;
+	/**
+	Counts the responses to requests that were read whole.
+	*/
+	readonly openResponses: Pick<OpenResponses, 'add'>;
 };
 
 // Length of the accept queue. A full queue delays the connection of a caller by seconds.
@@ -92,6 +97,7 @@
 	options: CallerListenerOptions,
 ): Promise<CallerListener> => {
 	let {limits} = options;
+	const connections = createConnections();
 	const server = createServer(
 		{
 			noDelay: true,
@@ -102,8 +108,10 @@
 			highWaterMark: 65_536,
 		},
 		(request, response) => {
+			connections.begin(response);
 			const headAt = performance.now();
 			readBody(request, limits.maximumBodyBytes, (body) => {
+				options.openResponses.add(response);
 				const sink = createResponseSink(response, options.isLeaving);
 				if (body === 'too-large') {
 					sink.refuse(
@@ -129,6 +137,7 @@
 	);
 	// The size of the head is limited, not its lines: Node.js would drop further lines without an error.
 	server.maxHeadersCount = 0;
+	server.on('connection', connections.add);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		options.onUnreadable(error.code ?? error.message);
 		answerUnreadable(error, socket as Socket);
@@ -146,13 +155,56 @@
 			server.headersTimeout = limits.headerTimeoutMs + idleMarginMs;
 		},
 		drain() {
-			server.close();
-			server.closeIdleConnections();
+			// The method of the HTTP server also closes connections whose response has ended and is still being written.
+			NetServer.prototype.close.call(server);
+			connections.closeIdle();
 		},
 		close: async () => closeServer(server),
 	};
 };
 
+/**
+The connections of a listener.
+*/
+type Connections = {
+	add(socket: Socket): void;
+	/**
+	Marks the connection of a response as in use until the response has been written.
+	*/
+	begin(response: ServerResponse): void;
+	closeIdle(): void;
+};
+
+const createConnections = (): Connections => {
+	const idle = new Set<Socket>();
+	return {
+		add(socket) {
+			idle.add(socket);
+			socket.once('close', () => {
+				idle.delete(socket);
+			});
+		},
+		begin(response) {
+			const {socket} = response;
+			if (!socket) {
+				return;
+			}
+
+			idle.delete(socket);
+			response.once('close', () => {
+				if (!socket.destroyed) {
+					idle.add(socket);
+				}
+			});
+		},
+		closeIdle() {
+			for (const socket of idle) {
+				socket.destroy();
+			}
+		},
+	};
+};
+
 /**
 Reads a whole body. `done` is not called when the sender aborts.
 */
--- a/src/gateway/intake/request-intake.ts
+++ b/src/gateway/intake/request-intake.ts
@@ -18,6 +18,7 @@
 	type ReceivedRequest,
 } from './caller-listener.ts';
 import {createHopSink} from './hop-sink.ts';
+import type {OpenResponses} from './open-responses.ts';
 import type {RequestDeferral} from './request-deferral.ts';
 import type {LeavingAdmission} from './leaving-admission.ts';
 import type {NodeOverload} from './node-overload.ts';
@@ -69,6 +70,10 @@
 	*/
 	readonly admit: (exchange: Exchange) => SharedVerdict;
 	readonly without: DisabledMechanisms;
+	/**
+	Counts the responses to forwarded requests.
+	*/
+	readonly openResponses: Pick<OpenResponses, 'add'>;
 	readonly readContext: () => ReadContext;
 };
 
@@ -95,6 +100,7 @@
 	socketWaitMs,
 	admit,
 	without,
+	openResponses,
 	readContext,
 }: RequestIntakeOptions): RequestIntake => {
 	// A forwarded request is also cut off when this node exits, but its origin knows of no better node:
@@ -250,6 +256,7 @@
 					return;
 				}
 
+				openResponses.add(response);
 				const sink = createHopSink(response);
 				const received = toReceivedRequest(
 					request,
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -21,8 +21,10 @@
 	createRequestDeferral,
 	createLeavingAdmission,
 	createNodeOverload,
+	createOpenResponses,
 	socketWaitOf,
 	type NodeOverload,
+	type OpenResponses,
 	type LeavingAdmission,
 	createRequestIntake,
 	type RequestIntake,
@@ -38,6 +40,7 @@
 	readonly observer: GatewayObserver;
 	readonly admission: LeavingAdmission;
 	readonly overload: NodeOverload | undefined;
+	readonly openResponses: OpenResponses;
 };
 
 /**
@@ -274,7 +277,9 @@
 			promptPartsQuarantined: () => quarantine.partsQuarantined(clock()),
 		},
 	});
+	const openResponses = createOpenResponses();
 	const intake = createRequestIntake({
+		openResponses,
 		deliveries,
 		observer,
 		admission,
@@ -297,7 +302,7 @@
 			now: clock(),
 		}),
 	});
-	return {intake, deliveries, observer, admission, overload};
+	return {intake, deliveries, observer, admission, overload, openResponses};
 };
 
 const tokensOf = (prompt: Prompt | undefined): number | undefined =>
--- a/tests/gateway/intake/request-deferral.test.ts
+++ b/tests/gateway/intake/request-deferral.test.ts
@@ -11,6 +11,7 @@
 	socketWaitOf,
 } from '../../../src/gateway/intake/request-deferral.ts';
 import {startCallerListener} from '../../../src/gateway/intake/caller-listener.ts';
+import {createOpenResponses} from '../../../src/gateway/intake/open-responses.ts';
 
 const port = 8000;
 
@@ -52,6 +53,7 @@
 	let handled = 0;
 	const left = Promise.withResolvers<void>();
 	const listener = await startCallerListener({
+		openResponses: createOpenResponses(),
 		address: `${host}:${port}`,
 		limits: {
 			maximumHeaderBytes: 16_384,
--- a/tests/gateway/intake/request-intake.test.ts
+++ b/tests/gateway/intake/request-intake.test.ts
@@ -6,6 +6,7 @@
 import type {GatewayError} from '../../../src/errors/index.ts';
 import {createRouteTable} from '../../../src/routes/index.ts';
 import {documentOf, names, routeOf} from '../fixtures.ts';
+import {createOpenResponses} from '../../../src/gateway/intake/open-responses.ts';
 
 const now = 10_000;
 const timeoutMs = 4000;
@@ -32,6 +33,7 @@
 	const delivered: Exchange[] = [];
 	const refused: GatewayError[] = [];
 	const intake = createRequestIntake({
+		openResponses: createOpenResponses(),
 		deliveries: {
 			deliver(exchange) {
 				delivered.push(exchange);
--- a/tests/gateway/leaving-node.test.ts
+++ b/tests/gateway/leaving-node.test.ts
@@ -1,7 +1,11 @@
 import {test, type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
 import {startGateways} from '../../stand-ins/gateways.ts';
-import {startStandInServer} from '../../stand-ins/registered-server.ts';
+import {
+	startStandInServer,
+	type StandInAnswer,
+} from '../../stand-ins/registered-server.ts';
 import {writeRoutes} from '../../stand-ins/registry.ts';
 import {standInHeaders} from '../../stand-ins/stand-in-headers.ts';
 import {waitUntil} from '../until.ts';
@@ -15,8 +19,10 @@
 const running = ['running-1', 'running-2'];
 const waitingRequests = 6;
 
-// Two nodes in two regions and one server in the home of the route, whose only slot a stream occupies.
-const setUp = async (t: TestContext) => {
+const longStream: StandInAnswer = {kind: 'events', count: 300, pauseMs: 50};
+
+// Two nodes in two regions and one server with one slot in the home of the route.
+const setUp = async (t: TestContext, answer: StandInAnswer = longStream) => {
 	const deployment = await startGateways(zones, 2);
 	writeRoutes(
 		deployment.registry,
@@ -41,14 +47,18 @@
 			availabilityZone: 'north',
 			slots: 1,
 		},
-		{kind: 'events', count: 300, pauseMs: 50},
+		answer,
 	);
 	t.after(async () => {
 		await deployment.stop();
 		await server.close();
 	});
 
-	const ask = async (index: number, id: string) => {
+	const ask = async (
+		index: number,
+		id: string,
+		beforeReading: () => Promise<void> = async () => undefined,
+	) => {
 		try {
 			const {statusCode, headers, body} = await request(
 				`http://${deployment.callerAddresses[index]}/a/b`,
@@ -62,6 +72,7 @@
 					},
 				},
 			);
+			await beforeReading();
 			return {status: statusCode, headers, text: await body.text()};
 		} catch {
 			return {status: 0, headers: {}, text: ''};
@@ -146,3 +157,24 @@
 		await drained;
 	});
 }
+
+// Guards against answers that are cut although their server has made them and their callers still read them.
+test('a leaving node writes its answers to their end before it exits', async (t: TestContext) => {
+	// Longer than what the sockets of both sides buffer.
+	const length = 12_582_912;
+	const longDrainMs = 10_000;
+	// Longer than a leaving node accepts callers.
+	const readingPauseMs = 5000;
+	const {deployment, ask} = await setUp(t, {
+		kind: 'whole',
+		text: 'a'.repeat(length),
+	});
+	const node = deployment.nodes[0]!;
+	let exited: Promise<void> | undefined;
+	const {status, text} = await ask(0, 'slow', async () => {
+		exited = node.drain(longDrainMs).then(async () => node.stop());
+		await sleep(readingPauseMs);
+	});
+	t.assert.deepStrictEqual([status, text.length], [200, length]);
+	await exited;
+});
