Let the soak stop nodes while requests wait, and servers send without end

Two promises are new: `stop` (a request that waited at a stopped node and that no server received ends with a refusal) and `memory` (no node takes over 350 MB).

Callers that read long answers slowly are not played yet.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -38,6 +38,8 @@
 		| 'fatal part'
 		| 'refusals'
 		| 'silence'
+		| 'stop'
+		| 'memory'
 		| 'recovery';
 	readonly detail: string;
 };
@@ -62,6 +64,10 @@
 	Time from which all nodes and servers work without faults again.
 	*/
 	readonly recoveredAt: number;
+	/**
+	The largest amount of memory that a node has taken, in MB.
+	*/
+	readonly peakMemoryMb: number;
 };
 
 const drainMs = 3000;
@@ -98,6 +104,8 @@
 		...checkFatalPart(history),
 		...checkFalls(history),
 		...checkSilence(withoutFatalPart(history)),
+		...checkStops(history),
+		...checkMemory(history),
 	];
 };
 
@@ -106,6 +114,50 @@
 	records: history.records.filter(({hasFatalPart}) => !hasFatalPart),
 });
 
+// A request is certainly read if it was sent this long before the node was stopped, in milliseconds.
+const readMs = 200;
+const badGateway = 502;
+
+// A stopped node refuses the requests that it has read and not sent, or sends them.
+const checkStops = ({
+	records,
+	events,
+	disturbances,
+}: SoakHistory): readonly Violation[] => {
+	const arrived = new Set(events.map(({requestId}) => requestId));
+	const stops = disturbances.filter(({isStop}) => isStop);
+	return records
+		.filter(
+			({requestId, status, leftAt, sentAt, node, latencyMs}) =>
+				(status === 0 || status === badGateway) &&
+				leftAt === Infinity &&
+				!arrived.has(requestId) &&
+				stops.some(
+					(stop) =>
+						stop.node === node &&
+						sentAt < stop.from - readMs &&
+						sentAt + latencyMs > stop.from,
+				),
+		)
+		.map(({requestId, status}) => ({
+			promise: 'stop',
+			detail: `request ${requestId} waited at a stopped node and ended with status ${status}, though no server had received it`,
+		}));
+};
+
+// The memory that the users' smallest VMs allow a node.
+const maximumMemoryMb = 350;
+
+const checkMemory = ({peakMemoryMb}: SoakHistory): readonly Violation[] =>
+	peakMemoryMb <= maximumMemoryMb
+		? []
+		: [
+				{
+					promise: 'memory',
+					detail: `a node took ${Math.round(peakMemoryMb)} MB, ${maximumMemoryMb} MB allowed`,
+				},
+			];
+
 const cutFractionInVain = 0.01;
 
 // Nodes leave the requests at a silent server where they are while callers wait, except for those whose caller has left, whose deadline
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -26,7 +26,11 @@
 				| 'hang'
 				| 'crash'
 				| 'upgrade'
-				| 'unframed';
+				| 'unframed'
+				/**
+				Responses, also to health checks, never end.
+				*/
+				| 'endless';
 			/**
 			Index of the backend server.
 			*/
@@ -42,7 +46,15 @@
 			readonly servers: number;
 			readonly forMs: number;
 	  }
-	| {readonly kind: 'registry-away'; readonly forMs: number}
+	/**
+	All servers are so slow that requests wait, and a node is stopped meanwhile.
+	*/
+	| {
+			readonly kind: 'crowd';
+			readonly node: number;
+			readonly forMs: number;
+	  }
+	| {readonly kind: 'registry-away' | 'routes'; readonly forMs: number}
 	| {
 			readonly kind: 'registry-restored';
 			readonly forMs: number;
@@ -56,7 +68,7 @@
 	refuse too many requests.
 	*/
 	| {
-			readonly kind: 'routes' | 'fatal-part' | 'brittle';
+			readonly kind: 'fatal-part' | 'brittle';
 			readonly forMs: number;
 	  };
 
@@ -109,6 +121,36 @@
 		at += minimumGapMs + random.below(gapRangeMs);
 	}
 
+	return [...plan, ...planRareFaults(options)].toSorted(
+		(left, right) => left.at - right.at,
+	);
+};
+
+const rareSeedOffset = 1_000_003;
+const minimumRareGapMs = 3000;
+const rareGapRangeMs = 5000;
+
+// These are drawn by themselves, so that the other faults of a seed stay the same.
+const planRareFaults = ({
+	seed,
+	nodes,
+	servers,
+	lengthMs,
+}: PlanOptions): readonly PlannedFault[] => {
+	const random = createRandom(seed + rareSeedOffset);
+	const plan: PlannedFault[] = [];
+	let at = minimumRareGapMs;
+	while (at < lengthMs) {
+		const forMs =
+			minimumDurationMs + random.below(maximumDurationMs - minimumDurationMs);
+		const fault: Fault =
+			random.below(2) === 0
+				? {kind: 'crowd', node: random.below(nodes - 1), forMs}
+				: {kind: 'endless', server: random.below(servers - 1), forMs};
+		plan.push({at, fault});
+		at += minimumRareGapMs + random.below(rareGapRangeMs);
+	}
+
 	return plan;
 };
 
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -57,6 +57,8 @@
 const limitPerSecond = 4;
 const extraLimitMs = 6000;
 const extraBrittleMs = 4000;
+// Time in which all slots are taken and requests begin to wait.
+const crowdMs = 1200;
 
 /**
 Runs a soak test and checks the guarantees of the gateway.
@@ -117,6 +119,7 @@
 			falls: servers.flatMap(({falls}) => falls),
 			servers: servers.length,
 			disturbances: nodes.disturbances,
+			peakMemoryMb: nodes.peakMemoryMb(),
 			recoveredAt,
 		};
 		return {violations: checkSoak(history), history, logFolder};
@@ -221,6 +224,7 @@
 		case 'break':
 		case 'hang':
 		case 'unframed':
+		case 'endless':
 		case 'crash': {
 			servers[fault.server]!.setBehaviour(fault.kind);
 			await sleep(fault.forMs);
@@ -228,10 +232,6 @@
 			return;
 		}
 
-		case 'silence': {
-			return playSilence(servers.slice(0, fault.servers), fault.forMs, routes);
-		}
-
 		case 'registry-away': {
 			return routes.takeRegistryDown(fault.forMs);
 		}
@@ -245,6 +245,30 @@
 			return;
 		}
 
+		default: {
+			return playServersFault(fault, {nodes, servers, routes});
+		}
+	}
+};
+
+type ServersFault = Extract<
+	Fault,
+	{readonly kind: 'crowd' | 'silence' | 'brittle' | 'fatal-part'}
+>;
+
+const playServersFault = async (
+	fault: ServersFault,
+	{nodes, servers, routes}: Targets,
+): Promise<void> => {
+	switch (fault.kind) {
+		case 'crowd': {
+			return playCrowd(fault.node, fault.forMs, {nodes, servers});
+		}
+
+		case 'silence': {
+			return playSilence(servers.slice(0, fault.servers), fault.forMs, routes);
+		}
+
 		case 'brittle': {
 			return playBrittle(servers, fault.forMs);
 		}
@@ -275,6 +299,26 @@
 	}
 };
 
+// The node stops once requests wait for slots.
+const playCrowd = async (
+	node: number,
+	forMs: number,
+	{nodes, servers}: Pick<Targets, 'nodes' | 'servers'>,
+): Promise<void> => {
+	for (const server of servers) {
+		server.setSlow(true);
+	}
+
+	await sleep(crowdMs);
+	const restarted = nodes.restart(node, 'SIGTERM', forMs / 4);
+	await sleep(forMs);
+	for (const server of servers) {
+		server.setSlow(false);
+	}
+
+	await restarted;
+};
+
 const playBrittle = async (
 	servers: readonly SoakServer[],
 	forMs: number,
--- a/soak/soak-nodes.ts
+++ b/soak/soak-nodes.ts
@@ -1,6 +1,7 @@
 /**
 Nodes of a soak test: processes that are suspended, killed, stopped and restarted.
 */
+import {readFileSync} from 'node:fs';
 import {startProcess, type Process} from '../stand-ins/child-process.ts';
 
 /**
@@ -10,6 +11,10 @@
 	readonly node: number;
 	readonly from: number;
 	until: number;
+	/**
+	Whether the node was stopped by SIGTERM.
+	*/
+	readonly isStop: boolean;
 };
 
 /**
@@ -28,6 +33,10 @@
 		signal: 'SIGKILL' | 'SIGTERM',
 		afterMs: number,
 	): Promise<void>;
+	/**
+	Returns the largest amount of memory that a running node has taken, in MB.
+	*/
+	peakMemoryMb(): number;
 	stop(): Promise<void>;
 };
 
@@ -91,8 +100,13 @@
 	const processes = Array.from({length: nodes}, (_, node) => start(node));
 	const busy = new Set<number>();
 
-	const begin = (node: number): Disturbance => {
-		const disturbance = {node, from: performance.now(), until: Infinity};
+	const begin = (node: number, isStop = false): Disturbance => {
+		const disturbance = {
+			node,
+			from: performance.now(),
+			until: Infinity,
+			isStop,
+		};
 		disturbances.push(disturbance);
 		return disturbance;
 	};
@@ -127,7 +141,7 @@
 			}
 
 			busy.add(node);
-			const disturbance = begin(node);
+			const disturbance = begin(node, signal === 'SIGTERM');
 			processes[node]!.child.kill(signal);
 			await processes[node]!.exited;
 			await new Promise((resolve) => {
@@ -137,6 +151,8 @@
 			disturbance.until = performance.now();
 			busy.delete(node);
 		},
+		peakMemoryMb: () =>
+			Math.max(...processes.map(({child}) => peakMemoryMbOf(child.pid))),
 		async stop() {
 			for (const {child} of processes) {
 				child.kill('SIGCONT');
@@ -147,3 +163,17 @@
 		},
 	};
 };
+
+const kilobytesPerMb = 1024;
+
+// The peak of the resident memory, as the kernel states it; 0 for a process that has ended.
+const peakMemoryMbOf = (processId: number | undefined): number => {
+	try {
+		const status = readFileSync(`/proc/${processId}/status`, 'utf8');
+		const kilobytes = /^VmHWM:\s+(?<kilobytes>\d+)/mv.exec(status)?.groups
+			?.kilobytes;
+		return Number(kilobytes ?? 0) / kilobytesPerMb;
+	} catch {
+		return 0;
+	}
+};
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {productHeaders} from '../src/gateway/product-headers.ts';
 import {closeServer} from '../src/shared/index.ts';
+import {endlessResponses, writeEndless} from '../stand-ins/endless-bytes.ts';
 import {listenAt} from '../stand-ins/http-server.ts';
 import type {StandInRegistry} from '../stand-ins/registry.ts';
 
@@ -90,7 +91,11 @@
 	/**
 	Streams have neither a length nor chunks, and every other one is cut inside an event.
 	*/
-	| 'unframed';
+	| 'unframed'
+	/**
+	Responses, also to health checks, never end: each in the next one of the ways in which a server can do that.
+	*/
+	| 'endless';
 
 /**
 Controls a simulated server of a soak test.
@@ -107,6 +112,10 @@
 	*/
 	setBrittle(isBrittle: boolean): void;
 	/**
+	Sets whether the server works so slowly that requests wait.
+	*/
+	setSlow(isSlow: boolean): void;
+	/**
 	Sets whether the server crashes on the fatal part.
 	*/
 	setFatal(isFatal: boolean): void;
@@ -150,6 +159,7 @@
 const pauseMs = 10;
 const slots = 8;
 const brittleWorkMs = 300;
+const slowWorkMs = 1200;
 const brittleRoom = 1;
 // Time after the first statement until the server lets fewer requests wait.
 const brittleAdoptionMs = 1500;
@@ -200,6 +210,8 @@
 	let accepted = 0;
 	let isFatal = false;
 	let streams = 0;
+	let isSlow = false;
+	let endless = 0;
 	let behaviour: Behaviour = 'sound';
 	let isLeaving = false;
 	let limit: number | undefined;
@@ -325,6 +337,9 @@
 		closeUnframed(response, isCut);
 	};
 
+	const workTimeMs = (): number =>
+		isSlow ? slowWorkMs : brittleSince === undefined ? workMs : brittleWorkMs;
+
 	const isFull = (): boolean =>
 		brittleSince !== undefined &&
 		performance.now() - brittleSince > brittleAdoptionMs &&
@@ -376,6 +391,23 @@
 		}, downMs);
 	};
 
+	const sendEndless = (response: ServerResponse, requestId: string) => {
+		const {socket} = response;
+		if (!socket) {
+			return;
+		}
+
+		const headers = Object.entries({
+			...headersOf(requestId),
+			[productHeaders.signature]: `${id}/${requestId}`,
+		}).map(([name, value]) => `${name}: ${value}\r\n`);
+		const ways = Object.values(
+			endlessResponses(`HTTP/1.1 200 OK\r\n${headers.join('')}`, requestId),
+		);
+		endless += 1;
+		writeEndless(socket, ways[endless % ways.length]!);
+	};
+
 	const run = (
 		request: IncomingMessage,
 		response: ServerResponse,
@@ -393,6 +425,11 @@
 				return;
 			}
 
+			case 'endless': {
+				sendEndless(response, requestId);
+				return;
+			}
+
 			case 'fail': {
 				response.writeHead(500, headersOf(requestId)).end();
 				return;
@@ -440,6 +477,11 @@
 			return;
 		}
 
+		if (behaviour === 'endless' && request.url === '/health') {
+			sendEndless(response, '');
+			return;
+		}
+
 		if (request.url === '/health') {
 			const status = behaviour === 'sound' && !isLeaving ? 200 : 503;
 			response.writeHead(status, {[productHeaders.serverId]: id}).end();
@@ -491,14 +533,11 @@
 			response.once('close', () => {
 				accepted -= 1;
 			});
-			setTimeout(
-				() => {
-					act(() => {
-						run(request, response, requestId);
-					});
-				},
-				brittleSince === undefined ? workMs : brittleWorkMs,
-			);
+			setTimeout(() => {
+				act(() => {
+					run(request, response, requestId);
+				});
+			}, workTimeMs());
 		}
 	};
 
@@ -523,6 +562,9 @@
 				? (brittleSince ?? performance.now())
 				: undefined;
 		},
+		setSlow(next) {
+			isSlow = next;
+		},
 		setFatal(next) {
 			isFatal = next;
 		},
--- a/tests/gateway/endless-answers.test.ts
+++ b/tests/gateway/endless-answers.test.ts
@@ -3,15 +3,15 @@
 import {request} from 'undici';
 import {maximumAnswerBytes} from '../../src/gateway/delivery/answer-buffer.ts';
 import type {Route} from '../../src/routes/index.ts';
+import {
+	endlessResponses,
+	type EndlessBytes,
+} from '../../stand-ins/endless-bytes.ts';
 import {startGateways} from '../../stand-ins/gateways.ts';
 import {startStandInServer} from '../../stand-ins/registered-server.ts';
 import {writeRoutes} from '../../stand-ins/registry.ts';
 import {standInHeaders} from '../../stand-ins/stand-in-headers.ts';
-import {
-	endlessResponses,
-	startEndlessServer,
-	type EndlessBytes,
-} from '../endless-server.ts';
+import {startEndlessServer} from '../endless-server.ts';
 import {waitUntil} from '../until.ts';
 import {documentOf, routeOf, serviceOf} from './fixtures.ts';
 
--- a/tests/shared/endless-responses.test.ts
+++ b/tests/shared/endless-responses.test.ts
@@ -8,7 +8,8 @@
 import {createPlatformClient} from '../../src/platform/index.ts';
 import {createHttpRegistrySource} from '../../src/registry/http-source.ts';
 import {maximumOverheadBytes, type Address} from '../../src/shared/index.ts';
-import {endlessResponses, startEndlessServer} from '../endless-server.ts';
+import {endlessResponses} from '../../stand-ins/endless-bytes.ts';
+import {startEndlessServer} from '../endless-server.ts';
 import {waitUntil} from '../until.ts';
 
 type Reader = {
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -54,6 +54,7 @@
 		falls: [],
 		servers: 5,
 		recoveredAt: Infinity,
+		peakMemoryMb: 0,
 		...history,
 	}).map(({promise}) => promise);
 
@@ -74,7 +75,7 @@
 	t.assert.deepStrictEqual(play({...cut, cutAfterMs: 2500}), []);
 	t.assert.deepStrictEqual(play(cut, {leftAt: 2000}), []);
 	t.assert.deepStrictEqual(play({...cut, endedAt: 3990}), []);
-	const disturbances = [{node: 0, from: 1500, until: 1600}];
+	const disturbances = [{node: 0, from: 1500, until: 1600, isStop: false}];
 	t.assert.deepStrictEqual(play(cut, {}, {disturbances}), []);
 });
 
@@ -263,7 +264,7 @@
 	t.assert.deepStrictEqual(
 		violatedBy({
 			events: [statement, late],
-			disturbances: [{node: 0, from: 3000, until: 3500}],
+			disturbances: [{node: 0, from: 3000, until: 3500, isStop: false}],
 		}),
 		[],
 	);
@@ -296,9 +297,39 @@
 	t.assert.deepStrictEqual(violatedBy({falls: [...falls, fall]}), ['refusals']);
 	const later = {...fall, brittleSince: 8000};
 	t.assert.deepStrictEqual(violatedBy({falls: [...falls, later]}), []);
-	const disturbances = [{node: 1, from: 2000, until: 5000}];
+	const disturbances = [{node: 1, from: 2000, until: 5000, isStop: false}];
 	t.assert.deepStrictEqual(
 		violatedBy({falls: [...falls, fall], disturbances}),
 		[],
 	);
 });
+
+test('a request that waited at a stopped node and ended unsent without a refusal is a violation', (t: TestContext) => {
+	const disturbances = [{node: 0, from: 1000, until: 5000, isStop: true}];
+	const waiting = recordOf({sentAt: 500, latencyMs: 3000, status: 0});
+	const play = (
+		change: Partial<CallerRecord>,
+		history: Partial<SoakHistory> = {},
+	) =>
+		violatedBy({
+			records: [{...waiting, ...change}],
+			disturbances,
+			...history,
+		}).filter((promise) => promise === 'stop');
+	t.assert.deepStrictEqual(play({}), ['stop']);
+	t.assert.deepStrictEqual(play({status: 502}), ['stop']);
+	t.assert.deepStrictEqual(play({status: 503}), []);
+	t.assert.deepStrictEqual(play({leftAt: 900}), []);
+	t.assert.deepStrictEqual(play({sentAt: 990}), []);
+	t.assert.deepStrictEqual(play({latencyMs: 400}), []);
+	t.assert.deepStrictEqual(play({}, {events: [eventFor()]}), []);
+	t.assert.deepStrictEqual(
+		play({}, {disturbances: [{...disturbances[0]!, isStop: false}]}),
+		[],
+	);
+});
+
+test('a node that takes more memory than the smallest VM has is a violation', (t: TestContext) => {
+	t.assert.deepStrictEqual(violatedBy({peakMemoryMb: 350}), []);
+	t.assert.deepStrictEqual(violatedBy({peakMemoryMb: 351}), ['memory']);
+});
