Tell incarnations and received requests apart in the checks of the soak

The check knew only the requests that servers accept. Servers now record each head that arrives, also while they are silent. The check took a restart to be seen by an answer without the announcement in between, which slow servers do not give. It compares incarnations now.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -65,6 +65,10 @@
 	*/
 	readonly recoveredAt: number;
 	/**
+	Ids of the requests whose heads have arrived at a server, also at a silent one.
+	*/
+	readonly received: ReadonlySet<string>;
+	/**
 	The largest amount of memory that a node has taken, in MB.
 	*/
 	readonly peakMemoryMb: number;
@@ -121,17 +125,16 @@
 // A stopped node refuses the requests that it has read and not sent, or sends them.
 const checkStops = ({
 	records,
-	events,
+	received,
 	disturbances,
 }: SoakHistory): readonly Violation[] => {
-	const arrived = new Set(events.map(({requestId}) => requestId));
 	const stops = disturbances.filter(({isStop}) => isStop);
 	return records
 		.filter(
 			({requestId, status, leftAt, sentAt, node, latencyMs}) =>
 				(status === 0 || status === badGateway) &&
 				leftAt === Infinity &&
-				!arrived.has(requestId) &&
+				!received.has(requestId) &&
 				stops.some(
 					(stop) =>
 						stop.node === node &&
@@ -408,9 +411,13 @@
 	later: readonly ServerEvent[],
 	isExempt: Exemption,
 ): readonly Violation[] => {
-	// A later answer without the announcement comes from the restarted server.
+	// A restarted server is another one, which may announce its shutdown anew.
 	const late = statement.isLeaving
-		? later.find(({at}) => at > statement.at + drainMs + inFlightMs)
+		? later.find(
+				({at, incarnation}) =>
+					incarnation === statement.incarnation &&
+					at > statement.at + drainMs + inFlightMs,
+			)
 		: undefined;
 	return !late?.isLeaving || isExempt(statement.at, late.at)
 		? []
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -119,6 +119,7 @@
 			falls: servers.flatMap(({falls}) => falls),
 			servers: servers.length,
 			disturbances: nodes.disturbances,
+			received: new Set(servers.flatMap(({received}) => [...received])),
 			peakMemoryMb: nodes.peakMemoryMb(),
 			recoveredAt,
 		};
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -21,6 +21,10 @@
 	*/
 	readonly at: number;
 	readonly server: string;
+	/**
+	Increases with each restart of the server.
+	*/
+	readonly incarnation: number;
 	readonly requestId: string;
 	/**
 	Number of stream events that the caller had already received.
@@ -108,6 +112,10 @@
 	readonly crashes: readonly number[];
 	readonly falls: readonly ServerFall[];
 	/**
+	Ids of the requests whose heads have arrived.
+	*/
+	readonly received: ReadonlySet<string>;
+	/**
 	Sets whether the server is slow, lets few requests wait, states a limit on refusals, and fails beyond it.
 	*/
 	setBrittle(isBrittle: boolean): void;
@@ -205,6 +213,7 @@
 	const events: ServerEvent[] = [];
 	const crashes: number[] = [];
 	const falls: ServerFall[] = [];
+	const received = new Set<string>();
 	let refused: Array<{readonly at: number; readonly requestId: string}> = [];
 	let brittleSince: number | undefined;
 	let accepted = 0;
@@ -496,6 +505,7 @@
 		const event: ServerEvent = {
 			at: performance.now(),
 			server: id,
+			incarnation: startedAt,
 			requestId,
 			resumedAfter: Number(request.headers['last-event-id'] ?? 0),
 			isRun: !isRefused,
@@ -542,6 +552,7 @@
 	};
 
 	const server = createServer((request, response) => {
+		received.add(String(request.headers[productHeaders.requestId]));
 		request.resume();
 		request.once('end', () => {
 			const wasHeld = silentSince !== undefined;
@@ -557,6 +568,7 @@
 		events,
 		crashes,
 		falls,
+		received,
 		setBrittle(isBrittle) {
 			brittleSince = isBrittle
 				? (brittleSince ?? performance.now())
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -29,6 +29,7 @@
 const eventFor = (change: Partial<ServerEvent> = {}): ServerEvent => ({
 	at: 10,
 	server: 'a',
+	incarnation: 1,
 	requestId: '0-1',
 	resumedAfter: 0,
 	isRun: true,
@@ -54,6 +55,7 @@
 		falls: [],
 		servers: 5,
 		recoveredAt: Infinity,
+		received: new Set(),
 		peakMemoryMb: 0,
 		...history,
 	}).map(({promise}) => promise);
@@ -322,7 +324,7 @@
 	t.assert.deepStrictEqual(play({leftAt: 900}), []);
 	t.assert.deepStrictEqual(play({sentAt: 990}), []);
 	t.assert.deepStrictEqual(play({latencyMs: 400}), []);
-	t.assert.deepStrictEqual(play({}, {events: [eventFor()]}), []);
+	t.assert.deepStrictEqual(play({}, {received: new Set(['0-1'])}), []);
 	t.assert.deepStrictEqual(
 		play({}, {disturbances: [{...disturbances[0]!, isStop: false}]}),
 		[],
@@ -333,3 +335,15 @@
 	t.assert.deepStrictEqual(violatedBy({peakMemoryMb: 350}), []);
 	t.assert.deepStrictEqual(violatedBy({peakMemoryMb: 351}), ['memory']);
 });
+
+test('a restarted server that announces its shutdown anew has received no late request', (t: TestContext) => {
+	const statement = eventFor({isLeaving: true});
+	const late = eventFor({isLeaving: true, requestId: '0-2', at: 9000});
+	t.assert.deepStrictEqual(violatedBy({events: [statement, late]}), [
+		'leaving',
+	]);
+	t.assert.deepStrictEqual(
+		violatedBy({events: [statement, {...late, incarnation: 2}]}),
+		[],
+	);
+});
