--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -135,7 +135,7 @@
 			});
 		},
 	);
-	// The size of the head is limited, not its lines: Node.js would drop further lines without an error.
+	// The size of a head is limited, not the number of its lines.
 	server.maxHeadersCount = 0;
 	server.on('connection', connections.add);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -126,8 +126,7 @@
 };
 
 /**
-Starts an HTTP server at an address. The number of header lines is not limited, because Node.js would drop those beyond a limit, among
-them the ones that nodes add.
+Starts an HTTP server at an address. Heads are limited by their size, not by the number of their lines.
 */
 export const listen = async (
 	address: Address,
