Count the responses of a connection, of which there may be several

A caller that sends requests ahead has several responses on one connection; the first one to end made it idle in the count with which a leaving node closes its connections.

--- a/src/gateway/delivery/wait-for-capacity.ts
+++ b/src/gateway/delivery/wait-for-capacity.ts
@@ -90,12 +90,11 @@
 ): QueuedRequest => {
 	const now = context.clock();
 	const {route, service, receivedAt, hop} = run.exchange;
-	const expiresAt = latestStart(context, run);
 	return {
 		priority: route.priority,
 		queuedAt: now,
 		targetAt: receivedAt + route.targetLatencyMs,
-		expiresAt,
+		expiresAt: latestStart(context, run),
 		// A stream that has begun is cut where it is when this node exits, whether it waits or not.
 		expectedMs: run.hasBegun ? 0 : expectedMs(context, run),
 		origin: hop?.origin,
--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -169,19 +169,26 @@
 type Connections = {
 	add(socket: Socket): void;
 	/**
-	Marks the connection of a response as in use until the response has been written.
+	Counts a response of its connection until it has been written.
 	*/
 	begin(response: ServerResponse): void;
 	closeIdle(): void;
 };
 
 const createConnections = (): Connections => {
-	const idle = new Set<Socket>();
+	const responses = new Map<Socket, number>();
+	const change = (socket: Socket, by: number) => {
+		const count = responses.get(socket);
+		if (count !== undefined) {
+			responses.set(socket, count + by);
+		}
+	};
+
 	return {
 		add(socket) {
-			idle.add(socket);
+			responses.set(socket, 0);
 			socket.once('close', () => {
-				idle.delete(socket);
+				responses.delete(socket);
 			});
 		},
 		begin(response) {
@@ -190,16 +197,16 @@
 				return;
 			}
 
-			idle.delete(socket);
+			change(socket, 1);
 			response.once('close', () => {
-				if (!socket.destroyed) {
-					idle.add(socket);
-				}
+				change(socket, -1);
 			});
 		},
 		closeIdle() {
-			for (const socket of idle) {
-				socket.destroy();
+			for (const [socket, count] of responses) {
+				if (count === 0) {
+					socket.destroy();
+				}
 			}
 		},
 	};
