--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -4,6 +4,7 @@
 import {callerPatienceMs} from '../src/backends/index.ts';
 import {maximumInWindow} from '../tests/most-in-span.ts';
 import {
+	callerDeadlineMs,
 	eventsIn,
 	firstOf,
 	lastIndexOf,
@@ -134,6 +135,7 @@
 			({requestId, status, leftAt, sentAt, node, latencyMs}) =>
 				(status === 0 || status === badGateway) &&
 				leftAt === Infinity &&
+				latencyMs < callerDeadlineMs &&
 				!received.has(requestId) &&
 				stops.some(
 					(stop) =>
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -77,7 +77,10 @@
 	eventsIn(record).at(-1)?.index ??
 	(record.continues ? lastIndexOf(record.continues) : 0);
 
-const deadlineMs = 3000;
+/**
+Time that callers state, in milliseconds. They give up a little later.
+*/
+export const callerDeadlineMs = 3000;
 // The caller of every n-th request disconnects before the answer.
 const leaveEvery = 20;
 const leaveAfterMs = 25;
@@ -140,7 +143,7 @@
 				headers: {
 					host: 'site.example',
 					[productHeaders.requestId]: requestId,
-					[productHeaders.remainingMs]: String(deadlineMs),
+					[productHeaders.remainingMs]: String(callerDeadlineMs),
 					...(kind === 'stream' && {
 						[productHeaders.tokenUsage]: '3,5',
 						[productHeaders.promptParts]: partsOf(sent, hasFatalPart),
@@ -151,7 +154,7 @@
 					}),
 				},
 				signal: AbortSignal.timeout(
-					willLeave ? leaveAfterMs : deadlineMs + 500,
+					willLeave ? leaveAfterMs : callerDeadlineMs + 500,
 				),
 			});
 			head = {
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -414,6 +414,8 @@
 			endlessResponses(`HTTP/1.1 200 OK\r\n${headers.join('')}`, requestId),
 		);
 		endless += 1;
+		// Nodes end such a response, which is due to its bytes and not to a silence.
+		closedHere.add(response);
 		writeEndless(socket, ways[endless % ways.length]!);
 	};
 
--- a/tests/gateway/delivery/delivery.test.ts
+++ b/tests/gateway/delivery/delivery.test.ts
@@ -16,6 +16,7 @@
 	exchangeFor,
 	setUp,
 	signed,
+	type Sent,
 } from './delivery-scene.ts';
 
 test('a complete response is passed on with its status', () => {
@@ -307,6 +308,57 @@
 		? {kind: 'none'}
 		: {kind: 'peer', member: memberOf('node-2', 'far'), region: 'far'};
 
+// Guards against a region that seems full because one of its nodes is leaving.
+test('a request that a leaving node refuses is sent to another node of that region', () => {
+	const fullRegions: number[] = [];
+	const choose: UpstreamChooser = (_exchange, {members, regions}) => {
+		fullRegions.push(regions.size);
+		const id = members.has('node-2') ? 'node-3' : 'node-2';
+		return {kind: 'peer', member: memberOf(id, 'far'), region: 'far'};
+	};
+
+	for (const [leaving, full] of [
+		['true', 0],
+		['false', 1],
+	] as const) {
+		const {deliveries, sent} = setUp([], 1000, true, choose);
+		deliveries.deliver(exchangeFor({}), createSink().sink);
+		answer(sent[0]!, 503, {
+			[hopHeaders.result]: 'refused',
+			[hopHeaders.outcome]: 'not-run',
+			[hopHeaders.leaving]: leaving,
+		});
+		assert.equal(sent.length, 2);
+		assert.equal(fullRegions.at(-1), full);
+	}
+});
+
+// Guards against responses that count as kept for ever, until no other one may be kept.
+test('a response that is kept is released however its call ends', () => {
+	const ends: ReadonlyArray<
+		(listener: Sent['listener'], callerLeft: () => void) => void
+	> = [
+		(listener) => {
+			listener.onEnd();
+		},
+		(listener) => {
+			listener.onFailure({wasSent: true, reason: 'reset'});
+		},
+		(_listener, callerLeft) => {
+			callerLeft();
+		},
+	];
+	for (const end of ends) {
+		const {deliveries, sent} = setUp(['a']);
+		const delivery = deliveries.deliver(exchangeFor({}), createSink().sink);
+		answer(sent[0]!, 200, signed);
+		sent[0]!.listener.onData(Buffer.alloc(1000));
+		assert.equal(deliveries.keptBytes(), 1000);
+		end(sent[0]!.listener, delivery.callerLeft);
+		assert.equal(deliveries.keptBytes(), 0);
+	}
+});
+
 test('a node is tried again after a fault of its backend server', () => {
 	const {deliveries, sent} = setUp([], 1000, true, chooseOtherNode);
 	const {sink, seen} = createSink();
