Tell a second call that is not needed from a run that is cut at a silent server

The check leaves out a run that began after another one of its request, which went on and gave the caller its answer. A run that is taken off its silent server is the earlier one, and is found as before (test of the check, both ways).

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -173,10 +173,24 @@
 	disturbances,
 }: SoakHistory): readonly Violation[] => {
 	const byId = new Map(records.map((record) => [record.requestId, record]));
-	const isExempt = ({requestId, at, endedAt}: ServerEvent): boolean => {
+	const runsOf = Map.groupBy(events, ({requestId}) => requestId);
+
+	// The first call of the request went on and answered, so that the second one was not needed.
+	const isSecondCall = (event: ServerEvent, record: CallerRecord): boolean =>
+		record.isWhole &&
+		(runsOf.get(event.requestId) ?? []).some(
+			(first) =>
+				first.at < event.at &&
+				first.endedAt > event.endedAt - inFlightMs &&
+				record.signature === `${first.server}/${event.requestId}`,
+		);
+
+	const isExempt = (event: ServerEvent): boolean => {
+		const {requestId, at, endedAt} = event;
 		const record = byId.get(requestId);
 		return (
 			!record ||
+			isSecondCall(event, record) ||
 			record.leftAt < endedAt ||
 			endedAt - record.sentAt >= shortestTimeoutMs ||
 			disturbances.some(
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -81,6 +81,29 @@
 	t.assert.deepStrictEqual(play(cut, {}, {disturbances}), []);
 });
 
+test('a second call that ends at a silent server because the first one answered is not a violation; a first call that is taken off its server is', (t: TestContext) => {
+	const earlier = {server: 'a', at: 1000, endedAt: 3200};
+	const later = {server: 'b', at: 2000, endedAt: 3200};
+	const cut = {metSilence: true, cutAfterMs: 1200};
+	const play = (
+		first: Partial<ServerEvent>,
+		second: Partial<ServerEvent>,
+		signature: string,
+	) =>
+		violatedBy({
+			records: [recordOf({kind: 'repeatable', sentAt: 990, signature})],
+			events: [eventFor(first), eventFor(second)],
+		}).filter((promise) => promise === 'silence');
+	t.assert.deepStrictEqual(play(earlier, {...later, ...cut}, 'a/0-1'), []);
+	t.assert.deepStrictEqual(play({...earlier, ...cut}, later, 'b/0-1'), [
+		'silence',
+	]);
+	t.assert.deepStrictEqual(
+		play({...earlier, endedAt: 2100}, {...later, ...cut}, 'a/0-1'),
+		['silence'],
+	);
+});
+
 const completeStream = Array.from({length: eventsPerStream}, (_, index) =>
 	soakEventOf(index + 1, 'v1'),
 ).join('');
