Read whole answers of the product's own interface with the shared reader

`collectBody` was a twin of `readBody`, with the weakness that the other one was written to avoid: it kept each part of a body by itself, so an answer in parts of one byte took many times its size. The limit stays 32 MB; the text of the error when it is exceeded is now that of the shared reader.

--- a/src/requests/attempt-answers.ts
+++ b/src/requests/attempt-answers.ts
@@ -1,5 +1,6 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {UpstreamAnswer} from '../engines/index.ts';
+import {readBody} from '../shared/index.ts';
 import type {ServedBy} from './answer.ts';
 import type {OpenAttempt, Progress} from './attempt.ts';
 import type {GatewayRequest} from './gateway-request.ts';
@@ -14,20 +15,7 @@
 */
 export const collectBody = async (
 	body: AsyncIterable<Buffer>,
-): Promise<Buffer> => {
-	const chunks: Buffer[] = [];
-	let length = 0;
-	for await (const chunk of body) {
-		length += chunk.length;
-		if (length > maximumAnswerBytes) {
-			throw new Error(`the response body exceeds ${maximumAnswerBytes} bytes`);
-		}
-
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks);
-};
+): Promise<Buffer> => readBody(body, maximumAnswerBytes);
 
 /**
 Returns the completion tokens that an engine reports in a complete response, or 0.
