Log what a start waits for: each socket, the first routes, the first backend servers

A start left one line, at its end. Three hypotheses about a return that serves nobody could not be told apart: a socket that cannot be bound, routes or servers that come late, and nodes that nobody asks. Now each socket has a line with its use, its address and the time since the start, a failed one says so, and the first routes and servers that a node learns have one each.

No request is handled differently.

--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -1,3 +1,4 @@
+import type {BindAddress} from '../listening/index.ts';
 import type {Logger} from '../logging/index.ts';
 import type {DisabledMechanisms} from '../mechanisms/index.ts';
 import type {CacheSource} from '../prompts/index.ts';
@@ -54,6 +55,10 @@
 	readonly without: DisabledMechanisms;
 	readonly logger: Logger;
 	/**
+	Opens the sockets of the node; makes one attempt each if omitted.
+	*/
+	readonly bind?: BindAddress;
+	/**
 	Clock sources; those of this machine if omitted.
 	*/
 	readonly clocks?: ClockSources;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,8 @@
 import type {SilenceChange} from '../backends/index.ts';
 import {capacityOfNode} from '../demand/index.ts';
+import {createAddressBinder} from '../listening/index.ts';
 import type {Logger} from '../logging/index.ts';
+import type {PeerAddress} from '../mesh/index.ts';
 import {createHeaderReader, type Address} from '../shared/index.ts';
 import {
 	createConnectionWarmer,
@@ -19,6 +21,7 @@
 	createNodeJoiner,
 	createNodeState,
 } from './sharing/index.ts';
+import {createStartLog} from './start-log.ts';
 import {createRequestHandling} from './request-handling.ts';
 import {createTickSchedule, gatewayTickMs} from './tick-schedule.ts';
 
@@ -61,6 +64,7 @@
 		},
 		onChangesApplied() {
 			intake.onRoutesAvailable();
+			startLog.changed();
 		},
 		onProbeNeeded(server) {
 			probes.probeNow(server);
@@ -110,6 +114,12 @@
 			lagMs: () => ticks.lagMs(),
 			utilization: () => ticks.utilization(),
 		});
+	const startLog = createStartLog({
+		logger,
+		clock,
+		routesVersion: () => mirror.routes()?.document.version,
+		servers: () => fleet.ids().length,
+	});
 	const probes = createServerProbes({
 		client,
 		fleet,
@@ -128,15 +138,18 @@
 		statements,
 	});
 
-	const peerAddresses = [
-		options.peerAddress,
-		...(options.contactAddress === undefined ? [] : [options.contactAddress]),
+	const bind = options.bind ?? createAddressBinder({logger, clock}).bind;
+	const peerAddresses: readonly PeerAddress[] = [
+		{use: 'nodes', address: options.peerAddress},
+		...(options.contactAddress === undefined
+			? []
+			: [{use: 'seeds', address: options.contactAddress} as const]),
 	];
 	const joiner = createNodeJoiner({
 		mesh,
 		peerClient,
 		seeds: options.seeds,
-		ownAddresses: peerAddresses,
+		ownAddresses: peerAddresses.map(({address}) => address),
 		random: nodeState.random,
 	});
 	const loadPublisher = createLoadPublisher(mesh, fleet, mirror);
@@ -188,6 +201,7 @@
 	const listeners = createGatewayListeners({
 		peers: {
 			addresses: peerAddresses,
+			bind,
 			members: () => [mesh.self(), ...mesh.others()],
 			registryAfter: registry.answer,
 			relayedAfter: registry.relayedAnswer,
@@ -198,6 +212,7 @@
 		},
 		callers: {
 			address: options.callerAddress,
+			bind,
 			isLeaving: () => isLeaving,
 			onRequest: intake.handle,
 			openResponses,
@@ -225,7 +240,7 @@
 		async start() {
 			// Before the listeners, because requests that arrive during the start wait for the first routes.
 			registry.start();
-			await mesh.start();
+			await bind('heartbeats', options.peerAddress, mesh.start);
 			await listeners.start();
 			ticks.start();
 			joiner.askNow();
--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -11,11 +11,12 @@
 	renderError,
 	type GatewayError,
 } from '../../errors/index.ts';
+import type {BindAddress} from '../../listening/index.ts';
 import {
 	abortResponse,
 	closeServer,
 	createHeaderReader,
-	splitAddress,
+	listenAt,
 	type Address,
 } from '../../shared/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
@@ -62,6 +63,7 @@
 */
 export type CallerListenerOptions = {
 	readonly address: Address;
+	readonly bind: BindAddress;
 	/**
 	Limits that apply until the first configuration is known.
 	*/
@@ -84,8 +86,6 @@
 	readonly openResponses: Pick<OpenResponses, 'add'>;
 };
 
-// Length of the accept queue. A full queue delays the connection of a caller by seconds.
-const backlog = 1024;
 // Added to the configured idle timeout, so that a request that is sent just before the timeout
 // still finds the connection open.
 const idleMarginMs = 2000;
@@ -142,11 +142,9 @@
 		options.onUnreadable(error.code ?? error.message);
 		answerUnreadable(error, socket as Socket);
 	});
-	const {host, port} = splitAddress(options.address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, backlog, resolve);
-	});
+	await options.bind('callers', options.address, async () =>
+		listenAt(server, options.address),
+	);
 
 	return {
 		setLimits(newLimits) {
--- /dev/null
+++ b/src/listening/index.ts
@@ -0,0 +1,2 @@
+export type * from './socket-use.ts';
+export * from './address-binder.ts';
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -13,7 +13,8 @@
 	RelayedAnswer,
 } from '../registry/index.ts';
 import type {FeedAnswer, FeedQuery} from '../prompts/index.ts';
-import {closeServer, splitAddress, type Address} from '../shared/index.ts';
+import type {BindAddress} from '../listening/index.ts';
+import {closeServer, listenAt, type Address} from '../shared/index.ts';
 
 /**
 Paths of the calls between nodes.
@@ -40,6 +41,14 @@
 */
 export type PeerListener = {close(): Promise<void>};
 
+/**
+An address at which a node listens for calls of other nodes.
+*/
+export type PeerAddress = {
+	readonly use: 'nodes' | 'seeds';
+	readonly address: Address;
+};
+
 /**
 Options of `startPeerListener`.
 */
@@ -47,7 +56,8 @@
 	/**
 	Addresses to listen on; the address that seeds use may differ from the peer address.
 	*/
-	readonly addresses: readonly Address[];
+	readonly addresses: readonly PeerAddress[];
+	readonly bind: BindAddress;
 	readonly members: () => readonly Member[];
 	readonly registryAfter: (after: RegistryCursor) => RegistryAnswer;
 	/**
@@ -114,8 +124,10 @@
 	};
 
 	const servers = await Promise.all(
-		options.addresses.map(async (address) =>
-			listen(address, answer, maximumForwardedHeadBytes),
+		options.addresses.map(async ({use, address}) =>
+			options.bind(use, address, async () =>
+				listen(address, answer, maximumForwardedHeadBytes),
+			),
 		),
 	);
 	return {
@@ -142,11 +154,7 @@
 		answer,
 	);
 	server.maxHeadersCount = 0;
-	const {host, port} = splitAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, backlog, resolve);
-	});
+	await listenAt(server, address);
 	return server;
 };
 
@@ -159,8 +167,6 @@
 
 // Time after which idle connections between nodes are closed, in milliseconds.
 const idleTimeoutMs = 30_000;
-// Maximum number of connections that wait to be accepted; a full queue delays a caller by seconds.
-const backlog = 1024;
 
 const queryOf = (target: string): URLSearchParams =>
 	new URLSearchParams(target.slice(target.indexOf('?')));
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -7,6 +7,7 @@
 export * from './long-poll-waiters.ts';
 export * from './discard-body.ts';
 export * from './close-server.ts';
+export * from './listen-at.ts';
 export * from './bounded-map.ts';
 export * from './byte-collector.ts';
 export * from './bounded-set.ts';
--- a/tests/gateway/intake/request-deferral.test.ts
+++ b/tests/gateway/intake/request-deferral.test.ts
@@ -10,6 +10,7 @@
 	maximumSocketWaitMs,
 	socketWaitOf,
 } from '../../../src/gateway/intake/request-deferral.ts';
+import {bindOnce} from '../../../src/listening/index.ts';
 import {startCallerListener} from '../../../src/gateway/intake/caller-listener.ts';
 import {createOpenResponses} from '../../../src/gateway/intake/open-responses.ts';
 
@@ -54,6 +55,7 @@
 	const left = Promise.withResolvers<void>();
 	const listener = await startCallerListener({
 		openResponses: createOpenResponses(),
+		bind: bindOnce,
 		address: `${host}:${port}`,
 		limits: {
 			maximumHeaderBytes: 16_384,
--- a/tests/mesh/peer-listener.test.ts
+++ b/tests/mesh/peer-listener.test.ts
@@ -2,6 +2,7 @@
 import {test, type TestContext} from 'node:test';
 import {unpack} from 'msgpackr';
 import {request} from 'undici';
+import {bindOnce} from '../../src/listening/index.ts';
 import {viewFingerprint} from '../../src/membership/index.ts';
 import {
 	knownViewHeader,
@@ -18,7 +19,8 @@
 const start = async (t: TestContext) => {
 	const address = `127.${randomInt(2, 250)}.${randomInt(1, 250)}.1:8001`;
 	const listener = await startPeerListener({
-		addresses: [address],
+		addresses: [{use: 'nodes', address}],
+		bind: bindOnce,
 		members: () => members,
 		registryAfter: () => ({kind: 'unavailable', reason: 'a test'}),
 		relayedAfter: async () => ({
