Wait for addresses that are in use at the start, and end where a start fails

Callers saw that after all machines had returned some served nobody for good: no process had exited, so nothing started them again.

Cause: the start bound each socket once. A failure rejected the start, and the handler of uncaught exceptions logged it and went on; the copy of the registry and open sockets kept the process alive, the stop signal resolved a promise that nobody waited for, and replies to heartbeats told other nodes that it could serve. Class: a process that can neither start nor end.

A stop signal ends the wait with code 0.

--- a/main.ts
+++ b/main.ts
@@ -15,6 +15,8 @@
 const main = async () => {
 	const args = process.argv.slice(firstArgument);
 	if (args[0] === platformCommand) {
+		// A reload needs nothing of a node that has not read its settings yet; without a handler, the signal would end the process.
+		process.on('SIGHUP', () => undefined);
 		const {runNode} = await import('./platform/run-node.ts');
 		process.exit(await runNode(args.slice(1)));
 	}
@@ -42,4 +44,14 @@
 	return module.exports as typeof commandLine;
 };
 
-void main();
+// Nothing else ends a process whose start has failed but which still holds sockets or timers.
+const runOrExit = async () => {
+	try {
+		await main();
+	} catch (error) {
+		process.stderr.write(`${(error as Error).stack}\n`);
+		process.exit(1);
+	}
+};
+
+void runOrExit();
--- a/src/command-line/gateway-command.ts
+++ b/src/command-line/gateway-command.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {Command} from 'clipanion';
 import {createGateway, productHeaders} from '../gateway/index.ts';
+import {createAddressBinder} from '../listening/index.ts';
 import {createLogger, startLogging} from '../logging/index.ts';
 // Imported directly: the index of the folder does not export it, so that nodes with another registry source
 // do not load its schemas.
@@ -48,7 +49,12 @@
 	protected async run(settings: GatewaySettings): Promise<number> {
 		startLogging(settings.logLevel);
 		const logger = createLogger('gateway', {node: settings.nodeId});
+		const binder = createAddressBinder({
+			logger,
+			clock: () => performance.now(),
+		});
 		const gateway = createGateway({
+			bind: binder.bind,
 			...settings,
 			id: settings.nodeId,
 			contactAddress: undefined,
@@ -59,14 +65,29 @@
 			bounds,
 			logger,
 		});
+		let isStopRequested = false;
 		const {promise, resolve} = Promise.withResolvers<string>();
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.on(signal, () => {
-				resolve(signal);
-			});
+		const stop = (signal: NodeJS.Signals) => {
+			binder.stop();
+			isStopRequested = true;
+			resolve(signal);
+		};
+
+		process.on('SIGTERM', stop);
+		process.on('SIGINT', stop);
+
+		try {
+			await gateway.start();
+		} catch (error) {
+			await gateway.stop();
+			if (isStopRequested) {
+				return exitCodes.ok;
+			}
+
+			logger.error({fault: (error as Error).message}, 'node failed to start');
+			return exitCodes.failure;
 		}
 
-		await gateway.start();
 		logger.info({reason: await promise}, 'graceful shutdown started');
 		const isIdle = await gateway.drain(settings.drainTimeoutMs);
 		await gateway.stop();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -240,8 +240,10 @@
 		async start() {
 			// Before the listeners, because requests that arrive during the start wait for the first routes.
 			registry.start();
-			await bind('heartbeats', options.peerAddress, mesh.start);
+			await bind('heartbeats', options.peerAddress, mesh.open);
 			await listeners.start();
+			// Other nodes send callers here from now on, so every socket must be open.
+			mesh.join();
 			ticks.start();
 			joiner.askNow();
 			logger.info(
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -63,7 +63,14 @@
 A node's view of the other nodes, maintained by heartbeats.
 */
 export type Mesh = {
-	start(): Promise<void>;
+	/**
+	Binds the socket. Datagrams are dropped before `join`. May be called again after it has rejected.
+	*/
+	open(): Promise<void>;
+	/**
+	Starts to reply to other nodes, which then count this node as able to serve.
+	*/
+	join(): void;
 	stop(): Promise<void>;
 	tick(now: number): void;
 	/**
@@ -148,7 +155,7 @@
 const sealKey = 'quillford-mesh';
 
 /**
-Creates a mesh; nothing is sent before `start`.
+Creates a mesh; nothing is sent before `join`.
 */
 export const createMesh = (options: MeshOptions): Mesh => {
 	const {clock} = options;
@@ -176,6 +183,7 @@
 		sizeOf: codec.sizeOf,
 		retentionMs: {'zone-summary': loadRetentionMs},
 	});
+	let hasJoined = false;
 	const startedAt = clock();
 	const leavingSince = new Map<string, number>();
 	// A node that restarts causes another change, which clears its leaving state.
@@ -206,6 +214,7 @@
 				options.onRegistryStamp(decodeRegistryStamp(stamp), from);
 			},
 			onChanged: trackLeaving,
+			hasJoined: () => hasJoined,
 			onOtherDatagram(datagram) {
 				const message = messageCodec.decode(datagram);
 				if (message) {
@@ -241,9 +250,12 @@
 	);
 
 	return {
-		async start() {
+		async open() {
 			await controller.start?.();
 		},
+		join() {
+			hasJoined = true;
+		},
 		async stop() {
 			await controller.stop?.();
 		},
--- a/src/node/membership-controller.ts
+++ b/src/node/membership-controller.ts
@@ -53,6 +53,10 @@
 	Called with each datagram that is not a heartbeat.
 	*/
 	readonly onOtherDatagram?: (datagram: Buffer) => void;
+	/**
+	Whether datagrams are handled yet; others are dropped. A node that replies counts as able to serve.
+	*/
+	readonly hasJoined?: () => boolean;
 };
 
 /**
@@ -105,6 +109,10 @@
 	};
 
 	const receive = (datagram: Buffer) => {
+		if (listeners.hasJoined?.() === false) {
+			return;
+		}
+
 		const heartbeat = codec.decode(datagram);
 		if (!heartbeat) {
 			listeners.onOtherDatagram?.(datagram);
--- a/src/peers/heartbeat-socket.ts
+++ b/src/peers/heartbeat-socket.ts
@@ -40,8 +40,16 @@
 		onDatagram(datagram);
 	});
 	await new Promise<void>((resolve, reject) => {
-		socket.once('error', reject);
-		socket.bind(port, host, resolve);
+		const onError = (error: Error) => {
+			socket.close();
+			reject(error);
+		};
+
+		socket.once('error', onError);
+		socket.bind(port, host, () => {
+			socket.off('error', onError);
+			resolve();
+		});
 	});
 	// A datagram that cannot be sent is treated as lost; the failure detector tolerates losses.
 	socket.on('error', () => undefined);
--- a/tests/acceptance/gateway-command.test.ts
+++ b/tests/acceptance/gateway-command.test.ts
@@ -2,7 +2,8 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {randomInt} from 'node:crypto';
-import {after, before, test} from 'node:test';
+import {createServer} from 'node:net';
+import {after, before, test, type TestContext} from 'node:test';
 import {request} from 'undici';
 import {productHeaders} from '../../src/gateway/index.ts';
 import type {RegistryValue} from '../../src/registry/index.ts';
@@ -41,6 +42,17 @@
 // A node process takes longer to start than a node in the test process.
 const processAttempts = 200;
 
+const startNode = (index: number): ChildProcess =>
+	spawn('dist/quillford', [
+		'gateway',
+		`--node-id=node-${index}`,
+		'--availability-zone=north',
+		'--zones=north=upland',
+		`--caller-address=${network}.${index}:8000`,
+		`--peer-address=${network}.${index}:8001`,
+		`--registry-address=${registryAddress}`,
+	]);
+
 before(async () => {
 	registryServer = await startRegistryServer(registry, registryAddress);
 	backendServer = await startStandInServer(
@@ -55,15 +67,7 @@
 		{kind: 'whole', text: 'done'},
 		productHeaders,
 	);
-	node = spawn('dist/quillford', [
-		'gateway',
-		'--node-id=node-1',
-		'--availability-zone=north',
-		'--zones=north=upland',
-		`--caller-address=${callerAddress}`,
-		`--peer-address=${network}.1:8001`,
-		`--registry-address=${registryAddress}`,
-	]);
+	node = startNode(1);
 	const collect = (chunk: Uint8Array) => {
 		log += chunk.toString();
 	};
@@ -143,3 +147,48 @@
 	assert.match(output, /--zones/v);
 	assert.match(output, /--registry-address/v);
 });
+
+// Guards against processes that can neither start nor end.
+test('a node that waits for its port serves once it is free, and ends when it is stopped', async (t: TestContext) => {
+	const nodes: ChildProcess[] = [];
+	t.after(() => {
+		for (const each of nodes) {
+			each.kill('SIGKILL');
+		}
+	});
+	// The addresses of the first node and of the backend server are taken.
+	const startWaiting = async (index: number) => {
+		const holder = createServer();
+		holder.listen(8001, `${network}.${index}`);
+		await once(holder, 'listening');
+		const waiting = startNode(index);
+		nodes.push(waiting);
+		let output = '';
+		waiting.stderr?.on('data', (chunk: Uint8Array) => {
+			output += chunk.toString();
+		});
+		await waitUntil(() => output.includes('EADDRINUSE'), processAttempts);
+		return {waiting, holder};
+	};
+
+	const stopped = await startWaiting(4);
+	stopped.waiting.kill('SIGTERM');
+	const [code] = (await once(stopped.waiting, 'exit')) as [number | null];
+	t.assert.strictEqual(code, 0);
+	stopped.holder.close();
+
+	const started = await startWaiting(5);
+	started.holder.close();
+	const isAnswering = async () => {
+		try {
+			const answer = await request(`http://${network}.5:8000/`);
+			await answer.body.dump();
+			return true;
+		} catch {
+			return false;
+		}
+	};
+
+	await waitUntil(isAnswering, processAttempts);
+	t.assert.ok(await isAnswering());
+});
--- a/tests/platform/ports-in-use.test.ts
+++ b/tests/platform/ports-in-use.test.ts
@@ -128,38 +128,28 @@
 	['heartbeats', async (t: TestContext) => holdUdp(t, nodePorts.nodes)],
 ] as const;
 
-const knownRed = {todo: 'known to be red; see KNOWN-RED.txt'};
-
 // Guards against nodes that never serve again because another socket held one of their ports when they started.
 for (const [use, hold] of uses) {
-	test(
-		`a node whose port for ${use} is in use when it starts serves once the port is free`,
-		knownRed,
-		async (t: TestContext) => {
-			const {host, release} = await hold(t);
-			const node = startAt(t, host);
-			await hasFoundInUse(node);
-			await release();
-			await waitUntil(async () => isServingAll(host), turns);
-			t.assert.ok(await isServingAll(host), node.output());
-		},
-	);
+	test(`a node whose port for ${use} is in use when it starts serves once the port is free`, async (t: TestContext) => {
+		const {host, release} = await hold(t);
+		const node = startAt(t, host);
+		await hasFoundInUse(node);
+		await release();
+		await waitUntil(async () => isServingAll(host), turns);
+		t.assert.ok(await isServingAll(host), node.output());
+	});
 }
 
 // Guards against callers being sent to a machine of which a part cannot be reached.
 for (const [use, hold] of uses.filter(
 	([name]) => name !== 'readiness' && name !== 'metrics',
 )) {
-	test(
-		`a node is not ready while its port for ${use} is in use`,
-		use === 'directory' ? knownRed : {},
-		async (t: TestContext) => {
-			const {host} = await hold(t);
-			const node = startAt(t, host);
-			await hasFoundInUse(node);
-			t.assert.notStrictEqual(await readiness(host), 200);
-		},
-	);
+	test(`a node is not ready while its port for ${use} is in use`, async (t: TestContext) => {
+		const {host} = await hold(t);
+		const node = startAt(t, host);
+		await hasFoundInUse(node);
+		t.assert.notStrictEqual(await readiness(host), 200);
+	});
 }
 
 test('a node whose metrics port is in use serves callers', async (t: TestContext) => {
@@ -170,30 +160,22 @@
 });
 
 // Guards against processes that can neither start nor end.
-test(
-	'a node that waits for a port ends when it is stopped',
-	knownRed,
-	async (t: TestContext) => {
-		const {host} = await holdTcp(t, nodePorts.callers);
-		const node = startAt(t, host);
-		await hasFoundInUse(node);
-		node.signal('SIGTERM');
-		await waitUntil(() => node.ending() !== undefined, turns);
-		t.assert.strictEqual(node.ending(), 0);
-	},
-);
-
-test(
-	'a node starts while its predecessor still runs, and serves once that one is killed',
-	knownRed,
-	async (t: TestContext) => {
-		const host = nextHost();
-		const predecessor = startAt(t, host);
-		await waitUntil(async () => isServingAll(host), turns);
-		const node = startAt(t, host);
-		await hasFoundInUse(node);
-		await predecessor.close();
-		await waitUntil(async () => isServingAll(host), turns);
-		t.assert.ok(await isServingAll(host), node.output());
-	},
-);
+test('a node that waits for a port ends when it is stopped', async (t: TestContext) => {
+	const {host} = await holdTcp(t, nodePorts.callers);
+	const node = startAt(t, host);
+	await hasFoundInUse(node);
+	node.signal('SIGTERM');
+	await waitUntil(() => node.ending() !== undefined, turns);
+	t.assert.strictEqual(node.ending(), 0);
+});
+
+test('a node starts while its predecessor still runs, and serves once that one is killed', async (t: TestContext) => {
+	const host = nextHost();
+	const predecessor = startAt(t, host);
+	await waitUntil(async () => isServingAll(host), turns);
+	const node = startAt(t, host);
+	await hasFoundInUse(node);
+	await predecessor.close();
+	await waitUntil(async () => isServingAll(host), turns);
+	t.assert.ok(await isServingAll(host), node.output());
+});
