Continue no stream at the only version that a node has seen since its start

Callers whose streams broke off when all nodes were killed took them up again with Last-Event-Id alone and were answered 200 with events of another software version, with nothing in the answer to show it.

Cause: a node that finds no record and no name took the versions that it knew for all that there were. Without memory, that is what the registry holds at the moment. Class: absence of knowledge read as knowledge of absence. Callers that name the request that they continue were refused already. Now a take-up without a name needs, like one with a name, that the nodes' memory reaches back for as long as the stream can have lasted; a node that has just started asks others, by pairs of random nodes, so that one that has lived on is enough.

Evidence: four cases of all nodes killed, the version leaving before or while they are down, named and unnamed. Weighed and not used: the registry's history (it states no times), ages of registered servers.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -206,6 +206,7 @@
 			registryAfter: registry.answer,
 			relayedAfter: registry.relayedAnswer,
 			promptsAfter: prompts.answer,
+			softwareVersions: origins.versionStatement,
 			isForwarded: ({headers: values}) =>
 				isForwarded(createHeaderReader(values)),
 			onForwarded: intake.handleForwarded,
--- a/src/gateway/sharing/node-state.ts
+++ b/src/gateway/sharing/node-state.ts
@@ -56,7 +56,11 @@
 	minimumSharingNodes,
 	type NodeShares,
 } from './node-shares.ts';
-import {createOriginSharing, type OriginSharing} from './origin-sharing.ts';
+import {
+	createOriginSharing,
+	originLifeMsOf,
+	type OriginSharing,
+} from './origin-sharing.ts';
 import {createPromptSharing, type PromptSharing} from './prompt-sharing.ts';
 import {createPrefillBacklogSender} from './prefill-backlog-sender.ts';
 import {createRegistryChanges} from './registry-changes.ts';
@@ -274,8 +278,18 @@
 		regionOf,
 		mirror,
 		copyAgeMs: () => registry.ageMs(),
+		askVersions: async (peer) => peerClient.softwareVersions(peer),
+		longestLifeMs: () =>
+			Math.max(
+				0,
+				...(mirror.routes()?.document.routes ?? [])
+					.filter(({isResumable}) => isResumable)
+					.map((route) => originLifeMsOf(route)),
+			),
+		random,
 		without: options.without,
 		clock,
+		logger,
 	});
 	const shares = createNodeShares({
 		self: options.id,
--- a/src/gateway/sharing/origin-sharing.ts
+++ b/src/gateway/sharing/origin-sharing.ts
@@ -1,4 +1,6 @@
 import type {DisabledMechanisms} from '../../mechanisms/index.ts';
+import type {Logger} from '../../logging/index.ts';
+import type {Member} from '../../membership/index.ts';
 import type {Mesh} from '../../mesh/index.ts';
 import type {StreamOriginMessage} from '../../peers/stream-origin-messages.ts';
 import {softwareVersionOf, type RegistryMirror} from '../../registry/index.ts';
@@ -10,7 +12,9 @@
 	decideContinuation,
 	type Continuation,
 	type StreamOrigin,
+	type VersionStatement,
 } from '../../stream-origins/index.ts';
+import type {Address, Random} from '../../shared/index.ts';
 import type {Exchange} from '../exchange.ts';
 
 /**
@@ -45,6 +49,10 @@
 	*/
 	tick(now: number): void;
 	/**
+	The software versions that this node knows of, for a node that has just started.
+	*/
+	versionStatement(): VersionStatement | undefined;
+	/**
 	For metrics: records kept here, records sent to other nodes, and searches at other nodes.
 	*/
 	kept(): number;
@@ -63,8 +71,20 @@
 	Milliseconds since the registry last confirmed the copy.
 	*/
 	readonly copyAgeMs: () => number;
+	/**
+	Asks another node for its history of versions; undefined if it does not answer or has none.
+	*/
+	readonly askVersions: (
+		peer: Address,
+	) => Promise<VersionStatement | undefined>;
+	/**
+	The longest time within which a stream of any route may be taken up, in milliseconds.
+	*/
+	readonly longestLifeMs: () => number;
+	readonly random: Random;
 	readonly without: DisabledMechanisms;
 	readonly clock: () => number;
+	readonly logger: Logger;
 };
 
 /**
@@ -75,6 +95,11 @@
 // A caller may take up a stream that the route's timeout has cut off, and then has the time of another request.
 const lifetimesPerStream = 2;
 
+/**
+Interval at which a node that has just started asks others which versions were in use before, in milliseconds.
+*/
+export const versionQueryIntervalMs = 500;
+
 /**
 Returns the time within which a stream of a route may be taken up after its first event, in milliseconds.
 */
@@ -89,8 +114,12 @@
 	regionOf,
 	mirror,
 	copyAgeMs,
+	askVersions,
+	longestLifeMs,
+	random,
 	without,
 	clock,
+	logger,
 }: OriginSharingOptions): OriginSharing => {
 	const history = createVersionHistory();
 	const origins = createStreamOrigins({
@@ -105,8 +134,8 @@
 		clock,
 	});
 
-	// No record can be found for a caller that does not name the request that it continues, so a service that has one version now
-	// is taken to have had it before.
+	// No record can be found for a caller that does not name the request that it continues. Interruptions are tolerated for it: a
+	// node that was cut off from the registry knew all versions that it could use.
 	const versionsOf = ({
 		route,
 		service,
@@ -122,6 +151,54 @@
 			: history.versionsWithin(service, spanMs, clock());
 	};
 
+	let askAt = 0;
+
+	// The one of two random nodes that started earlier: it knows more, and no node is asked by all others.
+	const pickOlderNode = (): Member | undefined => {
+		const members = mesh.usable();
+		const [first, second] = [1, 2].map(
+			() => members[random.below(members.length)],
+		);
+		return first && second && second.incarnation < first.incarnation
+			? second
+			: first;
+	};
+
+	// A node that has just started does not know which versions were in use before. One that has run for longer may know.
+	const askOtherNode = (now: number) => {
+		if (now < askAt) {
+			return;
+		}
+
+		askAt = now + versionQueryIntervalMs;
+		const isEnough =
+			history.statement(now) === undefined ||
+			history.reachesBack(longestLifeMs(), now);
+		const peer = isEnough ? undefined : pickOlderNode();
+		if (peer) {
+			void takeOverFrom(peer.peerAddress, now);
+		}
+	};
+
+	const takeOverFrom = async (peer: Address, askedAt: number) => {
+		const statement = await askVersions(peer);
+		if (!statement) {
+			return;
+		}
+
+		const knownBefore = history.statement(clock());
+		history.takeOver(statement, askedAt, clock());
+		logger.info(
+			{
+				peer,
+				knownMs: Math.round(history.statement(clock())?.knownMs ?? 0),
+				knownBeforeMs: Math.round(knownBefore?.knownMs ?? 0),
+				versions: statement.versions.length,
+			},
+			'software versions in use before the start taken over from another node',
+		);
+	};
+
 	const decide = (
 		exchange: Exchange,
 		origin: StreamOrigin | undefined,
@@ -164,7 +241,9 @@
 			);
 		},
 		receive: origins.receive,
+		versionStatement: () => history.statement(clock()),
 		tick(now) {
+			askOtherNode(now);
 			// Versions may come and go while the copy is not confirmed.
 			if (copyAgeMs() > maximumVersionAgeMs) {
 				history.interrupt();
--- a/src/mesh/peer-client.ts
+++ b/src/mesh/peer-client.ts
@@ -8,6 +8,7 @@
 	type RelayedAnswer,
 } from '../registry/index.ts';
 import type {FeedAnswer, FeedQuery} from '../prompts/index.ts';
+import type {VersionStatement} from '../stream-origins/version-history.ts';
 import {feedLongPollMs} from '../prompts/prompt-feed.ts';
 import {
 	createHttpAgent,
@@ -46,6 +47,10 @@
 		peer: Address,
 		query: FeedQuery,
 	): Promise<FeedAnswer | undefined>;
+	/**
+	Returns which software versions of servers a peer knows of; undefined if it does not answer or knows none.
+	*/
+	softwareVersions(peer: Address): Promise<VersionStatement | undefined>;
 	close(): Promise<void>;
 };
 
@@ -133,6 +138,14 @@
 				return undefined;
 			}
 		},
+		async softwareVersions(peer) {
+			try {
+				return (await fetchPacked(peer, peerPaths.softwareVersions)) as
+					VersionStatement | undefined;
+			} catch {
+				return undefined;
+			}
+		},
 		close: async () => dispatcher.destroy(),
 	};
 };
--- a/src/mesh/peer-listener.ts
+++ b/src/mesh/peer-listener.ts
@@ -13,6 +13,7 @@
 	RelayedAnswer,
 } from '../registry/index.ts';
 import type {FeedAnswer, FeedQuery} from '../prompts/index.ts';
+import type {VersionStatement} from '../stream-origins/version-history.ts';
 import type {BindAddress} from '../listening/index.ts';
 import {closeServer, listenAt, type Address} from '../shared/index.ts';
 
@@ -24,6 +25,7 @@
 	registry: '/quillford/registry',
 	relay: '/quillford/registry-relay',
 	prompts: '/quillford/prompts',
+	softwareVersions: '/quillford/software-versions',
 	/**
 	Returns no content; used to open a connection in advance.
 	*/
@@ -65,6 +67,7 @@
 	*/
 	readonly relayedAfter: (after: RegistryCursor) => Promise<RelayedAnswer>;
 	readonly promptsAfter: (query: FeedQuery) => Promise<FeedAnswer>;
+	readonly softwareVersions: () => VersionStatement | undefined;
 	/**
 	Whether a node forwards this request. Its path is that of the caller, so it must be told by something that no caller can send.
 	*/
@@ -115,6 +118,11 @@
 			return;
 		}
 
+		if (target === peerPaths.softwareVersions) {
+			sendPacked(response, options.softwareVersions());
+			return;
+		}
+
 		if (target === peerPaths.rest) {
 			response.writeHead(noContentStatus).end();
 			return;
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -28,6 +28,15 @@
 	Stops a node and starts a new one without state in its place.
 	*/
 	restart(index: number): Promise<void>;
+	/**
+	Stops all nodes but those with the given indices, then starts new ones without state in their places.
+
+	@param whileStopped Called in between.
+	*/
+	restartAllBut(
+		kept: readonly number[],
+		whileStopped: () => Promise<void>,
+	): Promise<void>;
 	stop(): Promise<void>;
 };
 
@@ -96,6 +105,19 @@
 			nodes[index] = createNode(index);
 			await nodes[index].start();
 		},
+		async restartAllBut(kept, whileStopped) {
+			const indices = nodes
+				.keys()
+				.filter((index) => !kept.includes(index))
+				.toArray();
+			await Promise.all(indices.map(async (index) => nodes[index]!.stop()));
+			await whileStopped();
+			for (const index of indices) {
+				nodes[index] = createNode(index);
+			}
+
+			await Promise.all(indices.map(async (index) => nodes[index]!.start()));
+		},
 		async stop() {
 			await Promise.all(nodes.map(async (node) => node.stop()));
 		},
--- a/tests/gateway/software-versions.test.ts
+++ b/tests/gateway/software-versions.test.ts
@@ -85,7 +85,12 @@
 	readonly totalMs: number;
 };
 
-type Continuation = Pick<Received, 'requestId' | 'lastEventId'>;
+type Continuation = Pick<Received, 'requestId' | 'lastEventId'> & {
+	/**
+	Whether the caller names the request that brought the first event; true if omitted.
+	*/
+	readonly isNamed?: boolean;
+};
 
 const eventPattern = /id: (?<id>\d+)\ndata: (?<version>\S+)\n\n/gv;
 
@@ -114,7 +119,9 @@
 				[standInHeaders.remainingMs]: '4000',
 				...(continued?.lastEventId !== undefined && {
 					'last-event-id': continued.lastEventId,
-					[standInHeaders.continuedRequestId]: continued.requestId,
+					...(continued.isNamed !== false && {
+						[standInHeaders.continuedRequestId]: continued.requestId,
+					}),
 				}),
 			},
 		});
@@ -163,9 +170,10 @@
 	scene: Scene,
 	begun: readonly Received[],
 	shift: number,
+	isNamed = true,
 ): Promise<readonly Received[]> =>
 	readMany(async (index) =>
-		read(addressOf(scene, index + shift), begun[index]),
+		read(addressOf(scene, index + shift), {...begun[index]!, isNamed}),
 	);
 
 // Streams with events of a version other than the one that began them.
@@ -301,3 +309,67 @@
 		continued.every(({lastEventId}) => lastEventId === `${versionedEvents}`),
 	);
 });
+
+type WholeReturn = {
+	readonly name: string;
+	readonly isNamed: boolean;
+	readonly before?: (scene: Scene) => Promise<void>;
+	readonly whileStopped?: (scene: Scene) => Promise<void>;
+};
+
+const removeFirstVersion = async ({servers}: Scene): Promise<void> => {
+	await Promise.all(servers.slice(0, 2).map(async (server) => server.leave()));
+};
+
+const wholeReturns: readonly WholeReturn[] = [true, false].flatMap(
+	(isNamed) => {
+		const callers = isNamed ? 'named' : 'unnamed';
+		return [
+			{
+				name: `the version leaves before it, ${callers} requests`,
+				isNamed,
+				async before(scene: Scene) {
+					await removeFirstVersion(scene);
+					await sleep(300);
+				},
+			},
+			{
+				name: `the version leaves meanwhile, ${callers} requests`,
+				isNamed,
+				whileStopped: removeFirstVersion,
+			},
+		];
+	},
+);
+
+// Guards against streams that nodes without memory continue by the only version that they have ever seen.
+for (const {name, isNamed, before, whileStopped} of wholeReturns) {
+	test(`a stream is not joined from two versions after all nodes were killed and have returned; ${name}`, async (t: TestContext) => {
+		const scene = await setUp(t, twoOfEach);
+		const begun = await beginStreams(scene);
+		await before?.(scene);
+		await scene.deployment.restartAllBut([], async () => {
+			await whileStopped?.(scene);
+		});
+		await waitUntilConnected(scene.deployment);
+		const continued = await takeUp(scene, begun, 1, isNamed);
+		t.assert.deepStrictEqual(joinedOf(begun, continued), []);
+		t.assert.ok(
+			continued.every(({status, totalMs}) => status !== 503 || totalMs < 1000),
+		);
+	});
+}
+
+test('streams are still taken up if one node has lived on while all others were killed', async (t: TestContext) => {
+	const scene = await setUp(t, twoOfEach.slice(0, 2), oneRegion, {
+		timeoutMs: 1500,
+	});
+	const begun = await beginStreams(scene);
+	await scene.deployment.restartAllBut([0], async () => undefined);
+	await waitUntilConnected(scene.deployment);
+	// Until then each node has asked one that knows.
+	await sleep(1500);
+	const continued = await takeUp(scene, begun, 1, false);
+	t.assert.deepStrictEqual(joinedOf(begun, continued), []);
+	t.assert.strictEqual(fractionWhole(continued), 1);
+});
--- a/tests/mesh/peer-listener.test.ts
+++ b/tests/mesh/peer-listener.test.ts
@@ -33,6 +33,7 @@
 			isWhole: true,
 			changes: [],
 		}),
+		softwareVersions: () => undefined,
 		isForwarded: ({headers}) => headers[forwardedMark] !== undefined,
 		onForwarded(_request, response) {
 			response.writeHead(forwardedStatus).end();
--- a/tests/stream-origins/decide-continuation.test.ts
+++ b/tests/stream-origins/decide-continuation.test.ts
@@ -89,12 +89,45 @@
 	history.follow(1000);
 	t.assert.strictEqual(history.versionsWithin('engine', 4000, 4999), undefined);
 	t.assert.strictEqual(history.versionsWithin('engine', 4000, 5000)?.size, 1);
+	t.assert.strictEqual(history.knownWithin('engine', 4000, 4999), undefined);
 	t.assert.deepStrictEqual(
-		[...history.knownWithin('engine', 4000, 1000)],
-		['v1'],
+		history.knownWithin('engine', 4000, 5000),
+		new Set(['v1']),
 	);
 	history.interrupt();
 	history.follow(6000);
 	t.assert.strictEqual(history.versionsWithin('engine', 4000, 9999), undefined);
 	t.assert.strictEqual(history.versionsWithin('engine', 4000, 10_000)?.size, 1);
+	// An interruption hides no version that this node could have used.
+	t.assert.strictEqual(history.knownWithin('engine', 4000, 6000)?.size, 1);
+});
+
+test('a node that has just started takes over the history of one that has run for longer', (t: TestContext) => {
+	const old = createVersionHistory();
+	old.update([serverOf('v1')], 0);
+	old.follow(0);
+	old.update([serverOf('v2')], 9000);
+	const fresh = createVersionHistory();
+	fresh.update([serverOf('v2')], 10_000);
+	fresh.follow(10_000);
+	fresh.takeOver(old.statement(10_100)!, 10_050, 10_150);
+	for (const within of [fresh.versionsWithin, fresh.knownWithin]) {
+		t.assert.deepStrictEqual(
+			within('engine', 4000, 10_200),
+			new Set(['v2', 'v1']),
+		);
+		t.assert.deepStrictEqual(within('engine', 4000, 13_200), new Set(['v2']));
+		t.assert.strictEqual(within('engine', 11_000, 10_200), undefined);
+	}
+});
+
+test('a node that knew no registry when it asked does not take over a history that may end before its own begins', (t: TestContext) => {
+	const old = createVersionHistory();
+	old.update([serverOf('v1')], 0);
+	old.follow(0);
+	const fresh = createVersionHistory();
+	fresh.takeOver(old.statement(10_000)!, 9900, 10_050);
+	fresh.update([serverOf('v2')], 10_060);
+	fresh.takeOver(old.statement(10_000)!, 9900, 10_100);
+	t.assert.strictEqual(fresh.knownWithin('engine', 4000, 10_100), undefined);
 });
--- a/tests/stream-origins/rollout-model.ts
+++ b/tests/stream-origins/rollout-model.ts
@@ -3,6 +3,7 @@
 	createOriginSharing,
 	type OriginSharing,
 } from '../../src/gateway/sharing/origin-sharing.ts';
+import {silentLogger} from '../../src/logging/index.ts';
 import type {KnownServer} from '../../src/registry/index.ts';
 import type {Random} from '../../src/shared/index.ts';
 import type {Continuation} from '../../src/stream-origins/index.ts';
@@ -117,6 +118,10 @@
 			syncedAt: -Infinity,
 			isIsolated: nodes[index]?.isIsolated ?? false,
 			sharing: createOriginSharing({
+				askVersions: async () => undefined,
+				longestLifeMs: () => 0,
+				random,
+				logger: silentLogger,
 				mesh: {
 					self: () => self,
 					usable: () => others,
