Test that no response that ends within its head becomes a success

Other operators report a 200 with an empty or short body, framed as whole, for a server that stopped in the middle of its head. It does not happen here.

--- a/tests/engines/engine-client.test.ts
+++ b/tests/engines/engine-client.test.ts
@@ -3,6 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import {collectBody} from '../../src/requests/attempt-answers.ts';
 import {createEngineClient, type BackendCall} from '../../src/engines/index.ts';
+import {startRawConnections, type RawAnswer} from '../raw-connections.ts';
 import type {ClearedRegion} from '../../src/routing/index.ts';
 import {startRawServer} from '../gateway/broken-server.ts';
 import {startMismatchedServer} from './mismatched-server.ts';
@@ -92,3 +93,39 @@
 		code: 'ERR_CONNECTION_RESET_BY_PEER',
 	});
 });
+
+test('a response of an engine that ends within its head is a failure that may have run, on fresh and kept connections', async (t: TestContext) => {
+	const head = (length: string) =>
+		`HTTP/1.1 200 OK\r\nx-attempt-id: ${call.attemptId}\r\n${length}\r\n\r\n`;
+	const heads = [
+		head('content-length: 0'),
+		head('transfer-encoding: chunked'),
+		head('connection: close'),
+	];
+	let answer: RawAnswer = {packets: [], end: 'close'};
+	let tornOnKept = 0;
+	const server = await startRawConnections(t, ({earlier}) => {
+		tornOnKept += earlier > 0 ? 1 : 0;
+		return answer;
+	});
+	const client = createEngineClient((known) => known);
+	t.after(client.close);
+	for (const torn of heads) {
+		for (let length = 0; length < torn.length; length += 1) {
+			for (const end of ['close', 'reset'] as const) {
+				answer = {packets: [heads[0]!], end: 'keep'};
+				const whole = await client.send(server.address, call, cleared);
+				t.assert.ok(whole.isOk);
+				await whole.value.body[Symbol.asyncIterator]().next();
+				answer = {packets: [torn.slice(0, length)], end};
+				for (const connection of ['kept', 'fresh']) {
+					const result = await client.send(server.address, call, cleared);
+					t.assert.ok(result.isErr, `${connection}, ${length} bytes, ${end}`);
+					t.assert.strictEqual(result.error.outcome, 'unknown');
+				}
+			}
+		}
+	}
+
+	t.assert.ok(tornOnKept > heads[0]!.length);
+});
