Let the soak kill all nodes, once and in series, and callers take streams up without a name

In each run all nodes are killed once in its course and once at its end, one to three times, 0.2 to 1.7 s apart: cleanly, with the next processes started before, or with a port of every second node in use for 1.5 s after its start; beside it the registry is away from a second before until a second after, all servers are replaced by the next version, or a server stops. 0.95 of the requests sent 2 s after the last thing that was missing have to be served. Every third take-up of a stream names no request.

Take-ups without a name are not counted among those that have to go on, because two versions always serve there.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -73,6 +73,10 @@
 	The largest amount of memory that a node has taken, in MB.
 	*/
 	readonly peakMemoryMb: number;
+	/**
+	Times by which all nodes had been killed, so that no knowledge from before was left.
+	*/
+	readonly wholeLosses: readonly number[];
 };
 
 const drainMs = 3000;
@@ -225,13 +229,25 @@
 const toleratedFatalSends = 3;
 
 // After its fifth crash and the time in which nodes are in contact again, next to no request with the part reaches a server.
-const checkFatalPart = ({
-	events,
-	fatalCrashes,
-}: SoakHistory): readonly Violation[] => {
+const checkFatalPart = (history: SoakHistory): readonly Violation[] => {
+	const bounds = [-Infinity, ...history.wholeLosses, Infinity];
+	return bounds
+		.slice(1)
+		.flatMap((until, index) =>
+			checkFatalPartBetween(history, bounds[index]!, until),
+		);
+};
+
+const checkFatalPartBetween = (
+	{events, fatalCrashes: allCrashes}: SoakHistory,
+	from: number,
+	until: number,
+): readonly Violation[] => {
+	const fatalCrashes = allCrashes.filter((at) => at >= from && at < until);
 	const fifthAt = fatalCrashes[toleratedFatalCrashes - 1] ?? Infinity;
 	const late = events.filter(
-		({hasFatalPart, at}) => hasFatalPart && at > fifthAt + contactMs,
+		({hasFatalPart, at}) =>
+			hasFatalPart && at > fifthAt + contactMs && at < until,
 	).length;
 	return late > toleratedFatalSends
 		? [
@@ -333,7 +349,7 @@
 		...(record.continues ? versionsOf(record.continues) : []),
 	]);
 
-// Streams that are taken up at undisturbed nodes have to go on half as often as new ones begin there, while two servers of
+// Streams that are taken up by name at undisturbed nodes have to go on half as often as new ones begin there, while two servers of
 // their version are in use.
 const checkContinuations = ({
 	records,
@@ -352,8 +368,7 @@
 	);
 	const takenUp = atSoundNodes.filter(
 		(record) =>
-			record.continues !== undefined &&
-			serversOf(record, events) >= minimumVersionServers,
+			record.isNamed && serversOf(record, events) >= minimumVersionServers,
 	);
 	const fresh = atSoundNodes.filter(({continues}) => continues === undefined);
 	const shareOf = (all: readonly CallerRecord[]) =>
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -2,6 +2,7 @@
 Derives the faults of a soak test from a seed.
 */
 import {createRandom, type Random} from '../src/shared/index.ts';
+import type {WholeReturn} from './soak-nodes.ts';
 
 /**
 Fault, its target and its duration.
@@ -54,6 +55,23 @@
 			readonly node: number;
 			readonly forMs: number;
 	  }
+	/**
+	All nodes are killed and return, once or in series.
+	*/
+	| {
+			readonly kind: 'whole-return';
+			readonly times: number;
+			readonly how: WholeReturn['how'];
+			/**
+			What else is in trouble: the registry is away from before the loss until after the return, all servers are replaced by ones of
+			the next version meanwhile, or a server stops for a time.
+			*/
+			readonly beside: 'nothing' | 'registry-away' | 'upgrade' | 'crash';
+			/**
+			Time for which the nodes are down, in milliseconds.
+			*/
+			readonly forMs: number;
+	  }
 	| {readonly kind: 'registry-away' | 'routes'; readonly forMs: number}
 	| {
 			readonly kind: 'registry-restored';
@@ -121,9 +139,11 @@
 		at += minimumGapMs + random.below(gapRangeMs);
 	}
 
-	return [...plan, ...planRareFaults(options)].toSorted(
-		(left, right) => left.at - right.at,
-	);
+	return [
+		...plan,
+		...planRareFaults(options),
+		...planWholeReturn(options),
+	].toSorted((left, right) => left.at - right.at);
 };
 
 const rareSeedOffset = 1_000_003;
@@ -154,6 +174,40 @@
 	return plan;
 };
 
+const returnSeedOffset = 2_000_003;
+const minimumDownMs = 200;
+const downRangeMs = 1500;
+const maximumReturns = 3;
+
+/**
+Draws how all nodes are killed and return; `name` distinguishes several returns of one seed.
+*/
+export const drawWholeReturn = (
+	seed: number,
+	name: number,
+): Extract<Fault, {readonly kind: 'whole-return'}> => {
+	const random = createRandom(seed + name * returnSeedOffset);
+	return {
+		kind: 'whole-return',
+		times: 1 + random.below(maximumReturns),
+		how: (['clean', 'early-start', 'ports-in-use'] as const)[random.below(3)]!,
+		beside: (['nothing', 'registry-away', 'upgrade', 'crash'] as const)[
+			random.below(4)
+		]!,
+		forMs: minimumDownMs + random.below(downRangeMs),
+	};
+};
+
+// One in the course of the test, also drawn by itself.
+const planWholeReturn = ({
+	seed,
+	lengthMs,
+}: PlanOptions): readonly PlannedFault[] => {
+	const at =
+		minimumRareGapMs + createRandom(seed + returnSeedOffset).below(lengthMs);
+	return at < lengthMs ? [{at, fault: drawWholeReturn(seed, 1)}] : [];
+};
+
 const drawFault = (random: Random, {nodes, servers}: PlanOptions): Fault => {
 	const forMs =
 		minimumDurationMs + random.below(maximumDurationMs - minimumDurationMs);
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -13,7 +13,7 @@
 import {startRegistryServer} from '../stand-ins/registry-server.ts';
 import {createStandInRegistry} from '../stand-ins/registry.ts';
 import {checkSoak, type SoakHistory, type Violation} from './check-soak.ts';
-import {planFaults, type Fault} from './fault-plan.ts';
+import {drawWholeReturn, planFaults, type Fault} from './fault-plan.ts';
 import {startSoakCallers} from './soak-callers.ts';
 import {startSoakNodes, type SoakNodes} from './soak-nodes.ts';
 import {createSoakRoutes, type SoakRoutes} from './soak-routes.ts';
@@ -50,8 +50,10 @@
 const port = 8002;
 // Time for the nodes to discover each other.
 const settleMs = 3000;
-// Time to recover after the last fault, followed by the time in which callers have to be served again.
+// Time to recover after the last fault.
 const recoveryMs = 5000;
+// Time within which callers have to be served again after all nodes and all else have returned.
+const returnMs = 2000;
 const recoveredLoadMs = 3000;
 const maximumReadyChecks = 300;
 const limitPerSecond = 4;
@@ -105,6 +107,11 @@
 		}
 
 		await sleep(recoveryMs);
+		// At the end, when nothing else is in trouble any more, so that what is served after it depends on the return alone.
+		const closing = drawWholeReturn(options.seed, 2);
+		options.onProgress?.(`closing ${describe(closing)}`);
+		await playWholeReturn(closing, {nodes, servers, routes});
+		await sleep(returnMs);
 		const recoveredAt = performance.now();
 		await sleep(recoveredLoadMs);
 		const records = await finish();
@@ -119,6 +126,7 @@
 			falls: servers.flatMap(({falls}) => falls),
 			servers: servers.length,
 			disturbances: nodes.disturbances,
+			wholeLosses: nodes.wholeLosses,
 			received: new Set(servers.flatMap(({received}) => [...received])),
 			peakMemoryMb: nodes.peakMemoryMb(),
 			recoveredAt,
@@ -254,7 +262,10 @@
 
 type ServersFault = Extract<
 	Fault,
-	{readonly kind: 'crowd' | 'silence' | 'brittle' | 'fatal-part'}
+	{
+		readonly kind:
+			'crowd' | 'silence' | 'brittle' | 'fatal-part' | 'whole-return';
+	}
 >;
 
 const playServersFault = async (
@@ -274,6 +285,10 @@
 			return playBrittle(servers, fault.forMs);
 		}
 
+		case 'whole-return': {
+			return playWholeReturn(fault, {nodes, servers, routes});
+		}
+
 		case 'fatal-part': {
 			for (const server of servers) {
 				server.setFatal(true);
@@ -282,6 +297,59 @@
 	}
 };
 
+// Times around a return, in milliseconds: for which the registry is away before the loss and after the return, and between two returns.
+const awayAroundMs = 1000;
+const betweenReturnsMs = 700;
+
+const playBeside = async (
+	{beside, forMs}: Extract<Fault, {readonly kind: 'whole-return'}>,
+	{servers, routes}: Targets,
+): Promise<void> => {
+	switch (beside) {
+		case 'nothing': {
+			return;
+		}
+
+		case 'registry-away': {
+			return routes.takeRegistryDown(forMs + 2 * awayAroundMs);
+		}
+
+		case 'upgrade': {
+			await sleep(forMs / 2);
+			for (const server of servers) {
+				server.upgrade();
+			}
+
+			return;
+		}
+
+		case 'crash': {
+			servers[0]!.setBehaviour('crash');
+			await sleep(forMs + awayAroundMs);
+			servers[0]!.setBehaviour('sound');
+		}
+	}
+};
+
+const playWholeReturn = async (
+	fault: Extract<Fault, {readonly kind: 'whole-return'}>,
+	targets: Targets,
+): Promise<void> => {
+	const beside = playBeside(fault, targets);
+	if (fault.beside === 'registry-away') {
+		await sleep(awayAroundMs);
+	}
+
+	for (let time = 1; time <= fault.times; time += 1) {
+		await targets.nodes.restartAll({downMs: fault.forMs, how: fault.how});
+		if (time < fault.times) {
+			await sleep(betweenReturnsMs);
+		}
+	}
+
+	await beside;
+};
+
 // The routes change in the middle of the silence.
 const playSilence = async (
 	servers: readonly SoakServer[],
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -42,6 +42,10 @@
 	*/
 	readonly continues: CallerRecord | undefined;
 	/**
+	Whether the request names the one that it continues.
+	*/
+	readonly isNamed: boolean;
+	/**
 	Whether the prompt has the part on which servers may crash.
 	*/
 	readonly hasFatalPart: boolean;
@@ -86,6 +90,8 @@
 const leaveAfterMs = 25;
 // Every n-th stream has the part on which servers may crash.
 const fatalEvery = 31;
+// Every n-th take-up names no request.
+const unnamedEvery = 3;
 const topics = 9;
 const maximumTakeUps = 2;
 
@@ -130,6 +136,7 @@
 			node,
 			sentAt: performance.now(),
 			continues,
+			isNamed: continues !== undefined && sent % unnamedEvery !== 0,
 			hasFatalPart,
 		};
 		const elapsedMs = () => performance.now() - base.sentAt;
@@ -150,7 +157,9 @@
 					}),
 					...(continues && {
 						'last-event-id': String(lastIndexOf(continues)),
-						[productHeaders.continuedRequestId]: firstOf(continues).requestId,
+						...(base.isNamed && {
+							[productHeaders.continuedRequestId]: firstOf(continues).requestId,
+						}),
 					}),
 				},
 				signal: AbortSignal.timeout(
--- a/soak/soak-nodes.ts
+++ b/soak/soak-nodes.ts
@@ -1,7 +1,10 @@
 /**
 Nodes of a soak test: processes that are suspended, killed, stopped and restarted.
 */
+import {once} from 'node:events';
 import {readFileSync} from 'node:fs';
+import {createServer, type Server} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {startProcess, type Process} from '../stand-ins/child-process.ts';
 
 /**
@@ -23,6 +26,10 @@
 export type SoakNodes = {
 	readonly callerAddresses: readonly string[];
 	readonly disturbances: readonly Disturbance[];
+	/**
+	Times at which all nodes were killed, in milliseconds of the checker's clock.
+	*/
+	readonly wholeLosses: readonly number[];
 	pause(node: number): void;
 	resume(node: number): void;
 	/**
@@ -34,12 +41,31 @@
 		afterMs: number,
 	): Promise<void>;
 	/**
+	Kills all nodes at once and starts them again. Nodes that are being restarted by themselves are left alone.
+	*/
+	restartAll(wholeReturn: WholeReturn): Promise<void>;
+	/**
 	Returns the largest amount of memory that a running node has taken, in MB.
 	*/
 	peakMemoryMb(): number;
 	stop(): Promise<void>;
 };
 
+/**
+How all nodes are killed and return.
+*/
+export type WholeReturn = {
+	/**
+	Time between the exit of the nodes and their start, in milliseconds.
+	*/
+	readonly downMs: number;
+	/**
+	`early-start`: the nodes are started before their predecessors are killed. `ports-in-use`: another socket holds a port of every
+	second node for a time after its start.
+	*/
+	readonly how: 'clean' | 'early-start' | 'ports-in-use';
+};
+
 /**
 Binary, addresses and zones of the nodes.
 */
@@ -55,6 +81,8 @@
 const callerPort = 8000;
 const peerPort = 8001;
 const drainMs = 3000;
+// Time for which a port stays in use after the start of its node, in milliseconds.
+const portHeldMs = 1500;
 
 /**
 Starts nodes in the zones of one region.
@@ -99,6 +127,8 @@
 
 	const processes = Array.from({length: nodes}, (_, node) => start(node));
 	const busy = new Set<number>();
+	const restarting = new Set<number>();
+	const wholeLosses: number[] = [];
 
 	const begin = (node: number, isStop = false): Disturbance => {
 		const disturbance = {
@@ -111,9 +141,57 @@
 		return disturbance;
 	};
 
+	const holdPort = async (node: number): Promise<Server> => {
+		const holder = createServer((socket) => {
+			socket.destroy();
+		});
+		holder.listen(node % 4 === 0 ? callerPort : peerPort, hostOf(node));
+		await once(holder, 'listening');
+		return holder;
+	};
+
+	const endFreeze = (node: number) => {
+		const open = disturbances.findLast(
+			(each) => each.node === node && each.until === Infinity,
+		);
+		if (open) {
+			open.until = performance.now();
+		}
+	};
+
+	const killAndStart = async (
+		node: number,
+		{downMs, how}: WholeReturn,
+		onKill: () => void,
+	): Promise<void> => {
+		const predecessor = processes[node]!;
+		if (how === 'early-start') {
+			processes[node] = start(node);
+			await sleep(downMs);
+			predecessor.child.kill('SIGKILL');
+			onKill();
+			return;
+		}
+
+		predecessor.child.kill('SIGKILL');
+		onKill();
+		await predecessor.exited;
+		const isHeld = how === 'ports-in-use' && node % 2 === 0;
+		const holder = isHeld ? await holdPort(node) : undefined;
+		await sleep(downMs);
+		processes[node] = start(node);
+		if (!holder) {
+			return;
+		}
+
+		await sleep(portHeldMs);
+		holder.close();
+	};
+
 	return {
 		callerAddresses,
 		disturbances,
+		wholeLosses,
 		pause(node) {
 			if (busy.has(node)) {
 				return;
@@ -141,6 +219,7 @@
 			}
 
 			busy.add(node);
+			restarting.add(node);
 			const disturbance = begin(node, signal === 'SIGTERM');
 			processes[node]!.child.kill(signal);
 			await processes[node]!.exited;
@@ -149,8 +228,31 @@
 			});
 			processes[node] = start(node);
 			disturbance.until = performance.now();
+			restarting.delete(node);
 			busy.delete(node);
 		},
+		async restartAll(wholeReturn) {
+			let lastKillAt = performance.now();
+			const chosen = processes
+				.keys()
+				.filter((node) => !restarting.has(node))
+				.toArray();
+			await Promise.all(
+				chosen.map(async (node) => {
+					endFreeze(node);
+					busy.add(node);
+					restarting.add(node);
+					const disturbance = begin(node);
+					await killAndStart(node, wholeReturn, () => {
+						lastKillAt = performance.now();
+					});
+					disturbance.until = performance.now();
+					restarting.delete(node);
+					busy.delete(node);
+				}),
+			);
+			wholeLosses.push(lastKillAt);
+		},
 		peakMemoryMb: () =>
 			Math.max(...processes.map(({child}) => peakMemoryMbOf(child.pid))),
 		async stop() {
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -22,6 +22,7 @@
 	latencyMs: 20,
 	leftAt: Infinity,
 	continues: undefined,
+	isNamed: false,
 	hasFatalPart: false,
 	...change,
 });
@@ -51,6 +52,7 @@
 		records: [],
 		events: [],
 		disturbances: [],
+		wholeLosses: [],
 		fatalCrashes: [],
 		falls: [],
 		servers: 5,
@@ -188,6 +190,7 @@
 							status: 503,
 							body: '',
 							continues: begun,
+							isNamed: true,
 						});
 			}),
 			events: [eventFor(), eventFor({server: 'b'})],
@@ -311,6 +314,23 @@
 	);
 });
 
+test('crashes on a fatal part before all nodes were killed do not count with those after it', (t: TestContext) => {
+	const fatalCrashes = [1, 2, 3, 14, 15].map((second) => second * 1000);
+	const events = Array.from({length: 4}, () =>
+		eventFor({hasFatalPart: true, at: 21_000}),
+	);
+	t.assert.deepStrictEqual(violatedBy({fatalCrashes, events}), ['fatal part']);
+	t.assert.deepStrictEqual(
+		violatedBy({fatalCrashes, events, wholeLosses: [10_000]}),
+		[],
+	);
+	const later = [11, 12, 13, 14, 15].map((second) => second * 1000);
+	t.assert.deepStrictEqual(
+		violatedBy({fatalCrashes: later, events, wholeLosses: [10_000]}),
+		['fatal part'],
+	);
+});
+
 test('servers that fail under refusals of undisturbed nodes are a violation beyond two and a tenth of their number', (t: TestContext) => {
 	const fall = {
 		at: 9000,
