Go on following the registry after a fault of this node's own

Looked for beside the start: other loops that one error ends and nothing starts again, while the process stays alive and ready. The loop that follows the registry was one: whatever was thrown while an answer was processed ended it for good, logged as an unexpected error; ticks reschedule themselves before they run. No such fault was seen; suspected only. The loop now logs the fault and tries again after its usual pause. The test failed before: no request after the second.

--- a/src/registry/registry-follower.ts
+++ b/src/registry/registry-follower.ts
@@ -401,8 +401,21 @@
 		}
 	};
 
+	// A fault must not end the loop: the node would serve from an ever older copy, and one without a copy nothing at all.
+	const followSafely = async (): Promise<number> => {
+		try {
+			return await followOnce();
+		} catch (error) {
+			logger.error(
+				{fault: (error as Error).stack ?? String(error)},
+				'registry update failed; trying again',
+			);
+			return retryPauseMs;
+		}
+	};
+
 	const run = async () => {
-		const pauseMs = await followOnce();
+		const pauseMs = await followSafely();
 		if (isRunning) {
 			pause = setTimeout(() => {
 				void run();
--- a/tests/registry/registry-follower.test.ts
+++ b/tests/registry/registry-follower.test.ts
@@ -12,6 +12,7 @@
 	{mock}: TestContext,
 	spanMs: number,
 	hasJustStarted: boolean,
+	onRead: (requests: number) => void = () => undefined,
 ): Promise<number> => {
 	mock.timers.enable({apis: ['setTimeout']});
 	let now = 0;
@@ -34,7 +35,9 @@
 		relay: () => undefined,
 		askRelay: async () => undefined,
 		hasJustStarted: () => hasJustStarted,
-		onRead: () => undefined,
+		onRead() {
+			onRead(requests);
+		},
 		clock: () => now,
 		randomFraction: () => 0.5,
 		logger: createLogger('test'),
@@ -62,3 +65,13 @@
 		Math.ceil(spanMs / registryPollPauseMs),
 	);
 });
+
+// Guards against a node that never follows the registry again after one fault of its own.
+test('a fault while an answer is processed does not end the following of the registry', async (t: TestContext) => {
+	const requests = await requestsIn(t, 3000, false, (count) => {
+		if (count === 2) {
+			throw new Error('a fault');
+		}
+	});
+	t.assert.ok(requests > 5, `${requests} requests`);
+});
