Decide in one place how a node starts and ends, without a process

`platform-node` and `quillford gateway` each had their own order of start, failed start, stop signal, drain and close, one of them in the adapter. Both call runUntilStopped now, which is tested with fakes: a failed start, a failed completion while callers are served (drains first), a stop signal during either. No other behaviour changes; the stop of `quillford gateway` is logged in the words of the other one.

--- a/src/command-line/gateway-command.ts
+++ b/src/command-line/gateway-command.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {Command} from 'clipanion';
 import {createGateway, productHeaders} from '../gateway/index.ts';
+import {createStopRequest, runUntilStopped} from '../lifecycle/index.ts';
 import {createAddressBinder} from '../listening/index.ts';
 import {createLogger, startLogging} from '../logging/index.ts';
 // Imported directly: the index of the folder does not export it, so that nodes with another registry source
@@ -65,33 +66,16 @@
 			bounds,
 			logger,
 		});
-		let isStopRequested = false;
-		const {promise, resolve} = Promise.withResolvers<string>();
-		const stop = (signal: NodeJS.Signals) => {
-			binder.stop();
-			isStopRequested = true;
-			resolve(signal);
-		};
-
-		process.on('SIGTERM', stop);
-		process.on('SIGINT', stop);
-
-		try {
-			await gateway.start();
-		} catch (error) {
-			await gateway.stop();
-			if (isStopRequested) {
-				return exitCodes.ok;
-			}
-
-			logger.error({fault: (error as Error).message}, 'node failed to start');
-			return exitCodes.failure;
-		}
-
-		logger.info({reason: await promise}, 'graceful shutdown started');
-		const isIdle = await gateway.drain(settings.drainTimeoutMs);
-		await gateway.stop();
-		logger.info({isIdle}, 'stopped');
-		return isIdle ? exitCodes.ok : exitCodes.failure;
+		const end = await runUntilStopped({
+			start: gateway.start,
+			complete: async () => undefined,
+			drain: async () => gateway.drain(settings.drainTimeoutMs),
+			close: gateway.stop,
+			stopRequest: createStopRequest(process, binder.stop),
+			logger,
+		});
+		return end.kind === 'stopped' && end.isIdle
+			? exitCodes.ok
+			: exitCodes.failure;
 	}
 }
--- /dev/null
+++ b/src/lifecycle/index.ts
@@ -0,0 +1,2 @@
+export * from './run-until-stopped.ts';
+export * from './stop-request.ts';
