Relay the events that arrive together with one after a gap

A caller lost events of a resumable stream (ORDER) where a server left one out and the events before the gap came in the same chunk as the one after it: the whole chunk was dropped, while the last id had already been counted, so the stream was continued after events that the caller never received. Found by reading, beside the numbering of events; sound servers leave nothing out.

The relay now returns what can be relayed and, apart from that, whether an event is missing after it. Evidence: the new test of delivery failed before (1, 2 and 4 in one chunk: the caller received 3 and 4 only), and passes now.

--- a/src/gateway/delivery/event-relay.ts
+++ b/src/gateway/delivery/event-relay.ts
@@ -4,15 +4,22 @@
 	type EventProgress,
 } from '../../response-bodies/index.ts';
 
+/**
+Events that can be relayed, and whether one is missing after them; the response must not be relayed any further then.
+*/
+export type RelayedEvents = {
+	readonly bytes: Buffer;
+	readonly isNextMissing: boolean;
+};
+
 /**
 Relays the complete events of a resumable stream.
 */
 export type EventRelay = {
 	/**
-	Adds a chunk and returns the events that are complete now. Returns undefined if an event is missing; the stream must not continue
-	then.
+	Adds a chunk and returns the events that can be relayed now.
 	*/
-	push(chunk: Buffer): Buffer | undefined;
+	push(chunk: Buffer): RelayedEvents;
 	/**
 	Drops a partial event, so that a stream that continues this one can be read.
 	*/
@@ -84,7 +91,7 @@
 				const event = completeWith(chunk.subarray(start, end));
 				const verdict = classify(event);
 				if (verdict === 'gap') {
-					return undefined;
+					return {bytes: concatenate(complete), isNextMissing: true};
 				}
 
 				if (verdict === 'pass') {
@@ -98,7 +105,7 @@
 				partial.push(chunk.subarray(start));
 			}
 
-			return concatenate(complete);
+			return {bytes: concatenate(complete), isNextMissing: false};
 		},
 		restart() {
 			scanner = createEventScanner();
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -270,25 +270,36 @@
 	const now = context.clock();
 	current.attempt?.recordFirstEvent(now);
 	recordChunk(run, current, now);
-	const passed = run.relay ? run.relay.push(chunk) : chunk;
-	if (passed === undefined) {
+	const {bytes, isNextMissing} = run.relay?.push(chunk) ?? {
+		bytes: chunk,
+		isNextMissing: false,
+	};
+	const isReady = isReadyAfterWriting(context, run, bytes);
+	if (isNextMissing) {
 		failAnswer(context, run, 'An event of the stream is missing');
 		return true;
 	}
 
-	if (passed.length === 0) {
-		return true;
+	if (!isReady) {
+		run.sink.onDrain(() => {
+			current.open().resume();
+		});
 	}
 
-	recordWriter(context, run);
-	if (run.hasCallerLeft || run.sink.write(passed)) {
+	return isReady;
+};
+
+const isReadyAfterWriting = (
+	context: DeliveryContext,
+	run: DeliveryRun,
+	bytes: Buffer,
+): boolean => {
+	if (bytes.length === 0) {
 		return true;
 	}
 
-	run.sink.onDrain(() => {
-		current.open().resume();
-	});
-	return false;
+	recordWriter(context, run);
+	return run.hasCallerLeft || run.sink.write(bytes);
 };
 
 const recordWriter = (context: DeliveryContext, run: DeliveryRun): void => {
--- a/tests/gateway/delivery/broken-off-answers.test.ts
+++ b/tests/gateway/delivery/broken-off-answers.test.ts
@@ -106,3 +106,25 @@
 		}
 	}
 });
+
+test('a stream whose server leaves out an event is continued after the last event that its caller has', (t: TestContext) => {
+	const {deliveries, sent} = setUp(['a', 'b']);
+	const {sink, seen} = createSink();
+	const events = (ids: readonly number[]) =>
+		ids.map((id) => `id: ${id}\ndata: x\n\n`).join('');
+	deliveries.deliver(
+		exchangeFor({kind: 'streaming', isResumable: true, maximumAttempts: 3}),
+		sink,
+	);
+	answer(sent[0]!, 200, signed);
+	sent[0]!.listener.onData(Buffer.from(events([1, 2, 4])));
+	answer(sent[1]!, 200, signed);
+	sent[1]!.listener.onData(Buffer.from(events([3, 4])));
+	sent[1]!.listener.onEnd();
+	t.assert.strictEqual(seen.text, events([1, 2, 3, 4]));
+	t.assert.ok(seen.isEnded);
+	t.assert.match(
+		sent[1]!.call.headers.join('\n'),
+		/last-event-id\n2(?:\n|$)/iv,
+	);
+});
