Relay streams whose event ids rise by more than one

An event behind a gap is held until the next one of its response tells what the gap means: ids that go on by one prove that an event is missing, as before; another gap shows that the service numbers so, which the node remembers by service and version. Ids are compared as big integers.

--- a/src/gateway/delivery/delivery-context.ts
+++ b/src/gateway/delivery/delivery-context.ts
@@ -20,6 +20,7 @@
 import type {WireHeaders} from '../wire-headers.ts';
 import type {AnswerBuffer} from './answer-buffer.ts';
 import type {DeliveryRun} from './delivery-run.ts';
+import type {EventNumbering, SparseEventIds} from './event-numbering.ts';
 import type {CapacityForecast} from './capacity-forecast.ts';
 import type {RouteDurations} from './route-durations.ts';
 import type {RequestQueue} from './request-queue.ts';
@@ -177,6 +178,10 @@
 	Called with each change of a second call of a request.
 	*/
 	readonly onHedge: (exchange: Exchange, change: HedgeChange) => void;
+	/**
+	Called once for each service and software version of which event ids are found to rise by more than one.
+	*/
+	readonly onSparseEventIds: (sparse: SparseEventIds) => void;
 };
 
 /**
@@ -190,6 +195,7 @@
 	readonly searches: Set<Exchange>;
 	readonly queue: RequestQueue;
 	readonly answerBuffer: AnswerBuffer;
+	readonly eventNumbering: EventNumbering;
 	readonly forecast: CapacityForecast;
 	readonly retryYield: RetryYield;
 	/**
--- a/src/gateway/delivery/delivery.ts
+++ b/src/gateway/delivery/delivery.ts
@@ -19,6 +19,7 @@
 import {hedgeSilentRuns} from './hedge.ts';
 import {queueRefused, sendOrQueue} from './send-run.ts';
 import {judgeQueued, type QueueConditions} from './judge-queued.ts';
+import {createEventNumbering} from './event-numbering.ts';
 import {createRequestQueue} from './request-queue.ts';
 import {boundOriginOf, findContinuation, isTakenUp} from './take-up.ts';
 
@@ -81,6 +82,7 @@
 		searches: new Set(),
 		queue: createRequestQueue(),
 		answerBuffer: createAnswerBuffer(),
+		eventNumbering: createEventNumbering(options.onSparseEventIds),
 		forecast: createCapacityForecast(),
 		retryYield: createRetryYield(),
 		sendOrQueue(run) {
--- a/src/gateway/delivery/event-relay.ts
+++ b/src/gateway/delivery/event-relay.ts
@@ -3,6 +3,7 @@
 	createEventScanner,
 	type EventProgress,
 } from '../../response-bodies/index.ts';
+import {createEventOrder, type StreamNumbering} from './event-order.ts';
 
 /**
 Events that can be relayed, and whether one is missing after them; the response must not be relayed any further then.
@@ -21,7 +22,11 @@
 	*/
 	push(chunk: Buffer): RelayedEvents;
 	/**
-	Drops a partial event, so that a stream that continues this one can be read.
+	Returns the events that are still held once a response has ended as its server meant it to.
+	*/
+	end(): RelayedEvents;
+	/**
+	Drops a partial event and those that are held, so that a stream that continues this one can be read.
 	*/
 	restart(): void;
 	/**
@@ -40,29 +45,48 @@
 /**
 Creates a relay for one stream.
 
-@param lastDelivered The ID of the last event that the receiver already has.
+@param lastDelivered Id of the last event that the receiver already has.
+@param numbering How the servers of the service number events.
 */
 export const createEventRelay = (
 	lastDelivered: string | undefined,
+	numbering: StreamNumbering,
 ): EventRelay => {
 	let scanner = createEventScanner();
 	let partial: Buffer[] = [];
-	let lastId = lastDelivered;
+	let held: Buffer[] = [];
+	const order = createEventOrder(parseId(lastDelivered), numbering);
 
-	// Event IDs increase by one. Events that the receiver already has are skipped; a gap ends the stream.
-	const classify = (event: Buffer): 'pass' | 'skip' | 'gap' => {
+	// Adds the events that can be relayed now to `relayed`. Returns whether none is missing before them.
+	const hasAdded = (event: Buffer, relayed: Buffer[]): boolean => {
 		const id = eventId(event);
-		if (id === undefined) {
-			return 'pass';
-		}
+		const verdict = id === undefined ? 'pass' : order.judge(id);
+		switch (verdict) {
+			case 'hold': {
+				held.push(event);
+				return true;
+			}
 
-		const last = lastId === undefined ? undefined : Number(lastId);
-		if (last === undefined || Number.isNaN(last) || id === last + 1) {
-			lastId = String(id);
-			return 'pass';
-		}
+			case 'pass': {
+				// An event without an id stays behind the one that is held.
+				(held.length > 0 ? held : relayed).push(event);
+				return true;
+			}
+
+			case 'release': {
+				relayed.push(...held, event);
+				held = [];
+				return true;
+			}
+
+			case 'skip': {
+				return true;
+			}
 
-		return id <= last ? 'skip' : 'gap';
+			case 'missing': {
+				return false;
+			}
+		}
 	};
 
 	const completeWith = (last: Buffer): Buffer => {
@@ -89,15 +113,10 @@
 				end = scanner.nextBoundary(chunk, start)
 			) {
 				const event = completeWith(chunk.subarray(start, end));
-				const verdict = classify(event);
-				if (verdict === 'gap') {
+				if (!hasAdded(event, complete)) {
 					return {bytes: concatenate(complete), isNextMissing: true};
 				}
 
-				if (verdict === 'pass') {
-					complete.push(event);
-				}
-
 				start = end;
 			}
 
@@ -107,11 +126,19 @@
 
 			return {bytes: concatenate(complete), isNextMissing: false};
 		},
+		end() {
+			const isNextMissing = order.endResponse() === 'missing';
+			const bytes = concatenate(isNextMissing ? [] : held);
+			held = [];
+			return {bytes, isNextMissing};
+		},
 		restart() {
 			scanner = createEventScanner();
 			dropPartial();
+			held = [];
+			order.beginResponse();
 		},
-		lastEventId: () => lastId,
+		lastEventId: () => order.lastId()?.toString() ?? lastDelivered,
 		progress: () => scanner,
 	};
 };
@@ -126,7 +153,7 @@
 
 // Parses the bytes: with a regular expression over the decoded text, a stream of 40 events took 9.7 ms of CPU time
 // instead of 8.7 ms.
-const eventId = (event: Buffer): number | undefined => {
+const eventId = (event: Buffer): bigint | undefined => {
 	for (
 		let at = event.indexOf(idField);
 		at !== -1;
@@ -145,7 +172,10 @@
 	return undefined;
 };
 
-const digitsAt = (event: Buffer, from: number): number | undefined => {
+// Longer numbers may not be exact as a `number`.
+const exactDigits = 15;
+
+const digitsAt = (event: Buffer, from: number): bigint | undefined => {
 	const first = event[from] === space ? from + 1 : from;
 	let value = 0;
 	let at = first;
@@ -153,5 +183,14 @@
 		value = value * 10 + event[at]! - digitZero;
 	}
 
-	return at === first ? undefined : value;
+	if (at === first) {
+		return undefined;
+	}
+
+	return BigInt(
+		at - first > exactDigits ? event.toString('latin1', first, at) : value,
+	);
 };
+
+const parseId = (text: string | undefined): bigint | undefined =>
+	text !== undefined && /^\d+$/v.test(text) ? BigInt(text) : undefined;
--- a/src/gateway/delivery/pass-answer.ts
+++ b/src/gateway/delivery/pass-answer.ts
@@ -236,7 +236,7 @@
 };
 
 const beginStream = (
-	{clock}: DeliveryContext,
+	context: DeliveryContext,
 	run: DeliveryRun,
 	head: UpstreamHead,
 ): void => {
@@ -247,10 +247,13 @@
 	}
 
 	run.hasBegun = true;
-	run.firstByteAt = clock();
+	run.firstByteAt = context.clock();
 	run.status = head.status;
 	if (route.isResumable) {
-		run.relay = createEventRelay(lastEventId);
+		run.relay = createEventRelay(
+			lastEventId,
+			context.eventNumbering.of(run.exchange.service, run.currentVersion),
+		);
 	}
 
 	run.sink.begin(
@@ -276,7 +279,7 @@
 	};
 	const isReady = isReadyAfterWriting(context, run, bytes);
 	if (isNextMissing) {
-		failAnswer(context, run, 'An event of the stream is missing');
+		failAnswer(context, run, missingEvent);
 		return true;
 	}
 
@@ -289,6 +292,8 @@
 	return isReady;
 };
 
+const missingEvent = 'An event of the stream is missing';
+
 const isReadyAfterWriting = (
 	context: DeliveryContext,
 	run: DeliveryRun,
@@ -350,6 +355,16 @@
 };
 
 const endStream = (context: DeliveryContext, run: DeliveryRun): void => {
+	const held = run.relay?.end();
+	if (held?.isNextMissing) {
+		failAnswer(context, run, missingEvent);
+		return;
+	}
+
+	if (held) {
+		isReadyAfterWriting(context, run, held.bytes);
+	}
+
 	run.outcome = 'ran';
 	endCurrentCall(context, run, 'answered', false);
 	closeRun(context, run);
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -223,6 +223,12 @@
 		onHedge(exchange, change) {
 			observer.hedge(exchange, change);
 		},
+		onSparseEventIds({service, softwareVersion, id}) {
+			logger.info(
+				{service, softwareVersion, id: String(id)},
+				'event ids of a service rise by more than one',
+			);
+		},
 	});
 	const observer = createGatewayObserver({
 		logger,
--- a/stand-ins/versioned-server.ts
+++ b/stand-ins/versioned-server.ts
@@ -34,10 +34,15 @@
 
 /**
 Starts a server and writes it to the registry.
+
+@param registry Registry that holds its entry.
+@param entry Its entry.
+@param eventStep By how much the ids of events rise.
 */
 export const startVersionedServer = async (
 	registry: StandInRegistry,
 	entry: Omit<RegisteredServer, 'coldMs' | 'isLeaving'>,
+	eventStep = 1,
 ): Promise<VersionedServer> => {
 	const open = new Set<ServerResponse>();
 	let runs = 0;
@@ -51,7 +56,9 @@
 			}
 
 			index += 1;
-			response.write(`id: ${index}\ndata: ${entry.softwareVersion}\n\n`);
+			response.write(
+				`id: ${index * eventStep}\ndata: ${entry.softwareVersion}\n\n`,
+			);
 			if (index >= versionedEvents) {
 				response.end();
 			} else if (isBroken) {
@@ -85,7 +92,7 @@
 				[standInHeaders.requestId]: requestId,
 				[standInHeaders.signature]: entry.id,
 			});
-			stream(response, Number(header('last-event-id')));
+			stream(response, Number(header('last-event-id')) / eventStep);
 		});
 	});
 
--- a/tests/gateway/delivery/delivery-scene.ts
+++ b/tests/gateway/delivery/delivery-scene.ts
@@ -127,6 +127,7 @@
 			records.push(record);
 		},
 		onHedge: () => undefined,
+		onSparseEventIds: () => undefined,
 		...change,
 	});
 	return {
--- a/tests/gateway/streams/stream-cluster.ts
+++ b/tests/gateway/streams/stream-cluster.ts
@@ -384,6 +384,7 @@
 			backendLimits,
 			onQueued: () => undefined,
 			onHedge: () => undefined,
+			onSparseEventIds: () => undefined,
 			onRecord(record) {
 				if (record.result === 'answered') {
 					durations.record(record.exchange.route.name, record.totalMs);
