Tell a route that nobody holds any more from one that a node has forgotten

The check leaves out such requests alone: routes later than the backup, sent until 3 s after they were written again, and only if all nodes were killed after the registry went away or shortly before. A test has one case on this side and five on the other, each with one of these conditions changed.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -11,7 +11,12 @@
 	nodeOfRequest,
 	type CallerRecord,
 } from './soak-callers.ts';
-import {applyMs, maximumAttempts, shortestTimeoutMs} from './soak-routes.ts';
+import {
+	applyMs,
+	maximumAttempts,
+	shortestTimeoutMs,
+	type LostRoutes,
+} from './soak-routes.ts';
 import type {Disturbance} from './soak-nodes.ts';
 import {
 	eventsPerStream,
@@ -77,6 +82,7 @@
 	Times by which all nodes had been killed, so that no knowledge from before was left.
 	*/
 	readonly wholeLosses: readonly number[];
+	readonly lostRoutes: readonly LostRoutes[];
 };
 
 const drainMs = 3000;
@@ -583,27 +589,43 @@
 		: [];
 };
 
+const addedRoutePattern = /^\/added\/(?<version>\d+)\//v;
+
+// No node and no registry has a route if the registry has lost it and all nodes were killed before they could read it again.
+const isLostEverywhere = (
+	{path, sentAt}: CallerRecord,
+	{lostRoutes, wholeLosses}: SoakHistory,
+): boolean => {
+	const version = Number(addedRoutePattern.exec(path)?.groups?.version);
+	return lostRoutes.some(
+		({awayAt, until, restoredVersion}) =>
+			version > restoredVersion &&
+			sentAt < until &&
+			wholeLosses.some((at) => at > awayAt - applyMs && at < sentAt),
+	);
+};
+
 // A node must not answer 404 for an added route that has to be in force by then.
-const checkRoutes = ({
-	records,
-	disturbances,
-}: SoakHistory): readonly Violation[] =>
-	records
+const checkRoutes = (history: SoakHistory): readonly Violation[] => {
+	const {records, disturbances} = history;
+	return records
 		.filter(
-			({kind, status, node, sentAt}) =>
-				kind === 'added' &&
-				status === 404 &&
+			(record) =>
+				record.kind === 'added' &&
+				record.status === 404 &&
+				!isLostEverywhere(record, history) &&
 				disturbances.every(
 					(each) =>
-						each.node !== node ||
-						each.from > sentAt ||
-						each.until + applyMs < sentAt,
+						each.node !== record.node ||
+						each.from > record.sentAt ||
+						each.until + applyMs < record.sentAt,
 				),
 		)
 		.map(({requestId, path}) => ({
 			promise: 'configuration',
 			detail: `${requestId}: 404 for ${path}`,
 		}));
+};
 
 const checkRecovery = ({
 	records,
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -127,6 +127,7 @@
 			servers: servers.length,
 			disturbances: nodes.disturbances,
 			wholeLosses: nodes.wholeLosses,
+			lostRoutes: routes.lostRoutes,
 			received: new Set(servers.flatMap(({received}) => [...received])),
 			peakMemoryMb: nodes.peakMemoryMb(),
 			recoveredAt,
--- a/soak/soak-routes.ts
+++ b/soak/soak-routes.ts
@@ -5,6 +5,24 @@
 import {writeRoutes, type StandInRegistry} from '../stand-ins/registry.ts';
 import {documentOf, routeOf, serviceOf} from '../tests/gateway/fixtures.ts';
 
+/**
+Time in which the registry lacks routes that were in force before. All times are in milliseconds of the checker's clock.
+*/
+export type LostRoutes = {
+	/**
+	When the registry went away, before it was restored from a backup.
+	*/
+	readonly awayAt: number;
+	/**
+	By when nodes must know the routes again, after they were written again.
+	*/
+	until: number;
+	/**
+	Latest version of the routes in the backup.
+	*/
+	readonly restoredVersion: number;
+};
+
 /**
 Controls the routes and the availability of the registry.
 */
@@ -26,6 +44,7 @@
 	Latest version that all nodes must have in force.
 	*/
 	appliedVersion(): number;
+	readonly lostRoutes: readonly LostRoutes[];
 };
 
 /**
@@ -107,6 +126,9 @@
 	// Changes when an outage begins or ends: nodes may miss writes shortly before it, so those don't count as applied.
 	let availabilityEpoch = 0;
 	let outages = 0;
+	// By version, the revision of the registry that holds it.
+	const revisions = new Map<number, number>();
+	const lostRoutes: LostRoutes[] = [];
 
 	const applyLater = async () => {
 		const written = {version, availabilityEpoch};
@@ -119,6 +141,7 @@
 	const change = () => {
 		version += 1;
 		writeRoutes(registry, documentWith(version));
+		revisions.set(version, registry.revision());
 		void applyLater();
 	};
 
@@ -135,6 +158,15 @@
 		void applyLater();
 	};
 
+	const latestVersionAt = (revision: number): number =>
+		Math.max(
+			0,
+			...revisions
+				.entries()
+				.filter(([, at]) => at <= revision)
+				.map(([each]) => each),
+		);
+
 	change();
 
 	return {
@@ -145,17 +177,26 @@
 			endOutage();
 		},
 		async restoreRegistry(forMs, writes) {
+			const awayAt = performance.now();
 			beginOutage();
 			await sleep(forMs);
-			const repeatLostWrites = registry.restore(
-				Math.max(0, registry.revision() - writes),
-			);
+			const revision = Math.max(0, registry.revision() - writes);
+			const repeatLostWrites = registry.restore(revision);
+			const lost: LostRoutes = {
+				awayAt,
+				until: Infinity,
+				restoredVersion: latestVersionAt(revision),
+			};
+			lostRoutes.push(lost);
 			endOutage();
 			await sleep(lostWriteDelayMs);
 			repeatLostWrites();
+			revisions.set(version, registry.revision());
+			lost.until = performance.now() + applyMs;
 			availabilityEpoch += 1;
 			void applyLater();
 		},
 		appliedVersion: () => applied,
+		lostRoutes,
 	};
 };
--- a/tests/soak/check-soak.test.ts
+++ b/tests/soak/check-soak.test.ts
@@ -53,6 +53,7 @@
 		events: [],
 		disturbances: [],
 		wholeLosses: [],
+		lostRoutes: [],
 		fatalCrashes: [],
 		falls: [],
 		servers: 5,
@@ -331,6 +332,37 @@
 	);
 });
 
+test('a 404 for a route that the registry has lost is no violation until it must be known again, if all nodes were killed meanwhile', (t: TestContext) => {
+	const lostRoutes = [{awayAt: 10_000, until: 15_000, restoredVersion: 1}];
+	const play = (
+		record: Partial<CallerRecord>,
+		wholeLosses: readonly number[] = [11_000],
+	) =>
+		violatedBy({
+			records: [
+				recordOf({
+					kind: 'added',
+					path: '/added/2/1',
+					status: 404,
+					sentAt: 12_000,
+					...record,
+				}),
+			],
+			lostRoutes,
+			wholeLosses,
+		});
+	t.assert.deepStrictEqual(play({}), []);
+	for (const [record, wholeLosses] of [
+		[{}, []],
+		[{}, [13_000]],
+		[{}, [5000]],
+		[{path: '/added/1/1'}, [11_000]],
+		[{sentAt: 16_000}, [11_000]],
+	] as const) {
+		t.assert.deepStrictEqual(play(record, wholeLosses), ['configuration']);
+	}
+});
+
 test('servers that fail under refusals of undisturbed nodes are a violation beyond two and a tenth of their number', (t: TestContext) => {
 	const fall = {
 		at: 9000,
