--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -71,6 +71,7 @@
 			Time for which the nodes are down, in milliseconds.
 			*/
 			readonly forMs: number;
+			readonly startGapMs: WholeReturn['startGapMs'];
 	  }
 	| {readonly kind: 'registry-away' | 'routes'; readonly forMs: number}
 	| {
@@ -178,6 +179,7 @@
 const minimumDownMs = 200;
 const downRangeMs = 1500;
 const maximumReturns = 3;
+const startGapRangeMs = 900;
 
 /**
 Draws how all nodes are killed and return; `name` distinguishes several returns of one seed.
@@ -195,6 +197,7 @@
 			random.below(4)
 		]!,
 		forMs: minimumDownMs + random.below(downRangeMs),
+		startGapMs: random.below(2) * random.below(startGapRangeMs),
 	};
 };
 
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -342,7 +342,7 @@
 	}
 
 	for (let time = 1; time <= fault.times; time += 1) {
-		await targets.nodes.restartAll({downMs: fault.forMs, how: fault.how});
+		await targets.nodes.restartAll({...fault, downMs: fault.forMs});
 		if (time < fault.times) {
 			await sleep(betweenReturnsMs);
 		}
--- a/soak/soak-nodes.ts
+++ b/soak/soak-nodes.ts
@@ -64,6 +64,10 @@
 	second node for a time after its start.
 	*/
 	readonly how: 'clean' | 'early-start' | 'ports-in-use';
+	/**
+	Time between the starts of two nodes, zone after zone, in milliseconds.
+	*/
+	readonly startGapMs: number;
 };
 
 /**
@@ -159,12 +163,18 @@
 		}
 	};
 
+	// The first node of each zone starts after all nodes of the zones before it.
+	const startOrderOf = (node: number): number =>
+		(node % zones.length) * Math.ceil(nodes / zones.length) +
+		Math.floor(node / zones.length);
+
 	const killAndStart = async (
 		node: number,
-		{downMs, how}: WholeReturn,
+		{downMs, how, startGapMs}: WholeReturn,
 		onKill: () => void,
 	): Promise<void> => {
 		const predecessor = processes[node]!;
+		const startDelayMs = startOrderOf(node) * startGapMs;
 		if (how === 'early-start') {
 			processes[node] = start(node);
 			await sleep(downMs);
@@ -178,7 +188,7 @@
 		await predecessor.exited;
 		const isHeld = how === 'ports-in-use' && node % 2 === 0;
 		const holder = isHeld ? await holdPort(node) : undefined;
-		await sleep(downMs);
+		await sleep(downMs + startDelayMs);
 		processes[node] = start(node);
 		if (!holder) {
 			return;
