Count the silence of a request in the soak from its receipt

Traced: the server hung, and fell silent twice. The two requests were received in the first silence and handed to the hanging server at its end, 0.3 s later, from where the check counted; their node gave them a second call after 2,282 ms without a byte, beyond the patience of 2 s, in the second silence. So the measure was short by the first silence, and no request was cut early.

A request's time without a byte now begins with its receipt. The new test failed before. The bound and the rest of the check stay as they are.

--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -477,6 +477,7 @@
 	const respond = (
 		request: IncomingMessage,
 		response: ServerResponse,
+		receivedAt: number,
 		wasHeld: boolean,
 	) => {
 		if (response.destroyed) {
@@ -532,7 +533,7 @@
 				!response.writableFinished &&
 				!closedHere.has(response);
 			event.cutAfterMs = isCut
-				? event.endedAt - (lastByteAt.get(response) ?? event.at)
+				? event.endedAt - (lastByteAt.get(response) ?? receivedAt)
 				: undefined;
 		});
 		if (hasNoRoom) {
@@ -557,9 +558,10 @@
 		received.add(String(request.headers[productHeaders.requestId]));
 		request.resume();
 		request.once('end', () => {
+			const receivedAt = performance.now();
 			const wasHeld = silentSince !== undefined;
 			act(() => {
-				respond(request, response, wasHeld);
+				respond(request, response, receivedAt, wasHeld);
 			});
 		});
 	});
