Weigh how a node keeps the bodies of requests within its memory

A small model plays four ways with few long bodies, a flood, a flood without declared lengths and one over slow connections, each beside small bodies: no limit, reserving the declared length, reserving chunk by chunk, and pausing the reading of connections.

--- a/benchmarks/run.ts
+++ b/benchmarks/run.ts
@@ -14,6 +14,7 @@
 import {measureQuarantine} from './quarantine.ts';
 import {measureRefusingServers} from './refusing-servers.ts';
 import {measureRegistryOrders} from './registry-orders.ts';
+import {measureRequestMemory} from './request-memory.ts';
 import {measureRests} from './rests.ts';
 import {measureRouting} from './routing.ts';
 import {measureSilentServers} from './silent-servers.ts';
@@ -38,6 +39,7 @@
 	overhead: measureOverhead,
 	processor: measureProcessor,
 	limits: measureLimits,
+	'request-memory': measureRequestMemory,
 	quarantine: measureQuarantine,
 	'backend-limits': measureBackendLimits,
 	rests: measureRests,
