Reserve memory for the bodies of requests before they are read

A declared length is reserved before the body is read, and what does not fit is refused at once with 503 and the time after which full memory is released, one caller after the other. The same holds for forwarded requests. The body of a refused request is read and dropped, because closing its connection would often destroy the refusal.

Not part of it: responses that are whole and that slow callers have not read, and the product's own interface.

--- a/src/command-line/gateway-command.ts
+++ b/src/command-line/gateway-command.ts
@@ -57,6 +57,7 @@
 		const gateway = createGateway({
 			bind: binder.bind,
 			...settings,
+			memoryMb: settings.memoryMb === 0 ? undefined : settings.memoryMb,
 			id: settings.nodeId,
 			contactAddress: undefined,
 			seeds: () => settings.seedPeers,
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -55,6 +55,10 @@
 	readonly without: DisabledMechanisms;
 	readonly logger: Logger;
 	/**
+	Memory of the node in MB; that of the machine if omitted.
+	*/
+	readonly memoryMb?: number | undefined;
+	/**
 	Opens the sockets of the node; makes one attempt each if omitted.
 	*/
 	readonly bind?: BindAddress;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -106,14 +106,21 @@
 		announcements,
 		leavingBroadcast,
 	} = nodeState;
-	const {intake, deliveries, observer, admission, overload, openResponses} =
-		createRequestHandling(options, nodeState, {
-			onFirstWaiting() {
-				ticks.reschedule();
-			},
-			lagMs: () => ticks.lagMs(),
-			utilization: () => ticks.utilization(),
-		});
+	const {
+		intake,
+		deliveries,
+		observer,
+		admission,
+		overload,
+		openResponses,
+		memory,
+	} = createRequestHandling(options, nodeState, {
+		onFirstWaiting() {
+			ticks.reschedule();
+		},
+		lagMs: () => ticks.lagMs(),
+		utilization: () => ticks.utilization(),
+	});
 	const startLog = createStartLog({
 		logger,
 		clock,
@@ -217,6 +224,7 @@
 			isLeaving: () => isLeaving,
 			onRequest: intake.handle,
 			openResponses,
+			memory,
 			onUnreadable(reason) {
 				observer.rejected('', `unreadable: ${reason}`, 400);
 			},
--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -20,8 +20,10 @@
 	type Address,
 } from '../../shared/index.ts';
 import type {CallerLimits} from '../../routes/index.ts';
+import type {MemoryBudget} from '../../memory-budget/index.ts';
 import type {ResponseSink} from '../exchange.ts';
 import type {OpenResponses} from './open-responses.ts';
+import {readRequestBody} from './read-request-body.ts';
 
 /**
 A request received with its whole body.
@@ -84,6 +86,10 @@
 	Counts the responses to requests that were read whole.
 	*/
 	readonly openResponses: Pick<OpenResponses, 'add'>;
+	/**
+	The memory that bodies may take.
+	*/
+	readonly memory: Pick<MemoryBudget, 'reserve'>;
 };
 
 // Added to the configured idle timeout, so that a request that is sent just before the timeout
@@ -110,28 +116,45 @@
 		(request, response) => {
 			connections.begin(response);
 			const headAt = performance.now();
-			readBody(request, limits.maximumBodyBytes, (body) => {
+			const bodyLimits = {
+				maximumBytes: limits.maximumBodyBytes,
+				memory: options.memory,
+			};
+			readRequestBody(request, response, bodyLimits, (body) => {
 				options.openResponses.add(response);
 				const sink = createResponseSink(response, options.isLeaving);
-				if (body === 'too-large') {
-					sink.refuse(
-						createGatewayError(
-							'body-too-large',
-							`The body is longer than ${limits.maximumBodyBytes} bytes`,
-						),
-						[],
-					);
-					request.destroy();
-					return;
-				}
+				switch (body.kind) {
+					case 'too-large': {
+						sink.refuse(
+							createGatewayError(
+								'body-too-large',
+								`The body is longer than ${limits.maximumBodyBytes} bytes`,
+							),
+							[],
+						);
+						request.destroy();
+						return;
+					}
 
-				onCallerLeft(
-					response,
-					options.onRequest(
-						toReceivedRequest(request, body, performance.now() - headAt),
-						sink,
-					),
-				);
+					case 'no-room': {
+						sink.refuse(createNoMemoryError(body.retryAfterMs), []);
+						return;
+					}
+
+					case 'whole': {
+						onCallerLeft(
+							response,
+							options.onRequest(
+								toReceivedRequest(
+									request,
+									body.bytes,
+									performance.now() - headAt,
+								),
+								sink,
+							),
+						);
+					}
+				}
 			});
 		},
 	);
@@ -210,33 +233,6 @@
 	};
 };
 
-/**
-Reads a whole body. `done` is not called when the sender aborts.
-*/
-export const readBody = (
-	request: IncomingMessage,
-	maximumBytes: number,
-	done: (body: Buffer | 'too-large' | undefined) => void,
-): void => {
-	const chunks: Buffer[] = [];
-	let size = 0;
-	request.on('data', (chunk: Buffer) => {
-		size += chunk.length;
-		if (size <= maximumBytes) {
-			chunks.push(chunk);
-		}
-	});
-	request.on('end', () => {
-		if (size > maximumBytes) {
-			done('too-large');
-		} else {
-			done(size === 0 ? undefined : Buffer.concat(chunks, size));
-		}
-	});
-	// A sender that aborts gets no response, because its connection is gone.
-	request.on('error', () => undefined);
-};
-
 /**
 Calls `callerLeft` when the caller closes the connection before the whole response was written.
 
@@ -268,6 +264,16 @@
 	return isFirst;
 };
 
+/**
+The refusal of a request for whose body the node has no memory.
+*/
+export const createNoMemoryError = (retryAfterMs: number): GatewayError =>
+	createGatewayError(
+		'overloaded',
+		'This node has no memory for the body now; send the request again later, or to another node',
+		{retryAfterSeconds: retryAfterMs / 1000},
+	);
+
 /**
 Converts a request of Node's HTTP server.
 */
--- a/src/gateway/intake/request-intake.ts
+++ b/src/gateway/intake/request-intake.ts
@@ -7,18 +7,20 @@
 	type GatewayError,
 } from '../../errors/index.ts';
 import type {SharedVerdict} from '../../limits/index.ts';
+import type {MemoryBudget} from '../../memory-budget/index.ts';
 import type {DisabledMechanisms} from '../../mechanisms/index.ts';
 import type {Deliveries} from '../delivery/index.ts';
 import type {ResponseSink, Exchange} from '../exchange.ts';
 import type {GatewayObserver} from '../gateway-observer.ts';
 import {
+	createNoMemoryError,
 	onCallerLeft,
-	readBody,
 	toReceivedRequest,
 	type ReceivedRequest,
 } from './caller-listener.ts';
 import {createHopSink} from './hop-sink.ts';
 import type {OpenResponses} from './open-responses.ts';
+import {readRequestBody} from './read-request-body.ts';
 import type {RequestDeferral} from './request-deferral.ts';
 import type {LeavingAdmission} from './leaving-admission.ts';
 import type {NodeOverload} from './node-overload.ts';
@@ -74,6 +76,10 @@
 	Counts the responses to forwarded requests.
 	*/
 	readonly openResponses: Pick<OpenResponses, 'add'>;
+	/**
+	The memory that the bodies of forwarded requests may take.
+	*/
+	readonly memory: Pick<MemoryBudget, 'reserve'>;
 	readonly readContext: () => ReadContext;
 };
 
@@ -101,6 +107,7 @@
 	admit,
 	without,
 	openResponses,
+	memory,
 	readContext,
 }: RequestIntakeOptions): RequestIntake => {
 	// A forwarded request is also cut off when this node exits, but its origin knows of no better node:
@@ -251,19 +258,33 @@
 		handleForwarded(request, response) {
 			const headAt = performance.now();
 			// The node that received the request from the caller has checked its length.
-			readBody(request, Number.MAX_SAFE_INTEGER, (body) => {
-				if (body === 'too-large') {
-					return;
-				}
-
+			const limits = {maximumBytes: Number.MAX_SAFE_INTEGER, memory};
+			readRequestBody(request, response, limits, (body) => {
 				openResponses.add(response);
 				const sink = createHopSink(response);
-				const received = toReceivedRequest(
-					request,
-					body,
-					performance.now() - headAt,
-				);
-				onCallerLeft(response, handleDeferred(readForwarded, received, sink));
+				switch (body.kind) {
+					case 'too-large': {
+						return;
+					}
+
+					case 'no-room': {
+						const {retryAfterMs} = body;
+						sink.refuse(createNoMemoryError(retryAfterMs), [], retryAfterMs);
+						return;
+					}
+
+					case 'whole': {
+						const received = toReceivedRequest(
+							request,
+							body.bytes,
+							performance.now() - headAt,
+						);
+						onCallerLeft(
+							response,
+							handleDeferred(readForwarded, received, sink),
+						);
+					}
+				}
 			});
 		},
 	};
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -1,4 +1,9 @@
 import {incarnationIdOf} from '../registry/index.ts';
+import {
+	bodyBytesOf,
+	createMemoryBudget,
+	type MemoryBudget,
+} from '../memory-budget/index.ts';
 import {createWindowRetryBudget} from '../retries/index.ts';
 import {isRegionAllowed, type Prompt} from '../routes/index.ts';
 import {
@@ -41,6 +46,7 @@
 	readonly admission: LeavingAdmission;
 	readonly overload: NodeOverload | undefined;
 	readonly openResponses: OpenResponses;
+	readonly memory: MemoryBudget;
 };
 
 /**
@@ -230,6 +236,12 @@
 			);
 		},
 	});
+	const memory = createMemoryBudget({
+		limitBytes: bodyBytesOf(options.memoryMb),
+		otherBytes: deliveries.keptBytes,
+		clock,
+		logger,
+	});
 	const observer = createGatewayObserver({
 		logger,
 		logContext: () => ({
@@ -248,6 +260,8 @@
 			requestsUnderWay: deliveries.count,
 			requestsWaiting: deliveries.queuedCount,
 			answerBytesKept: deliveries.keptBytes,
+			requestBytesReserved: memory.reservedBytes,
+			requestsRefusedForMemory: memory.refusals,
 			loopLagMilliseconds: hooks.lagMs,
 			loopUtilization: hooks.utilization,
 			overloadRefusedFraction: () => overload?.refusedFraction() ?? 0,
@@ -286,6 +300,7 @@
 	const openResponses = createOpenResponses();
 	const intake = createRequestIntake({
 		openResponses,
+		memory,
 		deliveries,
 		observer,
 		admission,
@@ -308,7 +323,15 @@
 			now: clock(),
 		}),
 	});
-	return {intake, deliveries, observer, admission, overload, openResponses};
+	return {
+		intake,
+		deliveries,
+		observer,
+		admission,
+		overload,
+		openResponses,
+		memory,
+	};
 };
 
 const tokensOf = (prompt: Prompt | undefined): number | undefined =>
--- /dev/null
+++ b/src/memory-budget/index.ts
@@ -0,0 +1,3 @@
+export * from './hold-time.ts';
+export * from './memory-budget.ts';
+export * from './node-memory.ts';
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -53,6 +53,16 @@
 		0,
 		3_600_000,
 	),
+	memoryMb: numberSetting(
+		{
+			flag: '--memory-mb',
+			description:
+				'Memory that the node may use, in MB; 0 for that of its control group or machine',
+			fallback: '0',
+		},
+		0,
+		1_048_576,
+	),
 	without: createSetting<DisabledMechanisms>(
 		{
 			flag: '--without',
--- a/stand-ins/gateways.ts
+++ b/stand-ins/gateways.ts
@@ -53,12 +53,14 @@
 @param count Number of nodes.
 @param registry Registry that all nodes read.
 @param clocks Clocks that all nodes use.
+@param memoryMb Memory of each node in MB.
 */
 export const startGateways = async (
 	zones: Readonly<Record<string, string>>,
 	count: number,
 	registry: StandInRegistry = createStandInRegistry(),
 	clocks: ClockSources = machineClocks,
+	memoryMb?: number,
 ): Promise<GatewayDeployment> => {
 	const network = `127.${randomInt(2, largestOctet)}.${randomInt(1, largestOctet)}`;
 	let host = 0;
@@ -91,6 +93,7 @@
 		},
 		logger: createLogger('gateway', {node: `node-${index}`}),
 		clocks,
+		memoryMb,
 	});
 	const createNode = (index: number) => createGateway(optionsOf(index));
 	const nodes = hosts.map((_, index) => createNode(index));
--- a/tests/gateway/intake/request-deferral.test.ts
+++ b/tests/gateway/intake/request-deferral.test.ts
@@ -12,6 +12,7 @@
 } from '../../../src/gateway/intake/request-deferral.ts';
 import {bindOnce} from '../../../src/listening/index.ts';
 import {startCallerListener} from '../../../src/gateway/intake/caller-listener.ts';
+import {budgetOf} from '../../memory-budget/fixtures.ts';
 import {createOpenResponses} from '../../../src/gateway/intake/open-responses.ts';
 
 const port = 8000;
@@ -55,6 +56,7 @@
 	const left = Promise.withResolvers<void>();
 	const listener = await startCallerListener({
 		openResponses: createOpenResponses(),
+		memory: budgetOf(),
 		bind: bindOnce,
 		address: `${host}:${port}`,
 		limits: {
--- a/tests/gateway/intake/request-intake.test.ts
+++ b/tests/gateway/intake/request-intake.test.ts
@@ -6,6 +6,7 @@
 import type {GatewayError} from '../../../src/errors/index.ts';
 import {createRouteTable} from '../../../src/routes/index.ts';
 import {documentOf, names, routeOf} from '../fixtures.ts';
+import {budgetOf} from '../../memory-budget/fixtures.ts';
 import {createOpenResponses} from '../../../src/gateway/intake/open-responses.ts';
 
 const now = 10_000;
@@ -34,6 +35,7 @@
 	const refused: GatewayError[] = [];
 	const intake = createRequestIntake({
 		openResponses: createOpenResponses(),
+		memory: budgetOf(),
 		deliveries: {
 			deliver(exchange) {
 				delivered.push(exchange);
--- a/tests/platform/read-settings.test.ts
+++ b/tests/platform/read-settings.test.ts
@@ -42,15 +42,17 @@
 
 test('what a node may use of its machine is read, and not stated by default', () => {
 	const resources =
-		'limits.cpu_share=0.675\nlimits.cores=2\nlimits.link_mbps=140.0\n';
+		'limits.cpu_share=0.675\nlimits.cores=2\nlimits.link_mbps=140.0\nlimits.memory_mb=350\n';
 	const settings = parseSettings(text + resources);
 	assert.ok(settings.isOk);
 	assert.equal(settings.value.processorCores, 1.35);
 	assert.equal(settings.value.linkMbps, 140);
+	assert.equal(settings.value.memoryMb, 350);
 	const unstated = parseSettings(text);
 	assert.ok(unstated.isOk);
 	assert.equal(unstated.value.processorCores, undefined);
 	assert.equal(unstated.value.linkMbps, undefined);
+	assert.equal(unstated.value.memoryMb, undefined);
 });
 
 for (const value of ['0', '-1', 'much', '']) {
