Serve requests with an absolute target

Callers that sent GET http://host/path were answered 404, though the route exists: the whole target was taken for the path, under the host of the Host header. Servers have to accept such targets (RFC 9112, section 3.2.2). The host of the target now replaces the one of the header, and backend servers are sent the path and query, unchanged.

--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -24,6 +24,7 @@
 import type {ResponseSink} from '../exchange.ts';
 import type {OpenResponses} from './open-responses.ts';
 import {readRequestBody} from './read-request-body.ts';
+import {readRequestTarget, withHost} from './request-target.ts';
 
 /**
 A request received with its whole body.
@@ -281,16 +282,21 @@
 	request: IncomingMessage,
 	body: Buffer | undefined,
 	bodyMs: number,
-): ReceivedRequest => ({
-	method: request.method ?? 'GET',
-	target: request.url ?? '/',
-	host: request.headers.host ?? '',
-	rawHeaders: request.rawHeaders,
-	header: createHeaderReader(request.headers),
-	body,
-	bodyMs,
-	isFirst: isFirstOf(request.socket),
-});
+): ReceivedRequest => {
+	const {rawHeaders, headers} = request;
+	const statedHost = headers.host ?? '';
+	const {host, target} = readRequestTarget(request.url ?? '/', statedHost);
+	return {
+		method: request.method ?? 'GET',
+		target,
+		host,
+		rawHeaders: host === statedHost ? rawHeaders : withHost(rawHeaders, host),
+		header: createHeaderReader(headers),
+		body,
+		bodyMs,
+		isFirst: isFirstOf(request.socket),
+	};
+};
 
 /**
 Creates a sink that writes to a response of Node's HTTP server.
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {get} from 'node:http';
 import {after, before, describe, test, type TestContext} from 'node:test';
 import {request} from 'undici';
 import {
@@ -45,6 +46,27 @@
 	};
 };
 
+// The client of the other tests sends paths only.
+const askAbsolute = async (address: string, target: string): Promise<number> =>
+	new Promise((resolve, reject) => {
+		const url = new URL(`http://${address}`);
+		get(
+			{
+				host: url.hostname,
+				port: url.port,
+				path: target,
+				headers: {
+					host: 'another.example',
+					[standInHeaders.requestId]: 'absolute-1',
+				},
+			},
+			(response) => {
+				response.resume();
+				resolve(response.statusCode ?? 0);
+			},
+		).once('error', reject);
+	});
+
 describe('two nodes in two regions', () => {
 	let deployment: GatewayDeployment;
 	let servers: readonly StandInServer[];
@@ -118,6 +140,13 @@
 		}
 	});
 
+	test('a request with an absolute target is served by the route of its host, from the same region and from the other', async () => {
+		for (const address of deployment.callerAddresses) {
+			const status = await askAbsolute(address, 'https://site.example/plain/a');
+			assert.equal(status, 200);
+		}
+	});
+
 	test('a stream arrives event by event from either node', async () => {
 		for (const address of deployment.callerAddresses) {
 			const {status, text} = await ask(address, '/words/a');
