Let the soak flood a node with bodies of the maximum length

Nodes are told of the 350 MB that the check of memory allows. What becomes of the flood's requests is not recorded; the others have to be served as before.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -17,7 +17,7 @@
 	shortestTimeoutMs,
 	type LostRoutes,
 } from './soak-routes.ts';
-import type {Disturbance} from './soak-nodes.ts';
+import {maximumMemoryMb, type Disturbance} from './soak-nodes.ts';
 import {
 	eventsPerStream,
 	type ServerEvent,
@@ -160,9 +160,6 @@
 		}));
 };
 
-// The memory that the users' smallest VMs allow a node.
-const maximumMemoryMb = 350;
-
 const checkMemory = ({peakMemoryMb}: SoakHistory): readonly Violation[] =>
 	peakMemoryMb <= maximumMemoryMb
 		? []
--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -56,6 +56,10 @@
 			readonly forMs: number;
 	  }
 	/**
+	Many callers send one node bodies of the maximum length at once.
+	*/
+	| {readonly kind: 'flood'; readonly node: number; readonly callers: number}
+	/**
 	All nodes are killed and return, once or in series.
 	*/
 	| {
@@ -144,6 +148,7 @@
 		...plan,
 		...planRareFaults(options),
 		...planWholeReturn(options),
+		...planFlood(options),
 	].toSorted((left, right) => left.at - right.at);
 };
 
@@ -211,6 +216,22 @@
 	return at < lengthMs ? [{at, fault: drawWholeReturn(seed, 1)}] : [];
 };
 
+const floodSeedOffset = 4_000_037;
+const minimumFloodCallers = 60;
+const floodCallersRange = 120;
+
+// One in the course of the test, drawn by itself as well.
+const planFlood = ({
+	seed,
+	nodes,
+	lengthMs,
+}: PlanOptions): readonly PlannedFault[] => {
+	const random = createRandom(seed + floodSeedOffset);
+	const at = random.below(lengthMs);
+	const callers = minimumFloodCallers + random.below(floodCallersRange);
+	return [{at, fault: {kind: 'flood', node: random.below(nodes - 1), callers}}];
+};
+
 const drawFault = (random: Random, {nodes, servers}: PlanOptions): Fault => {
 	const forMs =
 		minimumDurationMs + random.below(maximumDurationMs - minimumDurationMs);
--- a/soak/play-soak.ts
+++ b/soak/play-soak.ts
@@ -14,7 +14,7 @@
 import {createStandInRegistry} from '../stand-ins/registry.ts';
 import {checkSoak, type SoakHistory, type Violation} from './check-soak.ts';
 import {drawWholeReturn, planFaults, type Fault} from './fault-plan.ts';
-import {startSoakCallers} from './soak-callers.ts';
+import {sendFlood, startSoakCallers} from './soak-callers.ts';
 import {startSoakNodes, type SoakNodes} from './soak-nodes.ts';
 import {createSoakRoutes, type SoakRoutes} from './soak-routes.ts';
 import {startSoakServer, type SoakServer} from './soak-server.ts';
@@ -265,7 +265,7 @@
 	Fault,
 	{
 		readonly kind:
-			'crowd' | 'silence' | 'brittle' | 'fatal-part' | 'whole-return';
+			'crowd' | 'flood' | 'silence' | 'brittle' | 'fatal-part' | 'whole-return';
 	}
 >;
 
@@ -278,6 +278,10 @@
 			return playCrowd(fault.node, fault.forMs, {nodes, servers});
 		}
 
+		case 'flood': {
+			return sendFlood(nodes.callerAddresses[fault.node]!, fault);
+		}
+
 		case 'silence': {
 			return playSilence(servers.slice(0, fault.servers), fault.forMs, routes);
 		}
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -1,10 +1,12 @@
 /**
 Callers of a soak test. They reuse connections until the node closes them.
 */
+import {Buffer} from 'node:buffer';
 import {Agent, request} from 'undici';
 import {productHeaders} from '../src/gateway/product-headers.ts';
 import type {Random} from '../src/shared/index.ts';
 import {fatalPart} from './soak-server.ts';
+import {maximumBodyBytes} from './soak-routes.ts';
 
 /**
 Kinds of requests: non-idempotent, idempotent, streaming, and to a route that was added during the test.
@@ -229,6 +231,38 @@
 	};
 };
 
+const floodBody = Buffer.alloc(maximumBodyBytes, 'x');
+
+/**
+Sends many bodies of the maximum length to one node at once. What becomes of them is not recorded; the node must stay within its memory and
+serve the others.
+*/
+export const sendFlood = async (
+	address: string,
+	{node, callers}: {readonly node: number; readonly callers: number},
+): Promise<void> => {
+	const dispatcher = new Agent({connections: callers});
+	const send = async (index: number) => {
+		const answer = await request(`http://${address}/repeatable/flood`, {
+			dispatcher,
+			method: 'POST',
+			body: floodBody,
+			headers: {
+				host: 'site.example',
+				[productHeaders.requestId]: `${node}-flood-${index}`,
+				[productHeaders.remainingMs]: String(callerDeadlineMs),
+			},
+			signal: AbortSignal.timeout(callerDeadlineMs),
+		});
+		await answer.body.dump();
+	};
+
+	await Promise.allSettled(
+		Array.from({length: callers}, async (_, index) => send(index)),
+	);
+	await dispatcher.destroy();
+};
+
 const partsOf = (sent: number, hasFatalPart: boolean): string =>
 	['common', hasFatalPart ? fatalPart : `topic-${sent % topics}`, `own-${sent}`]
 		.map((id) => `${id}:1`)
--- a/soak/soak-nodes.ts
+++ b/soak/soak-nodes.ts
@@ -85,6 +85,12 @@
 const callerPort = 8000;
 const peerPort = 8001;
 const drainMs = 3000;
+
+/**
+Memory that a node may take, in MB: that of the users' smallest VMs.
+*/
+export const maximumMemoryMb = 350;
+
 // Time for which a port stays in use after the start of its node, in milliseconds.
 const portHeldMs = 1500;
 
@@ -125,6 +131,7 @@
 				`--seed-peers=${seeds.join(',')}`,
 				`--registry-address=${registryAddress}`,
 				`--drain-timeout-ms=${drainMs}`,
+				`--memory-mb=${maximumMemoryMb}`,
 			],
 			logFolder,
 		});
--- a/soak/soak-routes.ts
+++ b/soak/soak-routes.ts
@@ -65,6 +65,11 @@
 const shortIdleMs = 5000;
 const {limits} = documentOf();
 
+/**
+Maximum length of the body of a request, in bytes.
+*/
+export const {maximumBodyBytes} = limits;
+
 /**
 The shortest time limit that a route has during the test, in milliseconds.
 */
--- a/tests/soak/fault-plan.test.ts
+++ b/tests/soak/fault-plan.test.ts
@@ -13,7 +13,7 @@
 
 test('all kinds of faults occur, and none affects the last node or server', (t: TestContext) => {
 	const faults = planFaults(options).map(({fault}) => fault);
-	t.assert.strictEqual(new Set(faults.map(({kind}) => kind)).size, 22);
+	t.assert.strictEqual(new Set(faults.map(({kind}) => kind)).size, 23);
 	t.assert.ok(
 		faults.every(
 			(fault) =>
