Judge the memory of all nodes of a soak, also of those that were replaced

The check asked the nodes that run at the end for their peak, and since all nodes are killed at the end of each run it saw young processes alone. The peak of a process is now recorded before it is killed. The flood sends bodies of 2 MB.

--- a/soak/fault-plan.ts
+++ b/soak/fault-plan.ts
@@ -217,8 +217,8 @@
 };
 
 const floodSeedOffset = 4_000_037;
-const minimumFloodCallers = 60;
-const floodCallersRange = 120;
+const minimumFloodCallers = 100;
+const floodCallersRange = 80;
 
 // One in the course of the test, drawn by itself as well.
 const planFlood = ({
--- a/soak/soak-nodes.ts
+++ b/soak/soak-nodes.ts
@@ -45,7 +45,7 @@
 	*/
 	restartAll(wholeReturn: WholeReturn): Promise<void>;
 	/**
-	Returns the largest amount of memory that a running node has taken, in MB.
+	Returns the largest amount of memory that a node has taken, in MB, also one that has ended since.
 	*/
 	peakMemoryMb(): number;
 	stop(): Promise<void>;
@@ -137,6 +137,12 @@
 		});
 
 	const processes = Array.from({length: nodes}, (_, node) => start(node));
+	let peakMb = 0;
+	// A process takes the record of its peak with it.
+	const recordPeak = ({child}: Process) => {
+		peakMb = Math.max(peakMb, peakMemoryMbOf(child.pid));
+	};
+
 	const busy = new Set<number>();
 	const restarting = new Set<number>();
 	const wholeLosses: number[] = [];
@@ -185,11 +191,13 @@
 		if (how === 'early-start') {
 			processes[node] = start(node);
 			await sleep(downMs);
+			recordPeak(predecessor);
 			predecessor.child.kill('SIGKILL');
 			onKill();
 			return;
 		}
 
+		recordPeak(predecessor);
 		predecessor.child.kill('SIGKILL');
 		onKill();
 		await predecessor.exited;
@@ -238,6 +246,7 @@
 			busy.add(node);
 			restarting.add(node);
 			const disturbance = begin(node, signal === 'SIGTERM');
+			recordPeak(processes[node]!);
 			processes[node]!.child.kill(signal);
 			await processes[node]!.exited;
 			await new Promise((resolve) => {
@@ -270,8 +279,13 @@
 			);
 			wholeLosses.push(lastKillAt);
 		},
-		peakMemoryMb: () =>
-			Math.max(...processes.map(({child}) => peakMemoryMbOf(child.pid))),
+		peakMemoryMb() {
+			for (const each of processes) {
+				recordPeak(each);
+			}
+
+			return peakMb;
+		},
 		async stop() {
 			for (const {child} of processes) {
 				child.kill('SIGCONT');
--- a/soak/soak-routes.ts
+++ b/soak/soak-routes.ts
@@ -63,12 +63,13 @@
 const longestTimeoutMs = 3000;
 
 const shortIdleMs = 5000;
-const {limits} = documentOf();
 
 /**
 Maximum length of the body of a request, in bytes.
 */
-export const {maximumBodyBytes} = limits;
+export const maximumBodyBytes = 2_097_152;
+
+const limits = {...documentOf().limits, maximumBodyBytes};
 
 /**
 The shortest time limit that a route has during the test, in milliseconds.
