Close idle connections of callers before descriptors run out

A node whose callers took all descriptors said that it was ready, accepted no further connection, and refused the requests on open ones, since it could not reach any server (connect EMFILE), for as long as these callers stayed.

Callers may now have connections for 0.6 of the descriptors, those of the settings or of the process; the connection that has been idle for longest makes room for a new one, and a new one is closed only if all others are in use.

The set of connections has a file of its own; how a leaving node closes idle ones is unchanged.

--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -59,6 +59,10 @@
 	*/
 	readonly memoryMb?: number | undefined;
 	/**
+	File descriptors that the node may use; those that the operating system allows if omitted.
+	*/
+	readonly maximumDescriptors?: number | undefined;
+	/**
 	Opens the sockets of the node; makes one attempt each if omitted.
 	*/
 	readonly bind?: BindAddress;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -114,6 +114,7 @@
 		overload,
 		openResponses,
 		memory,
+		connections,
 	} = createRequestHandling(options, nodeState, {
 		onFirstWaiting() {
 			ticks.reschedule();
@@ -225,6 +226,7 @@
 			onRequest: intake.handle,
 			openResponses,
 			memory,
+			connections,
 			onUnreadable(reason) {
 				observer.rejected('', `unreadable: ${reason}`, 400);
 			},
--- a/src/gateway/intake/caller-listener.ts
+++ b/src/gateway/intake/caller-listener.ts
@@ -22,6 +22,7 @@
 import type {CallerLimits} from '../../routes/index.ts';
 import type {MemoryBudget} from '../../memory-budget/index.ts';
 import type {ResponseSink} from '../exchange.ts';
+import type {CallerConnections} from './caller-connections.ts';
 import type {OpenResponses} from './open-responses.ts';
 import {readRequestBody} from './read-request-body.ts';
 import {readRequestTarget, withHost} from './request-target.ts';
@@ -87,6 +88,7 @@
 	Counts the responses to requests that were read whole.
 	*/
 	readonly openResponses: Pick<OpenResponses, 'add'>;
+	readonly connections: CallerConnections<Socket>;
 	/**
 	The memory that bodies may take.
 	*/
@@ -104,7 +106,7 @@
 	options: CallerListenerOptions,
 ): Promise<CallerListener> => {
 	let {limits} = options;
-	const connections = createConnections();
+	const {connections} = options;
 	const server = createServer(
 		{
 			noDelay: true,
@@ -185,55 +187,6 @@
 	};
 };
 
-/**
-The connections of a listener.
-*/
-type Connections = {
-	add(socket: Socket): void;
-	/**
-	Counts a response of its connection until it has been written.
-	*/
-	begin(response: ServerResponse): void;
-	closeIdle(): void;
-};
-
-const createConnections = (): Connections => {
-	const responses = new Map<Socket, number>();
-	const change = (socket: Socket, by: number) => {
-		const count = responses.get(socket);
-		if (count !== undefined) {
-			responses.set(socket, count + by);
-		}
-	};
-
-	return {
-		add(socket) {
-			responses.set(socket, 0);
-			socket.once('close', () => {
-				responses.delete(socket);
-			});
-		},
-		begin(response) {
-			const {socket} = response;
-			if (!socket) {
-				return;
-			}
-
-			change(socket, 1);
-			response.once('close', () => {
-				change(socket, -1);
-			});
-		},
-		closeIdle() {
-			for (const [socket, count] of responses) {
-				if (count === 0) {
-					socket.destroy();
-				}
-			}
-		},
-	};
-};
-
 /**
 Calls `callerLeft` when the caller closes the connection before the whole response was written.
 
--- a/src/gateway/intake/index.ts
+++ b/src/gateway/intake/index.ts
@@ -1,3 +1,5 @@
+export * from './caller-connections.ts';
+export * from './descriptor-limit.ts';
 export * from './request-deferral.ts';
 export * from './entry-members.ts';
 export * from './entry-subset.ts';
--- a/src/gateway/request-handling.ts
+++ b/src/gateway/request-handling.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import {incarnationIdOf} from '../registry/index.ts';
 import {
 	bodyBytesOf,
@@ -23,6 +24,9 @@
 } from './gateway-observer.ts';
 import type {GatewayOptions} from './gateway-options.ts';
 import {
+	callerConnectionsOf,
+	createCallerConnections,
+	type CallerConnections,
 	createRequestDeferral,
 	createLeavingAdmission,
 	createNodeOverload,
@@ -47,6 +51,7 @@
 	readonly overload: NodeOverload | undefined;
 	readonly openResponses: OpenResponses;
 	readonly memory: MemoryBudget;
+	readonly connections: CallerConnections<Socket>;
 };
 
 /**
@@ -242,6 +247,10 @@
 		clock,
 		logger,
 	});
+	const connections = createCallerConnections<Socket>(
+		callerConnectionsOf(options.maximumDescriptors),
+		logger,
+	);
 	const observer = createGatewayObserver({
 		logger,
 		logContext: () => ({
@@ -260,6 +269,8 @@
 			requestsUnderWay: deliveries.count,
 			requestsWaiting: deliveries.queuedCount,
 			answerBytesKept: deliveries.keptBytes,
+			callerConnections: connections.count,
+			callerConnectionsClosedForNew: connections.closedForNew,
 			requestBytesReserved: memory.reservedBytes,
 			requestsRefusedForMemory: memory.refusals,
 			loopLagMilliseconds: hooks.lagMs,
@@ -331,6 +342,7 @@
 		overload,
 		openResponses,
 		memory,
+		connections,
 	};
 };
 
--- a/tests/gateway/intake/request-deferral.test.ts
+++ b/tests/gateway/intake/request-deferral.test.ts
@@ -1,6 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate as turn} from 'node:timers/promises';
 import {test, type TestContext} from 'node:test';
@@ -12,6 +12,8 @@
 } from '../../../src/gateway/intake/request-deferral.ts';
 import {bindOnce} from '../../../src/listening/index.ts';
 import {startCallerListener} from '../../../src/gateway/intake/caller-listener.ts';
+import {createCallerConnections} from '../../../src/gateway/intake/caller-connections.ts';
+import {silentLogger} from '../../../src/logging/index.ts';
 import {budgetOf} from '../../memory-budget/fixtures.ts';
 import {createOpenResponses} from '../../../src/gateway/intake/open-responses.ts';
 
@@ -57,6 +59,7 @@
 	const listener = await startCallerListener({
 		openResponses: createOpenResponses(),
 		memory: budgetOf(),
+		connections: createCallerConnections<Socket>(100, silentLogger),
 		bind: bindOnce,
 		address: `${host}:${port}`,
 		limits: {
--- a/tests/platform/node-process.ts
+++ b/tests/platform/node-process.ts
@@ -39,11 +39,17 @@
 
 /**
 Starts a node of the only zone of a deployment.
+
+@param ip The IP address of all its sockets.
+@param storeAddress Where it reads the registry.
+@param name The name by which other nodes know it.
+@param descriptors File descriptors that it may have; those of this process if omitted.
 */
 export const startNodeProcess = (
 	ip: string,
 	storeAddress: Address,
 	name = 'node-1',
+	descriptors?: number,
 ): NodeProcess => {
 	const folder = mkdtempSync(path.join(tmpdir(), 'quillford-node-'));
 	const settings = path.join(folder, 'node.conf');
@@ -66,10 +72,15 @@
 			.map(([field, value]) => `${field}=${value}\n`)
 			.join(''),
 	);
-	const child = spawn('dist/quillford', ['platform-node'], {
-		env: {PATH: process.env.PATH, QUILLFORD_CONFIG: settings},
-		stdio: ['ignore', 'pipe', 'pipe'],
-	});
+	const limit = descriptors === undefined ? '' : `ulimit -n ${descriptors};`;
+	const child = spawn(
+		'sh',
+		['-c', `${limit} exec dist/quillford platform-node`],
+		{
+			env: {PATH: process.env.PATH, QUILLFORD_CONFIG: settings},
+			stdio: ['ignore', 'pipe', 'pipe'],
+		},
+	);
 	let output = '';
 	let ending: number | string | undefined;
 	const collect = (chunk: Uint8Array) => {
--- a/tests/platform/read-settings.test.ts
+++ b/tests/platform/read-settings.test.ts
@@ -42,17 +42,19 @@
 
 test('what a node may use of its machine is read, and not stated by default', () => {
 	const resources =
-		'limits.cpu_share=0.675\nlimits.cores=2\nlimits.link_mbps=140.0\nlimits.memory_mb=350\n';
+		'limits.cpu_share=0.675\nlimits.cores=2\nlimits.link_mbps=140.0\nlimits.memory_mb=350\nlimits.max_fds=4100\n';
 	const settings = parseSettings(text + resources);
 	assert.ok(settings.isOk);
 	assert.equal(settings.value.processorCores, 1.35);
 	assert.equal(settings.value.linkMbps, 140);
 	assert.equal(settings.value.memoryMb, 350);
+	assert.equal(settings.value.maximumDescriptors, 4100);
 	const unstated = parseSettings(text);
 	assert.ok(unstated.isOk);
 	assert.equal(unstated.value.processorCores, undefined);
 	assert.equal(unstated.value.linkMbps, undefined);
 	assert.equal(unstated.value.memoryMb, undefined);
+	assert.equal(unstated.value.maximumDescriptors, undefined);
 });
 
 for (const value of ['0', '-1', 'much', '']) {
