State in the soak which nodes had seen the crashes on a fatal part

A violation now names, for each crash, the nodes whose requests were there and whether they were lost at once, and each later request. What is a violation stays as it is.

--- a/soak/check-soak.ts
+++ b/soak/check-soak.ts
@@ -241,22 +241,49 @@
 		);
 };
 
+// A node that is killed or suspended soon after a crash may have told no other one of it.
+const reportMs = 500;
+
+// Names the nodes whose requests with the part were at a server when it crashed, with "(lost)" behind those that were disturbed at once.
+const describeCrash = (
+	at: number,
+	{events, disturbances}: SoakHistory,
+): string => {
+	const nodes = events
+		.filter(
+			(event) => event.hasFatalPart && event.at <= at && event.endedAt >= at,
+		)
+		.map(({requestId}) => nodeOfRequest(requestId));
+	const described = [...new Set(nodes)].map((node) =>
+		disturbances.some(
+			(each) =>
+				each.node === node && each.from < at + reportMs && each.until > at,
+		)
+			? `${node} (lost)`
+			: String(node),
+	);
+	return `${Math.round(at)} ms at nodes ${described.join(', ')}`;
+};
+
 const checkFatalPartBetween = (
-	{events, fatalCrashes: allCrashes}: SoakHistory,
+	history: SoakHistory,
 	from: number,
 	until: number,
 ): readonly Violation[] => {
-	const fatalCrashes = allCrashes.filter((at) => at >= from && at < until);
+	const {events} = history;
+	const fatalCrashes = history.fatalCrashes.filter(
+		(at) => at >= from && at < until,
+	);
 	const fifthAt = fatalCrashes[toleratedFatalCrashes - 1] ?? Infinity;
 	const late = events.filter(
 		({hasFatalPart, at}) =>
 			hasFatalPart && at > fifthAt + contactMs && at < until,
-	).length;
-	return late > toleratedFatalSends
+	);
+	return late.length > toleratedFatalSends
 		? [
 				{
 					promise: 'fatal part',
-					detail: `${late} requests with the part reached servers later than ${contactMs} ms after its fifth crash; ${fatalCrashes.length} crashes`,
+					detail: `${late.length} requests with the part reached servers later than ${contactMs} ms after its fifth crash; crashes: ${fatalCrashes.map((at) => describeCrash(at, history)).join('; ')}; requests: ${late.map(({requestId, at}) => `${requestId} at ${Math.round(at)} ms`).join(', ')}`,
 				},
 			]
 		: [];
