--- a/src/gateway/intake/descriptor-limit.ts
+++ b/src/gateway/intake/descriptor-limit.ts
@@ -10,15 +10,13 @@
 /**
 Returns how many connections callers may have.
 
-@param maximumDescriptors Descriptors of the process; those that the operating system allows if undefined.
+@param maximumDescriptors Descriptors of the process, which may be limited by other means than those of the operating system; what that allows if
+undefined.
 */
 export const callerConnectionsOf = (
 	maximumDescriptors: number | undefined,
 ): number =>
-	Math.floor(
-		callersPart *
-			Math.min(maximumDescriptors ?? Infinity, descriptorsAllowed()),
-	);
+	Math.floor(callersPart * (maximumDescriptors ?? descriptorsAllowed()));
 
 // Infinite where the system does not say.
 const descriptorsAllowed = (): number => {
