Allocate no more for a body than its maximum length

A caller could declare any length and have the node allocate it with the first bytes: with 2 to the power of 50 the allocation throws inside the reading of the request, and a smaller one takes the memory. The reservation was bounded by max_body_bytes, the buffer was not.

--- a/src/gateway/intake/read-request-body.ts
+++ b/src/gateway/intake/read-request-body.ts
@@ -105,7 +105,11 @@
 			return;
 		}
 
-		collector ??= createCollector(declaredBytes);
+		collector ??= createCollector(
+			declaredBytes === undefined
+				? undefined
+				: Math.min(declaredBytes, maximumBytes),
+		);
 		collector.add(chunk);
 		reservation?.progress();
 	};
--- a/tests/gateway/intake/read-request-body.test.ts
+++ b/tests/gateway/intake/read-request-body.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import {connect, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {test, type TestContext} from 'node:test';
 import {
 	readRequestBody,
@@ -142,3 +143,18 @@
 	await waitUntil(() => bodies.length === 1, 100);
 	t.assert.deepStrictEqual(bodies, [{kind: 'too-large'}]);
 });
+
+// Guards against callers who take a node's memory by declaring a length that they never send.
+test('a declared length beyond the maximum reserves and allocates the maximum alone', async (t: TestContext) => {
+	const {budget, open} = await setUp(t);
+	const socket = open();
+	socket.write(`${headOf(`content-length: ${2 ** 50}`)}${'x'.repeat(1000)}`);
+	await waitUntil(() => budget.reservedBytes() > 0, 100);
+	socket.write('x'.repeat(1000));
+	await waitUntil(() => socket.bytesWritten > 2000, 100);
+	await sleep(50);
+	t.assert.strictEqual(budget.reservedBytes(), maximumBytes);
+	socket.destroy();
+	await waitUntil(() => budget.reservedBytes() === 0, 100);
+	t.assert.strictEqual(budget.reservedBytes(), 0);
+});
