--- a/src/gateway/delivery/event-relay.ts
+++ b/src/gateway/delivery/event-relay.ts
@@ -3,7 +3,11 @@
 	createEventScanner,
 	type EventProgress,
 } from '../../response-bodies/index.ts';
-import {createEventOrder, type StreamNumbering} from './event-order.ts';
+import {
+	createEventOrder,
+	type EventVerdict,
+	type StreamNumbering,
+} from './event-order.ts';
 
 /**
 Events that can be relayed, and whether one is missing after them; the response must not be relayed any further then.
@@ -57,36 +61,35 @@
 	let held: Buffer[] = [];
 	const order = createEventOrder(parseId(lastDelivered), numbering);
 
-	// Adds the events that can be relayed now to `relayed`. Returns whether none is missing before them.
-	const hasAdded = (event: Buffer, relayed: Buffer[]): boolean => {
+	// Adds the events that can be relayed now to `relayed`.
+	const take = (event: Buffer, relayed: Buffer[]): EventVerdict => {
 		const id = eventId(event);
 		const verdict = id === undefined ? 'pass' : order.judge(id);
 		switch (verdict) {
 			case 'hold': {
 				held.push(event);
-				return true;
+				break;
 			}
 
 			case 'pass': {
 				// An event without an id stays behind the one that is held.
 				(held.length > 0 ? held : relayed).push(event);
-				return true;
+				break;
 			}
 
 			case 'release': {
 				relayed.push(...held, event);
 				held = [];
-				return true;
-			}
-
-			case 'skip': {
-				return true;
+				break;
 			}
 
+			case 'skip':
 			case 'missing': {
-				return false;
+				break;
 			}
 		}
+
+		return verdict;
 	};
 
 	const completeWith = (last: Buffer): Buffer => {
@@ -113,7 +116,7 @@
 				end = scanner.nextBoundary(chunk, start)
 			) {
 				const event = completeWith(chunk.subarray(start, end));
-				if (!hasAdded(event, complete)) {
+				if (take(event, complete) === 'missing') {
 					return {bytes: concatenate(complete), isNextMissing: true};
 				}
 
--- a/src/gateway/intake/read-request-body.ts
+++ b/src/gateway/intake/read-request-body.ts
@@ -1,10 +1,11 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	smallBodyBytes,
 	type MemoryBudget,
 	type Reservation,
 } from '../../memory-budget/index.ts';
+import {createByteCollector} from '../../shared/index.ts';
 
 /**
 The body of a request.
@@ -44,9 +45,8 @@
 	{maximumBytes, memory}: BodyLimits,
 	done: (body: RequestBody) => void,
 ): void => {
-	const declaredBytes = declaredLengthOf(request);
-	let reservation: Reservation | undefined;
-	let collector: Collector | undefined;
+	const expectedBytes = expectedLengthOf(request, maximumBytes);
+	const collector = createByteCollector(expectedBytes);
 	let isDone = false;
 	let size = 0;
 
@@ -56,66 +56,61 @@
 		}
 
 		isDone = true;
-		collector = undefined;
 		done(body);
 	};
 
-	const hasReserved = (): boolean => {
+	const refuse = (body: Extract<RequestBody, {kind: 'no-room'}>) => {
+		collector.clear();
+		finish(body);
+	};
+
+	// Returns undefined if there is no memory for the body.
+	const reserve = (): Reservation | undefined => {
 		const result = memory.reserve(
-			Math.min(declaredBytes ?? smallBodyBytes, maximumBytes),
+			expectedBytes ?? Math.min(smallBodyBytes, maximumBytes),
 			() => {
 				request.destroy();
 			},
 		);
 		switch (result.kind) {
 			case 'reserved': {
-				({reservation} = result);
 				response.once('close', result.reservation.release);
-				return true;
+				return result.reservation;
 			}
 
 			case 'no-room': {
-				finish(result);
-				return false;
+				refuse(result);
+				return undefined;
 			}
 		}
 	};
 
-	// The pieces of a body without a declared length are joined at its end, which takes its memory twice.
-	const hasRoom = (): boolean => {
-		if (declaredBytes !== undefined || size <= smallBodyBytes) {
-			return true;
-		}
+	const reservation = expectedBytes === 0 ? undefined : reserve();
 
-		const retryAfterMs = reservation?.growTo(
-			2 * Math.min(maximumBytes, maximumUndeclaredBytes),
-		);
-		if (retryAfterMs === undefined) {
-			return true;
-		}
-
-		reservation?.release();
-		finish({kind: 'no-room', retryAfterMs});
-		return false;
-	};
+	// The parts of a body without a declared length are joined while they arrive, which takes its memory twice.
+	const growReservation = (): number | undefined =>
+		expectedBytes !== undefined || size <= smallBodyBytes
+			? undefined
+			: reservation?.growTo(2 * Math.min(maximumBytes, maximumUndeclaredBytes));
 
 	const collect = (chunk: Buffer) => {
 		size += chunk.length;
-		if (isDone || size > maximumBytes || !hasRoom()) {
+		if (isDone || size > maximumBytes) {
+			return;
+		}
+
+		const retryAfterMs = growReservation();
+		if (retryAfterMs !== undefined) {
+			reservation?.release();
+			refuse({kind: 'no-room', retryAfterMs});
 			return;
 		}
 
-		collector ??= createCollector(
-			declaredBytes === undefined
-				? undefined
-				: Math.min(declaredBytes, maximumBytes),
-		);
 		collector.add(chunk);
 		reservation?.progress();
 	};
 
-	const hasBody = declaredBytes !== 0;
-	if (hasBody && hasReserved()) {
+	if (reservation) {
 		request.on('data', collect);
 	} else {
 		request.resume();
@@ -126,47 +121,18 @@
 		finish(
 			size > maximumBytes
 				? {kind: 'too-large'}
-				: {kind: 'whole', bytes: size === 0 ? undefined : collector?.bytes()},
+				: {kind: 'whole', bytes: size === 0 ? undefined : collector.bytes()},
 		);
 	});
 	// A sender that aborts gets no response, because its connection is gone.
 	request.on('error', () => undefined);
 };
 
-// Returns 0 if there is no body, and undefined if its length is not declared.
-const declaredLengthOf = ({headers}: IncomingMessage): number | undefined =>
+// Returns 0 if there is no body, and undefined if its length is not declared. More than the maximum is not kept.
+const expectedLengthOf = (
+	{headers}: IncomingMessage,
+	maximumBytes: number,
+): number | undefined =>
 	headers['transfer-encoding'] === undefined
-		? Number(headers['content-length'] ?? 0)
+		? Math.min(Number(headers['content-length'] ?? 0), maximumBytes)
 		: undefined;
-
-type Collector = {
-	add(chunk: Buffer): void;
-	bytes(): Buffer;
-};
-
-const createCollector = (declaredBytes: number | undefined): Collector =>
-	declaredBytes !== undefined && declaredBytes > smallBodyBytes
-		? createCopyingCollector(declaredBytes)
-		: createJoiningCollector();
-
-// Each chunk is copied when it arrives, so a long body is not held twice.
-const createCopyingCollector = (declaredBytes: number): Collector => {
-	const bytes = Buffer.allocUnsafeSlow(declaredBytes);
-	let size = 0;
-	return {
-		add(chunk) {
-			size += chunk.copy(bytes, size);
-		},
-		bytes: () => bytes.subarray(0, size),
-	};
-};
-
-const createJoiningCollector = (): Collector => {
-	const chunks: Buffer[] = [];
-	return {
-		add(chunk) {
-			chunks.push(chunk);
-		},
-		bytes: () => Buffer.concat(chunks),
-	};
-};
--- a/src/memory-budget/memory-budget.ts
+++ b/src/memory-budget/memory-budget.ts
@@ -6,7 +6,7 @@
 */
 export type Reservation = {
 	/**
-	Sets more aside, so that the reservation has the given size. Returns how long it takes until there is room, in milliseconds, if there is none now.
+	Sets more aside, so that the reservation has the given size. If there is no room, returns the time until there is, in milliseconds.
 	*/
 	growTo(bytes: number): number | undefined;
 	/**
@@ -41,7 +41,7 @@
 	/**
 	Sets memory aside.
 
-	@param bytes
+	@param bytes Size of the body.
 	@param evict Called if the body has not made progress for `stallMs` and another one needs the memory. It is released then.
 	*/
 	reserve(bytes: number, evict: () => void): ReservationResult;
@@ -49,7 +49,6 @@
 	Returns the memory that is reserved, in bytes.
 	*/
 	reservedBytes(): number;
-	readonly limitBytes: number;
 	/**
 	Returns the number of bodies that were refused.
 	*/
@@ -256,7 +255,6 @@
 			};
 		},
 		reservedBytes: () => reserved,
-		limitBytes,
 		refusals: () => refusals,
 	};
 };
--- a/src/shared/byte-collector.ts
+++ b/src/shared/byte-collector.ts
@@ -20,8 +20,10 @@
 
 /**
 Creates an empty collector.
+
+@param expectedBytes Size of the body if it is known; it then takes the memory of its bytes once.
 */
-export const createByteCollector = (): ByteCollector => {
+export const createByteCollector = (expectedBytes = 0): ByteCollector => {
 	// Most bodies are a single part, which is not copied.
 	let only: Uint8Array | undefined;
 	let joined = empty;
@@ -29,7 +31,11 @@
 
 	const append = (part: Uint8Array) => {
 		if (size + part.length > joined.length) {
-			const larger = Buffer.allocUnsafe((size + part.length) * 2);
+			const larger = Buffer.allocUnsafe(
+				size + part.length <= expectedBytes
+					? expectedBytes
+					: (size + part.length) * 2,
+			);
 			joined.copy(larger, 0, 0, size);
 			joined = larger;
 		}
--- a/stand-ins/http-server.ts
+++ b/stand-ins/http-server.ts
@@ -2,10 +2,10 @@
 import {
 	createServer,
 	type IncomingMessage,
-	type Server,
 	type ServerResponse,
 } from 'node:http';
-import type {Address} from '../src/shared/index.ts';
+
+export {listenAt} from '../src/shared/index.ts';
 
 /**
 Reads the complete body of a request.
@@ -77,17 +77,3 @@
 			{once: true},
 		);
 	});
-
-/**
-Binds an existing server to `IP:PORT`. Rejects if the address can't be bound.
-*/
-export const listenAt = async (
-	server: Server,
-	address: Address,
-): Promise<void> => {
-	const [hostname = '', port = ''] = address.split(':', 2);
-	return new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(Number(port), hostname, resolve);
-	});
-};
--- a/tests/shared/byte-collector.test.ts
+++ b/tests/shared/byte-collector.test.ts
@@ -5,16 +5,20 @@
 
 test('any parts are joined in order', (t: TestContext) => {
 	fc.assert(
-		fc.property(fc.array(fc.uint8Array({maxLength: 20})), (parts) => {
-			const collector = createByteCollector();
-			for (const part of parts) {
-				collector.add(part);
-			}
+		fc.property(
+			fc.array(fc.uint8Array({maxLength: 20})),
+			fc.nat(60),
+			(parts, expectedBytes) => {
+				const collector = createByteCollector(expectedBytes);
+				for (const part of parts) {
+					collector.add(part);
+				}
 
-			const expected = Buffer.concat(parts);
-			t.assert.strictEqual(collector.size(), expected.length);
-			t.assert.deepStrictEqual(collector.bytes(), expected);
-		}),
+				const expected = Buffer.concat(parts);
+				t.assert.strictEqual(collector.size(), expected.length);
+				t.assert.deepStrictEqual(collector.bytes(), expected);
+			},
+		),
 	);
 });
 
