Test returns of all nodes with the version gone later, or one of its servers left, and a port that is never free

Two more cases of the table of whole returns, for callers that name the request that they continue and for those that don't; and a real process whose port stays in use for good. None of them failed: the cases were missing, not the code.

--- a/tests/gateway/software-versions.test.ts
+++ b/tests/gateway/software-versions.test.ts
@@ -349,6 +349,7 @@
 	readonly isNamed: boolean;
 	readonly before?: (scene: Scene) => Promise<void>;
 	readonly whileStopped?: (scene: Scene) => Promise<void>;
+	readonly after?: (scene: Scene) => Promise<void>;
 };
 
 const removeFirstVersion = async ({servers}: Scene): Promise<void> => {
@@ -372,12 +373,27 @@
 				isNamed,
 				whileStopped: removeFirstVersion,
 			},
+			{
+				name: `the version leaves after it, ${callers} requests`,
+				isNamed,
+				async after(scene: Scene) {
+					await removeFirstVersion(scene);
+					await sleep(300);
+				},
+			},
+			{
+				name: `one server of the version is left, ${callers} requests`,
+				isNamed,
+				async whileStopped({servers}: Scene) {
+					await servers[0]!.leave();
+				},
+			},
 		];
 	},
 );
 
 // Guards against streams that nodes without memory continue by the only version that they have ever seen.
-for (const {name, isNamed, before, whileStopped} of wholeReturns) {
+for (const {name, isNamed, before, whileStopped, after} of wholeReturns) {
 	test(`a stream is not joined from two versions after all nodes were killed and have returned; ${name}`, async (t: TestContext) => {
 		const scene = await setUp(t, twoOfEach);
 		const begun = await beginStreams(scene);
@@ -386,6 +402,7 @@
 			await whileStopped?.(scene);
 		});
 		await waitUntilConnected(scene.deployment);
+		await after?.(scene);
 		const continued = await takeUp(scene, begun, 1, isNamed);
 		t.assert.deepStrictEqual(joinedOf(begun, continued), []);
 		t.assert.ok(
--- a/tests/platform/ports-in-use.test.ts
+++ b/tests/platform/ports-in-use.test.ts
@@ -15,6 +15,8 @@
 const storeAddress = `${network}.1:8142`;
 // A process starts more slowly beside others.
 const turns = 200;
+// Longer than a node waits for an address.
+const givingUpTurns = 1000;
 
 let store: StoreServer;
 let lastHost = 1;
@@ -169,6 +171,17 @@
 	t.assert.strictEqual(node.ending(), 0);
 });
 
+test('a node whose port stays in use ends with a code and says what to do', async (t: TestContext) => {
+	const {host} = await holdTcp(t, nodePorts.directory);
+	const node = startAt(t, host);
+	await waitUntil(() => node.ending() !== undefined, givingUpTurns);
+	t.assert.strictEqual(node.ending(), 1);
+	t.assert.match(
+		node.output(),
+		/Cannot listen on \S+ for directory \(EADDRINUSE, .+ stop the process that holds it/v,
+	);
+});
+
 test('a node starts while its predecessor still runs, and serves once that one is killed', async (t: TestContext) => {
 	const host = nextHost();
 	const predecessor = startAt(t, host);
